--- a/src/bin/corkdrift-wirehost/main.rs
+++ b/src/bin/hollypaddle-wirehost/main.rs
@@ -1,17 +1,17 @@
 //! Hosts many controllers on the simulator's wire. It translates and routes; it decides nothing.
 
 mod codec;
-mod profile;
 
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, Write};
 use std::process::ExitCode;
 
 use codec::{Record, WireError};
-use corkdrift::{Action, Controller, Event, PoolEntry};
+use hollypaddle::settings::{self, Telemetry};
+use hollypaddle::{Action, Controller, Event, PoolEntry};
 
 struct Host {
-    instances: BTreeMap<u16, (Controller, profile::Telemetry)>,
+    instances: BTreeMap<u16, (Controller, Telemetry)>,
     lists: BTreeMap<u8, Vec<PoolEntry>>,
     actions: Vec<Action>,
 }
@@ -21,7 +21,7 @@
         let mut reader = codec::Reader::new(body);
         while let Some(record) = reader.record()? {
             match record {
-                Record::Create { who, seed, settings } => match profile::read(settings) {
+                Record::Create { who, seed, settings } => match settings::read(settings) {
                     Ok((settings, telemetry)) => {
                         let controller = Controller::new(settings, seed);
                         self.instances.insert(who, (controller, telemetry));
@@ -36,7 +36,7 @@
                 }
                 Record::List { who, kind, number } => {
                     let entries = match (kind, self.lists.get(&number)) {
-                        (corkdrift::ListKind::Failed, _) => Vec::new(),
+                        (hollypaddle::ListKind::Failed, _) => Vec::new(),
                         (_, Some(entries)) => entries.clone(),
                         (_, None) => return Err(WireError::UnknownList(number)),
                     };
@@ -84,7 +84,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("corkdrift-wirehost: {error}");
+            eprintln!("hollypaddle-wirehost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod brain;
 pub mod interface;
+pub mod settings;
 
 pub use brain::Controller;
 pub use interface::{
--- a/src/bin/corkdrift-wirehost/profile.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
-//! Reads the settings that come with an instance's start.
+//! Reads the settings that an instance is given at its start, for the adapter and the gatekeeper alike.
 
-use corkdrift::{ClassSettings, GoalWeights, Report, Settings, TenantSettings};
+use crate::interface::{ClassSettings, GoalWeights, Report, Settings, TenantSettings};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
--- a/tests/front/mod.rs
+++ b/tests/front/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use corkdrift::{
+use hollypaddle::{
     Action, CallId, Cause, ClassSettings, Controller, Event, GoalWeights, ListKind, Outcome, PoolEntry,
     PoolId, Readiness, Report, Settings, TenantSettings,
 };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 
 mod front;
 
-use corkdrift::{Action, Cause, Controller, Event, ListKind, Outcome, PoolId, Readiness, Report};
 use front::{entry, settings, Final, Front, Shape};
+use hollypaddle::{Action, Cause, Controller, Event, ListKind, Outcome, PoolId, Readiness, Report};
 
 const POOL_A: PoolId = PoolId(1);
 const POOL_B: PoolId = PoolId(2);
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -3,8 +3,8 @@
 
 mod front;
 
-use corkdrift::{Cause, Controller, Event, ListKind, Outcome, Readiness, Report};
 use front::{entry, settings, Final, Front, Shape};
+use hollypaddle::{Cause, Controller, Event, ListKind, Outcome, Readiness, Report};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 
