--- /dev/null
+++ b/src/node/calls.rs
@@ -0,0 +1,464 @@
+//! The calls: the core of the gatekeeper, without sockets and without a word of any protocol.
+//!
+//! It knows each call by its caller's 64-bit id and by the decision module's [`CallId`], keeps its one
+//! open attempt, its deadline and where it stands, and sees to it that every call gets exactly one
+//! final answer. Fronts tell it what callers and servers said; it tells the decision module what
+//! happened ([`Event`]) and the fronts what to do ([`Effect`]).
+
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+
+use hollypaddle::{CallId, Cause, Event, Outcome, PoolId, Report};
+
+/// Most bytes of set-ups held for calls that do not stand yet; beyond it new ones are turned away.
+const MOST_HELD: usize = 32 << 20;
+/// What a held call costs beside its content.
+const CALL_BYTES: usize = 512;
+/// How long a call may stay with the decision module past its deadline. It answers the time-out in the
+/// same turn, so this only guards the caller's final answer against a fault of ours.
+const SLACK: f64 = 0.01;
+
+/// The connection on which a call came; means something to its front alone.
+pub type Origin = usize;
+
+/// What a set-up carries through unchanged.
+#[derive(Debug, Default, PartialEq)]
+pub struct Content {
+    /// The number called.
+    pub number: Vec<u8>,
+    /// The description, if there is one.
+    pub description: Option<Vec<u8>>,
+}
+
+/// A call as its caller offers it.
+#[derive(Debug)]
+pub struct Request {
+    /// The caller's id.
+    pub id: u64,
+    /// Class, an index into the settings.
+    pub class: usize,
+    /// How long the caller waits, in seconds.
+    pub wait: f64,
+    /// The number called, as the decision module takes it.
+    pub dialled: u64,
+    /// Number of the pool of first choice.
+    pub first_choice: u32,
+    /// What is passed on.
+    pub content: Content,
+}
+
+/// Why a call was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    /// A call of that id is open or stands: the answer to it serves.
+    Known,
+    /// Too many calls are held.
+    Crowded,
+}
+
+impl fmt::Display for NotTaken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NotTaken::Known => write!(f, "a call of this id is open"),
+            NotTaken::Crowded => write!(f, "too many calls are held"),
+        }
+    }
+}
+
+impl std::error::Error for NotTaken {}
+
+/// What a caller is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The call stands.
+    Stands(Option<Vec<u8>>),
+    /// Refused: trying again is harmless, after so many seconds.
+    Refused(f64),
+    /// Failed.
+    Failed,
+    /// A call that stood is over: ended or cut.
+    Over { cut: bool },
+}
+
+/// What a server is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// A set-up, worth an answer until then.
+    SetUp { class: usize, until: f64, content: Rc<Content> },
+    /// The set-up is given up.
+    GiveUp,
+    /// The call that stands is released.
+    Release,
+}
+
+/// What the fronts are to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Tell a caller.
+    Caller { origin: Origin, id: u64, reply: Reply },
+    /// Tell a server.
+    Server { pool: PoolId, id: u64, order: Order },
+    /// Call [`Calls::deadline`] then.
+    Deadline { call: CallId, at: f64 },
+    /// Call [`Calls::limit`] then.
+    Limit { call: CallId, attempt: u8, at: f64 },
+}
+
+/// How a server ended an attempt or a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct End {
+    /// How.
+    pub outcome: Outcome,
+    /// Why it was turned back.
+    pub cause: Cause,
+    /// How long a full processor asks to be left alone.
+    pub wait: Option<f64>,
+    /// The server's load.
+    pub report: Report,
+}
+
+impl End {
+    /// An end of which only the outcome is known.
+    pub fn of(outcome: Outcome) -> Self {
+        End { outcome, cause: Cause::Unknown, wait: None, report: Report::default() }
+    }
+}
+
+struct Attempt {
+    pool: PoolId,
+    sent_at: f64,
+    /// Set once the attempt is to be given up: how it ends when its give-up is written.
+    leaving: Option<Outcome>,
+}
+
+enum State {
+    /// With the decision module, no attempt out.
+    Held,
+    /// An attempt is out.
+    Out(Attempt),
+    /// The call stands.
+    Standing { pool: PoolId, since: f64 },
+}
+
+struct Call {
+    id: u64,
+    class: usize,
+    origin: Origin,
+    deadline: f64,
+    content: Rc<Content>,
+    /// Attempts so far; the present one has the number below.
+    attempts: u8,
+    state: State,
+}
+
+impl Call {
+    fn bytes(&self) -> usize {
+        CALL_BYTES + self.content.number.len() + self.content.description.as_ref().map_or(0, Vec::len)
+    }
+
+    fn ended(&self, call: CallId, pool: PoolId, complete: bool, end: End) -> Event {
+        let End { outcome, cause, wait, report } = end;
+        let attempt = self.attempts.saturating_sub(1);
+        Event::Ended { call, pool, attempt, complete, outcome, cause, wait, report }
+    }
+}
+
+/// All calls of this gatekeeper.
+#[derive(Default)]
+pub struct Calls {
+    calls: HashMap<CallId, Call>,
+    ids: HashMap<u64, CallId>,
+    next: CallId,
+    held_bytes: usize,
+    /// What the decision module has yet to be told.
+    pub events: Vec<Event>,
+    /// What the fronts have yet to do.
+    pub effects: Vec<Effect>,
+}
+
+impl Calls {
+    /// Calls that still need their final answer, and calls that stand.
+    pub fn count(&self) -> (usize, usize) {
+        let standing = self.calls.values().filter(|c| matches!(c.state, State::Standing { .. })).count();
+        (self.calls.len() - standing, standing)
+    }
+
+    /// Takes a call from a caller.
+    pub fn offer(&mut self, now: f64, origin: Origin, request: Request) -> Result<(), NotTaken> {
+        let Request { id, class, wait, dialled, first_choice, content } = request;
+        if self.ids.contains_key(&id) {
+            return Err(NotTaken::Known);
+        }
+        if self.held_bytes > MOST_HELD {
+            return Err(NotTaken::Crowded);
+        }
+        self.next = self.next.wrapping_add(1);
+        let (call, deadline) = (self.next, now + wait);
+        let content = Rc::new(content);
+        let new = Call { id, class, origin, deadline, content, attempts: 0, state: State::Held };
+        self.held_bytes += new.bytes();
+        self.calls.insert(call, new);
+        self.ids.insert(id, call);
+        self.effects.push(Effect::Deadline { call, at: deadline });
+        self.events.push(Event::Call { call, class, tenant: 0, time_left: wait, dialled, first_choice });
+        Ok(())
+    }
+
+    fn remove(&mut self, call: CallId) -> Option<Call> {
+        let gone = self.calls.remove(&call)?;
+        self.ids.remove(&gone.id);
+        if !matches!(gone.state, State::Standing { .. }) {
+            self.held_bytes -= gone.bytes();
+        }
+        Some(gone)
+    }
+
+    fn order(&mut self, pool: PoolId, id: u64, order: Order) {
+        self.effects.push(Effect::Server { pool, id, order });
+    }
+
+    // ---- What the decision module asks for
+
+    /// Starts an attempt.
+    pub fn send(&mut self, now: f64, call: CallId, pool: PoolId, limit: f64) {
+        let Some(c) = self.calls.get_mut(&call) else { return };
+        if !matches!(c.state, State::Held) {
+            return log::error!("the module sent call {:016x}, which is not held", c.id);
+        }
+        let attempt = c.attempts;
+        c.attempts = attempt.saturating_add(1);
+        // A limit of 0 is until the caller's deadline, whose timer runs already.
+        let until = if limit > 0.0 { c.deadline.min(now + limit) } else { c.deadline };
+        if now >= until {
+            self.events.push(c.ended(call, pool, false, End::of(Outcome::Moot)));
+            return;
+        }
+        c.state = State::Out(Attempt { pool, sent_at: now, leaving: None });
+        let (id, class, content) = (c.id, c.class, Rc::clone(&c.content));
+        if until < c.deadline {
+            self.effects.push(Effect::Limit { call, attempt, at: until });
+        }
+        self.order(pool, id, Order::SetUp { class, until, content });
+    }
+
+    /// Gives an attempt up. It has ended once the give-up is written, see [`Calls::gave_up`].
+    pub fn cancel(&mut self, call: CallId, attempt: u8) {
+        self.leave(call, attempt, Outcome::Cancelled);
+    }
+
+    /// An attempt's own time limit has passed.
+    pub fn limit(&mut self, call: CallId, attempt: u8) {
+        self.leave(call, attempt, Outcome::Timeout);
+    }
+
+    fn leave(&mut self, call: CallId, attempt: u8, outcome: Outcome) {
+        let Some(c) = self.calls.get_mut(&call) else { return };
+        if let State::Out(Attempt { pool, leaving: leaving @ None, .. }) = &mut c.state {
+            if c.attempts == attempt.saturating_add(1) {
+                *leaving = Some(outcome);
+                let (pool, id) = (*pool, c.id);
+                self.order(pool, id, Order::GiveUp);
+            }
+        }
+    }
+
+    /// Final answer: refused.
+    pub fn refuse(&mut self, call: CallId, retry_after: f64) {
+        self.answer(call, Reply::Refused(retry_after));
+    }
+
+    /// Final answer: failed.
+    pub fn fail(&mut self, call: CallId) {
+        self.answer(call, Reply::Failed);
+    }
+
+    fn answer(&mut self, call: CallId, reply: Reply) {
+        // One that stands has had its final answer.
+        if self.calls.get(&call).is_some_and(|c| matches!(c.state, State::Standing { .. })) {
+            return;
+        }
+        let Some(gone) = self.remove(call) else { return };
+        self.forsake(&gone);
+        self.effects.push(Effect::Caller { origin: gone.origin, id: gone.id, reply });
+    }
+
+    /// Gives up the attempt of a call that is over, unless its give-up is on its way already.
+    fn forsake(&mut self, gone: &Call) {
+        if let State::Out(Attempt { pool, leaving: None, .. }) = gone.state {
+            self.order(pool, gone.id, Order::GiveUp);
+        }
+    }
+
+    // ---- What time brings
+
+    /// The caller's deadline has passed. The module is owed the time-out of an open attempt and answers
+    /// it in the slack; a call that it still holds after that is failed here.
+    pub fn deadline(&mut self, now: f64, call: CallId) {
+        let Some(c) = self.calls.get_mut(&call) else { return };
+        match std::mem::replace(&mut c.state, State::Held) {
+            State::Out(Attempt { pool, leaving, .. }) => {
+                let id = c.id;
+                self.events.push(c.ended(call, pool, false, End::of(Outcome::Timeout)));
+                self.effects.push(Effect::Deadline { call, at: now + SLACK });
+                if leaving.is_none() {
+                    self.order(pool, id, Order::GiveUp);
+                }
+            }
+            State::Held => {
+                self.events.push(Event::Abandoned { call });
+                self.fail(call);
+            }
+            standing => c.state = standing,
+        }
+    }
+
+    /// Refuses all calls that have no final answer, before the program ends.
+    pub fn refuse_all(&mut self) {
+        let open = |c: &&Call| !matches!(c.state, State::Standing { .. });
+        let ids: Vec<u64> = self.calls.values().filter(open).map(|c| c.id).collect();
+        for call in ids.iter().filter_map(|id| self.ids.get(id).copied()).collect::<Vec<_>>() {
+            self.refuse(call, 0.0);
+        }
+    }
+
+    // ---- What callers say
+
+    /// A caller gives a call up, or releases one that stands.
+    pub fn caller_release(&mut self, id: u64) {
+        let Some(call) = self.ids.get(&id).copied() else { return };
+        let Some(gone) = self.remove(call) else { return };
+        match gone.state {
+            State::Standing { pool, .. } => {
+                self.order(pool, id, Order::Release);
+                self.events.push(gone.ended(call, pool, true, End::of(Outcome::Cancelled)));
+            }
+            State::Out(Attempt { pool, .. }) => {
+                self.events.push(Event::Abandoned { call });
+                self.events.push(gone.ended(call, pool, true, End::of(Outcome::Cancelled)));
+                self.forsake(&gone);
+            }
+            State::Held => self.events.push(Event::Abandoned { call }),
+        }
+    }
+
+    /// A caller's connection is gone: its open set-ups are given up. What stands belongs to no connection.
+    pub fn origin_lost(&mut self, origin: Origin) {
+        let lost = |c: &&Call| c.origin == origin && !matches!(c.state, State::Standing { .. });
+        let mut ids: Vec<u64> = self.calls.values().filter(lost).map(|c| c.id).collect();
+        ids.sort_unstable();
+        for id in ids {
+            self.caller_release(id);
+        }
+    }
+
+    // ---- What servers say
+
+    /// A server answered: the call stands there.
+    pub fn stood(&mut self, now: f64, pool: PoolId, id: u64, description: Option<Vec<u8>>) {
+        let known = self.ids.get(&id).copied();
+        if let Some((call, c)) = known.and_then(|call| Some((call, self.calls.get_mut(&call)?))) {
+            match c.state {
+                State::Out(Attempt { pool: at, sent_at, leaving: None }) if at == pool => {
+                    self.held_bytes -= c.bytes();
+                    c.content = Rc::default();
+                    c.state = State::Standing { pool, since: now };
+                    let attempt = c.attempts.saturating_sub(1);
+                    self.events.push(Event::Stood { call, pool, lag: now - sent_at, attempt });
+                    let reply = Reply::Stands(description);
+                    self.effects.push(Effect::Caller { origin: c.origin, id, reply });
+                    return;
+                }
+                State::Standing { pool: at, .. } if at == pool => return,
+                _ => {}
+            }
+        }
+        // The answer crossed the give-up: nobody waits for this call, and it must not stand on.
+        self.order(pool, id, Order::Release);
+    }
+
+    /// A server ended an attempt, or a call that stood.
+    pub fn ended(&mut self, pool: PoolId, id: u64, end: End) {
+        let known = self.ids.get(&id).copied();
+        if let Some((call, c)) = known.and_then(|call| Some((call, self.calls.get_mut(&call)?))) {
+            match c.state {
+                State::Out(Attempt { pool: at, .. }) if at == pool => {
+                    c.state = State::Held;
+                    // Before the answer there is nothing that could have come to its end.
+                    let outcome = if end.outcome == Outcome::Done { Outcome::Error } else { end.outcome };
+                    self.events.push(c.ended(call, pool, false, End { outcome, ..end }));
+                    return;
+                }
+                State::Standing { pool: at, .. } if at == pool => {
+                    let outcome = if end.outcome == Outcome::Done { Outcome::Done } else { Outcome::Reset };
+                    return self.over(call, pool, End { outcome, ..end });
+                }
+                _ => {}
+            }
+        }
+        self.events.push(Event::Load { pool, report: end.report });
+    }
+
+    fn over(&mut self, call: CallId, pool: PoolId, end: End) {
+        let Some(gone) = self.remove(call) else { return };
+        self.events.push(gone.ended(call, pool, true, end));
+        let reply = Reply::Over { cut: end.outcome != Outcome::Done };
+        self.effects.push(Effect::Caller { origin: gone.origin, id: gone.id, reply });
+    }
+
+    /// The give-up of an attempt is written, or was not needed.
+    pub fn gave_up(&mut self, pool: PoolId, id: u64) {
+        self.attempt_over(pool, id, None);
+    }
+
+    /// An attempt never left: no connection came up.
+    pub fn never_ran(&mut self, pool: PoolId, id: u64) {
+        self.attempt_over(pool, id, Some(Outcome::ConnectFailed));
+    }
+
+    /// The connection of an attempt broke.
+    pub fn reset(&mut self, pool: PoolId, id: u64) {
+        self.attempt_over(pool, id, Some(Outcome::Reset));
+    }
+
+    fn attempt_over(&mut self, pool: PoolId, id: u64, outcome: Option<Outcome>) {
+        let Some(call) = self.ids.get(&id).copied() else { return };
+        let Some(c) = self.calls.get_mut(&call) else { return };
+        if let State::Out(Attempt { pool: at, leaving, .. }) = c.state {
+            if let (true, Some(outcome)) = (at == pool, leaving.or(outcome)) {
+                c.state = State::Held;
+                self.events.push(c.ended(call, pool, false, End::of(outcome)));
+            }
+        }
+    }
+
+    /// The calls that stood at a pool before then were cut, by a server that could not say so. With
+    /// `tell` it is told when it can be reached: it may only have been cut off, and hold them still.
+    pub fn cut(&mut self, pool: PoolId, before: f64, tell: bool) -> usize {
+        let cut = |c: &&Call| matches!(c.state, State::Standing { pool: at, since } if at == pool && since < before);
+        let mut ids: Vec<u64> = self.calls.values().filter(cut).map(|c| c.id).collect();
+        ids.sort_unstable();
+        for &id in &ids {
+            if let Some(call) = self.ids.get(&id).copied() {
+                self.over(call, pool, End::of(Outcome::Reset));
+                if tell {
+                    self.order(pool, id, Order::Release);
+                }
+            }
+        }
+        ids.len()
+    }
+
+    /// Whether any call stands at a pool, or waits for an answer from it.
+    pub fn any_at(&self, pool: PoolId) -> bool {
+        self.calls.values().any(|c| match c.state {
+            State::Held => false,
+            State::Out(Attempt { pool: at, .. }) | State::Standing { pool: at, .. } => at == pool,
+        })
+    }
+
+    /// News of a pool's load that belongs to no call.
+    pub fn load(&mut self, pool: PoolId, report: Report) {
+        self.events.push(Event::Load { pool, report });
+    }
+}
--- /dev/null
+++ b/src/node/config.rs
@@ -0,0 +1,167 @@
+//! The configuration: the PROXY_* variables and the file that they name.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use hollypaddle::settings::{self, Telemetry};
+use hollypaddle::Settings;
+use serde::Deserialize;
+use serde_json::Value;
+
+use super::resolver::{Snapshot, Update};
+
+/// Descriptors and memory that a gatekeeper keeps to where the file gives no figure.
+const SOCKETS: usize = 1024;
+
+/// What a gatekeeper is told at its start.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// The resolver.
+    pub dns: SocketAddr,
+    /// Descriptors that it may hold.
+    pub sockets: usize,
+    /// Seed of all random draws.
+    pub seed: u64,
+    /// The pool list as known at the start.
+    pub known: Snapshot,
+    /// What the decision module is told.
+    pub settings: Settings,
+    /// The names in load reports.
+    pub telemetry: Telemetry,
+    /// What the sockets need of the settings.
+    pub link: Link,
+}
+
+/// What the sockets need of the settings.
+#[derive(Clone, Debug)]
+pub struct Link {
+    /// The classes' names, in the order of their numbers.
+    pub classes: Vec<String>,
+    /// A connection not up within so many seconds has failed.
+    pub connect_timeout: f64,
+    /// The longest that any caller waits, in seconds.
+    pub longest: f64,
+}
+
+/// What is wrong with the configuration.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// A variable is missing or no text.
+    Variable(&'static str),
+    /// The file cannot be read.
+    File(PathBuf, std::io::Error),
+    /// The file is not what it should be.
+    Json(serde_json::Error),
+    /// A field has no use.
+    Field(&'static str, String),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::Variable(name) => write!(f, "the variable {name} is not set"),
+            ConfigError::File(path, error) => write!(f, "{}: {error}", path.display()),
+            ConfigError::Json(error) => write!(f, "the configuration file: {error}"),
+            ConfigError::Field(name, value) => {
+                write!(f, "the configuration file: {name} cannot be {value:?}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+impl From<serde_json::Error> for ConfigError {
+    fn from(error: serde_json::Error) -> Self {
+        ConfigError::Json(error)
+    }
+}
+
+#[derive(Deserialize)]
+struct File {
+    dns: String,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: Known,
+    settings: Value,
+}
+
+#[derive(Deserialize, Default)]
+struct Limits {
+    sockets: Option<usize>,
+}
+
+#[derive(Deserialize, Default)]
+struct Known {
+    pos: u64,
+    entries: Vec<Update>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct LinkSettings {
+    request_classes: Vec<Class>,
+    limits: LinkLimits,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Class {
+    name: String,
+    hard_limit: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct LinkLimits {
+    connect_timeout: f64,
+}
+
+impl Default for LinkLimits {
+    fn default() -> Self {
+        LinkLimits { connect_timeout: 0.5 }
+    }
+}
+
+impl Config {
+    /// Reads the environment and the file.
+    pub fn load() -> Result<Config, ConfigError> {
+        let variable = |name| std::env::var(name).map_err(|_| ConfigError::Variable(name));
+        let (name, listen) = (variable("PROXY_NAME")?, variable("PROXY_LISTEN")?);
+        let path = PathBuf::from(variable("PROXY_CONFIG")?);
+        let text = std::fs::read_to_string(&path).map_err(|error| ConfigError::File(path, error))?;
+        Config::read(name, &listen, &text)
+    }
+
+    fn read(name: String, listen: &str, text: &str) -> Result<Config, ConfigError> {
+        let file: File = serde_json::from_str(text)?;
+        let address = |field, text: &str| {
+            text.parse::<SocketAddr>().map_err(|_| ConfigError::Field(field, text.to_string()))
+        };
+        let (settings, telemetry) = settings::read(file.settings.to_string().as_bytes())?;
+        let link: LinkSettings = serde_json::from_value(file.settings)?;
+        let longest = link.request_classes.iter().map(|c| c.hard_limit).fold(0.0, f64::max);
+        let seed = u64::from_str_radix(&file.seed, 16);
+        Ok(Config {
+            name,
+            listen: address("PROXY_LISTEN", listen)?,
+            dns: address("dns", &file.dns)?,
+            sockets: file.limits.sockets.unwrap_or(SOCKETS),
+            seed: seed.map_err(|_| ConfigError::Field("seed", file.seed.clone()))?,
+            known: Snapshot::replay(file.known.pos, &file.known.entries),
+            settings,
+            telemetry,
+            link: Link {
+                classes: link.request_classes.into_iter().map(|c| c.name).collect(),
+                connect_timeout: link.limits.connect_timeout,
+                longest,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/src/node/connection.rs
@@ -0,0 +1,224 @@
+//! One TCP connection: non-blocking, with bounded buffers, partial reads and partial writes.
+
+use std::fmt;
+use std::io::{self, ErrorKind, Read, Write};
+
+use super::message::{Message, Unreadable};
+
+/// Bytes read in one go, and goes in one turn, so that one busy peer does not keep the others waiting.
+const CHUNK: usize = 16 * 1024;
+const GOES: usize = 4;
+/// Most bytes that wait to be written. A peer that reads so slowly is cut off.
+const MOST_WAITING: usize = 128 * 1024;
+
+/// Why a connection is over.
+#[derive(Debug)]
+pub enum Over {
+    /// The peer closed it.
+    Closed,
+    /// It broke.
+    Broken(io::Error),
+    /// The peer sent what is no message.
+    Unreadable(Unreadable),
+    /// The peer does not read what it is sent.
+    Stuck,
+}
+
+impl fmt::Display for Over {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Over::Closed => write!(f, "closed by the peer"),
+            Over::Broken(error) => write!(f, "{error}"),
+            Over::Unreadable(reason) => write!(f, "{reason}"),
+            Over::Stuck => write!(f, "the peer does not read what it is sent"),
+        }
+    }
+}
+
+impl std::error::Error for Over {}
+
+/// A stream with its buffers.
+pub struct Connection<S> {
+    stream: S,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    /// Bytes put in and bytes written since the start.
+    queued: u64,
+    written: u64,
+}
+
+impl<S: Read + Write> Connection<S> {
+    /// Wraps a non-blocking stream.
+    pub fn new(stream: S) -> Self {
+        Connection { stream, input: Vec::new(), output: Vec::new(), queued: 0, written: 0 }
+    }
+
+    /// The stream, to watch it.
+    pub fn stream(&self) -> &S {
+        &self.stream
+    }
+
+    /// Reads what has come and appends the whole messages to `messages`, also when the connection
+    /// turns out to be over: what was sent before its end counts.
+    pub fn read(&mut self, messages: &mut Vec<Message>) -> Result<(), Over> {
+        let mut chunk = [0; CHUNK];
+        for _ in 0..GOES {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Err(Over::Closed),
+                Ok(n) => self.take(&chunk[..n], messages)?,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(Over::Broken(error)),
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, data: &[u8], messages: &mut Vec<Message>) -> Result<(), Over> {
+        self.input.extend(data);
+        let mut used = 0;
+        let end = loop {
+            match Message::decode(&self.input[used..]) {
+                Ok(Some((message, length))) => {
+                    messages.push(message);
+                    used += length;
+                }
+                Ok(None) => break Ok(()),
+                Err(reason) => break Err(Over::Unreadable(reason)),
+            }
+        };
+        self.input.drain(..used);
+        end
+    }
+
+    /// Puts a message in line and writes what can be written. Returns the position at which the
+    /// message ends, to compare with [`Connection::written`].
+    pub fn send(&mut self, message: &Message) -> Result<u64, Over> {
+        let before = self.output.len();
+        message.encode(&mut self.output);
+        self.queued += (self.output.len() - before) as u64;
+        self.flush()?;
+        match self.output.len() {
+            n if n > MOST_WAITING => Err(Over::Stuck),
+            _ => Ok(self.queued),
+        }
+    }
+
+    /// Writes what can be written.
+    pub fn flush(&mut self) -> Result<(), Over> {
+        let mut done = 0;
+        let end = loop {
+            if done == self.output.len() {
+                break Ok(());
+            }
+            match self.stream.write(&self.output[done..]) {
+                Ok(0) => break Err(Over::Closed),
+                Ok(n) => done += n,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break Ok(()),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => break Err(Over::Broken(error)),
+            }
+        };
+        self.output.drain(..done);
+        self.written += done as u64;
+        end
+    }
+
+    /// Bytes written since the start.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
+    /// Whether bytes wait to be written.
+    pub fn blocked(&self) -> bool {
+        !self.output.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::message::kind;
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::VecDeque;
+
+    /// A stream that takes and gives a few bytes at a time and blocks in between.
+    #[derive(Default)]
+    struct Choppy {
+        incoming: VecDeque<u8>,
+        outgoing: Vec<u8>,
+        gives: usize,
+        takes: usize,
+    }
+
+    impl Read for Choppy {
+        fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+            let n = self.gives.min(buffer.len()).min(self.incoming.len());
+            self.gives -= n;
+            match n {
+                0 => Err(ErrorKind::WouldBlock.into()),
+                n => (&mut self.incoming).take(n as u64).read(buffer),
+            }
+        }
+    }
+
+    impl Write for Choppy {
+        fn write(&mut self, data: &[u8]) -> io::Result<usize> {
+            let n = self.takes.min(data.len());
+            self.takes -= n;
+            self.outgoing.extend(&data[..n]);
+            if n == 0 {
+                Err(ErrorKind::WouldBlock.into())
+            } else {
+                Ok(n)
+            }
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    proptest! {
+        /// Whatever the sizes of reads and writes, messages arrive whole, in order and once, and
+        /// `written` passes a message's end exactly when its last byte is out.
+        #[test]
+        fn messages_survive_any_cuts(steps in prop::collection::vec((0usize..60, 0usize..60, 0usize..50), 1..80)) {
+            let mut connection = Connection::new(Choppy::default());
+            let (mut sent, mut got, mut ends) = (Vec::new(), Vec::new(), Vec::new());
+            for (call, (gives, takes, size)) in steps.into_iter().enumerate() {
+                connection.stream.gives = gives;
+                connection.stream.takes = takes;
+                let message = Message::new(kind::ANSWER, call as u64).with(61, vec![7; size]);
+                ends.push(connection.send(&message).unwrap());
+                sent.push(message);
+                let out = std::mem::take(&mut connection.stream.outgoing);
+                connection.stream.incoming.extend(out);
+                connection.read(&mut got).unwrap();
+                prop_assert!(got.len() <= ends.iter().filter(|e| **e <= connection.written()).count());
+                prop_assert_eq!(connection.blocked(), connection.written() < *ends.last().unwrap());
+            }
+            (connection.stream.gives, connection.stream.takes) = (usize::MAX, usize::MAX);
+            connection.flush().unwrap();
+            let out = std::mem::take(&mut connection.stream.outgoing);
+            connection.stream.incoming.extend(out);
+            connection.read(&mut got).unwrap();
+            prop_assert_eq!(got, sent);
+        }
+    }
+
+    #[test]
+    fn a_peer_that_does_not_read_is_cut_off_and_bad_input_keeps_what_came_before() {
+        let mut connection = Connection::new(Choppy::default());
+        let message = Message::new(kind::ANSWER, 1).with(61, vec![0; 16_000]);
+        let end = (0..20).find_map(|_| connection.send(&message).err());
+        assert!(matches!(end, Some(Over::Stuck)));
+        let mut bytes = Vec::new();
+        Message::new(kind::RELEASE, 2).encode(&mut bytes);
+        bytes.extend([0xff; 9]);
+        connection.stream.incoming.extend(bytes);
+        connection.stream.gives = 1000;
+        let mut got = Vec::new();
+        assert!(matches!(connection.read(&mut got), Err(Over::Unreadable(_))));
+        assert_eq!(got, [Message::new(kind::RELEASE, 2)]);
+    }
+}
--- /dev/null
+++ b/src/node/message.rs
@@ -0,0 +1,204 @@
+//! The platform's binary protocol: pure encoding and decoding.
+//!
+//! ```text
+//! message   = length:2 type:1 call:8 parameters      length counts all that follows it
+//! parameter = code:1 length:2 value
+//! ```
+
+use std::fmt;
+
+/// Longest message, with its length field.
+pub const MOST: usize = 16 * 1024;
+const LENGTH: usize = 2;
+const HEAD: usize = 1 + 8;
+const PARAMETER_HEAD: usize = 1 + 2;
+
+/// Message types.
+pub mod kind {
+    pub const SET_UP: u8 = 1;
+    pub const ANSWER: u8 = 9;
+    pub const RELEASE: u8 = 12;
+    pub const STATE: u8 = 43;
+    pub const TEST: u8 = 52;
+    pub const TEST_RESULT: u8 = 53;
+}
+
+/// Parameter codes.
+pub mod code {
+    pub const CLASS: u8 = 16;
+    pub const WAIT: u8 = 19;
+    pub const NUMBER: u8 = 28;
+    pub const FIGURES: u8 = 31;
+    pub const RETRY_AFTER: u8 = 34;
+    pub const NOTE: u8 = 37;
+    pub const REPORT: u8 = 43;
+    pub const CAUSE: u8 = 58;
+    pub const DESCRIPTION: u8 = 61;
+}
+
+/// Release causes.
+pub mod cause {
+    pub const BUSY: u8 = 17;
+    pub const NORMAL: u8 = 16;
+    pub const FULL: u8 = 34;
+    pub const TEMPORARY_FAILURE: u8 = 41;
+    pub const CONGESTION: u8 = 42;
+    pub const FAULT: u8 = 47;
+    pub const MISSING_PARAMETER: u8 = 96;
+    pub const INVALID_PARAMETER: u8 = 100;
+    pub const MOOT: u8 = 102;
+}
+
+/// Why bytes are no message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unreadable {
+    /// Longer than a message may be.
+    TooLong(usize),
+    /// Too short for its type and call.
+    TooShort(usize),
+    /// A parameter runs past the message's end.
+    CutParameter,
+}
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Unreadable::TooLong(n) => write!(f, "a message of {n} bytes is too long"),
+            Unreadable::TooShort(n) => write!(f, "a message of {n} bytes has no room for its call"),
+            Unreadable::CutParameter => write!(f, "a parameter runs past the end of its message"),
+        }
+    }
+}
+
+impl std::error::Error for Unreadable {}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// Its type, see [`kind`]; others are skipped by who reads them.
+    pub kind: u8,
+    /// The call's 64-bit id.
+    pub call: u64,
+    parameters: Vec<(u8, Vec<u8>)>,
+}
+
+impl Message {
+    /// A message without parameters.
+    pub fn new(kind: u8, call: u64) -> Self {
+        Message { kind, call, parameters: Vec::new() }
+    }
+
+    /// The message with one more parameter.
+    pub fn with(mut self, code: u8, value: impl Into<Vec<u8>>) -> Self {
+        self.parameters.push((code, value.into()));
+        self
+    }
+
+    /// The message with a cause.
+    pub fn caused(self, cause: u8) -> Self {
+        self.with(code::CAUSE, [cause])
+    }
+
+    /// A parameter's value; the first counts where one comes twice.
+    pub fn bytes(&self, code: u8) -> Option<&[u8]> {
+        self.parameters.iter().find(|p| p.0 == code).map(|p| &p.1[..])
+    }
+
+    /// A parameter's value as text.
+    pub fn text(&self, code: u8) -> Option<&str> {
+        std::str::from_utf8(self.bytes(code)?).ok()
+    }
+
+    /// The cause, if there is one.
+    pub fn cause(&self) -> Option<u8> {
+        match self.bytes(code::CAUSE)? {
+            [cause] => Some(*cause),
+            _ => None,
+        }
+    }
+
+    /// The first whole message in `data` and its length in bytes; `None` if it has not all arrived.
+    pub fn decode(data: &[u8]) -> Result<Option<(Message, usize)>, Unreadable> {
+        let Some(length) = data.first_chunk::<LENGTH>() else { return Ok(None) };
+        let length = usize::from(u16::from_be_bytes(*length));
+        let whole = LENGTH + length;
+        // Said before the rest arrives, so that no buffer grows past one message.
+        if whole > MOST {
+            return Err(Unreadable::TooLong(whole));
+        }
+        let Some(body) = data.get(LENGTH..whole) else { return Ok(None) };
+        let Some((head, mut rest)) = body.split_first_chunk::<HEAD>() else {
+            return Err(Unreadable::TooShort(whole));
+        };
+        let [kind, id @ ..] = *head;
+        let mut message = Message::new(kind, u64::from_be_bytes(id));
+        while let [code, high, low, values @ ..] = rest {
+            let length = usize::from(u16::from_be_bytes([*high, *low]));
+            let (value, after) = values.split_at_checked(length).ok_or(Unreadable::CutParameter)?;
+            message.parameters.push((*code, value.to_vec()));
+            rest = after;
+        }
+        match rest {
+            [] => Ok(Some((message, whole))),
+            _ => Err(Unreadable::CutParameter),
+        }
+    }
+
+    /// Appends the message's bytes. A parameter for which there is no room is left out: only one that
+    /// was itself near a message's length can be, and an answer without it still ends the call.
+    pub fn encode(&self, out: &mut Vec<u8>) {
+        let start = out.len();
+        out.extend([0; LENGTH]);
+        out.push(self.kind);
+        out.extend(self.call.to_be_bytes());
+        for (code, value) in &self.parameters {
+            if out.len() - start + PARAMETER_HEAD + value.len() <= MOST {
+                out.push(*code);
+                out.extend((value.len() as u16).to_be_bytes());
+                out.extend(value);
+            }
+        }
+        let length = (out.len() - start - LENGTH) as u16;
+        out[start..start + LENGTH].copy_from_slice(&length.to_be_bytes());
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn what_is_encoded_is_decoded(
+            kind: u8, call: u64, parameters in prop::collection::vec((any::<u8>(), prop::collection::vec(any::<u8>(), 0..40)), 0..9),
+            cut in 0usize..50,
+        ) {
+            let message = Message { kind, call, parameters };
+            let mut bytes = Vec::new();
+            message.encode(&mut bytes);
+            let part = bytes.len().saturating_sub(1 + cut);
+            prop_assert_eq!(Message::decode(&bytes[..part]), Ok(None));
+            prop_assert_eq!(Message::decode(&bytes), Ok(Some((message, bytes.len()))));
+        }
+
+        /// Guards against a panic on bytes from the network.
+        #[test]
+        fn any_bytes_are_a_message_part_of_one_or_unreadable(data in prop::collection::vec(any::<u8>(), 0..200)) {
+            if let Ok(Some((_, used))) = Message::decode(&data) {
+                prop_assert!(used <= data.len());
+            }
+        }
+    }
+
+    #[test]
+    fn broken_lengths_are_unreadable() {
+        assert_eq!(Message::decode(&[0x40, 0]), Err(Unreadable::TooLong(MOST + 2)));
+        assert_eq!(Message::decode(&[0, 3, 1, 2, 3]), Err(Unreadable::TooShort(5)));
+        assert_eq!(
+            Message::decode(&[0, 12, 1, 0, 0, 0, 0, 0, 0, 0, 1, 16, 0, 9]),
+            Err(Unreadable::CutParameter)
+        );
+        assert_eq!(Message::decode(&[0, 10, 1, 0, 0, 0, 0, 0, 0, 0, 1, 16]), Err(Unreadable::CutParameter));
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,14 @@
+//! The gatekeeper on sockets: one thread, one loop, a module for each peer. It decides no route, no
+//! refusal and no retry; all that is the decision module's.
+
+mod calls;
+mod clients;
+mod clock;
+pub mod config;
+mod connection;
+pub mod event_loop;
+mod message;
+mod poller;
+mod resolver;
+mod servers;
+mod wheel;
--- /dev/null
+++ b/src/node/resolver.rs
@@ -0,0 +1,222 @@
+//! The resolver: the list of session servers, polled over DNS (RFC 1035) on UDP.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, ErrorKind};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+
+use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
+use hickory_proto::rr::{Name, RData, Record, RecordType};
+use hollypaddle::Readiness;
+use serde::Deserialize;
+
+/// The name whose SRV records are the list.
+const LIST: &str = "_work._tcp.fleet.local.";
+/// Largest answer, with room to spare.
+const ANSWER: usize = 16 * 1024;
+/// Questions whose answers are still taken. A lost answer costs one interval and no more, as the next
+/// question does not wait for it.
+const OPEN_QUESTIONS: usize = 8;
+
+/// One server of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The pool's number.
+    pub number: u32,
+    /// Whether it takes new calls.
+    pub readiness: Readiness,
+    /// Unix seconds of a late start, or 0.
+    pub started: f64,
+}
+
+/// The whole list at one position.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Snapshot {
+    /// Number of the last event that it holds.
+    pub position: u64,
+    /// The servers by id; one that is gone is not there.
+    pub servers: BTreeMap<String, Listed>,
+}
+
+/// One event of the list as the configuration file gives it.
+#[derive(Debug, Deserialize)]
+pub struct Update {
+    pos: u64,
+    hosts: Hosts,
+}
+
+#[derive(Debug, Deserialize)]
+struct Hosts {
+    #[serde(default)]
+    reset: bool,
+    instances: Vec<Instance>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    host_port: SocketAddr,
+    cell: u32,
+    lifecycle: Lifecycle,
+    #[serde(default)]
+    started_at_ms: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Lifecycle {
+    Ready,
+    Draining,
+    Gone,
+}
+
+impl Snapshot {
+    /// The list after these events.
+    pub fn replay(position: u64, updates: &[Update]) -> Snapshot {
+        let mut list = Snapshot::default();
+        for update in updates {
+            if update.hosts.reset {
+                list.servers.clear();
+            }
+            list.position = list.position.max(update.pos);
+            for host in &update.hosts.instances {
+                let readiness = match host.lifecycle {
+                    Lifecycle::Ready => Readiness::Ready,
+                    Lifecycle::Draining => Readiness::Draining,
+                    Lifecycle::Gone => {
+                        list.servers.remove(&host.instance_id);
+                        continue;
+                    }
+                };
+                let (address, number, started) = (host.host_port, host.cell, host.started_at_ms / 1000.0);
+                let listed = Listed { address, number, readiness, started };
+                list.servers.insert(host.instance_id.clone(), listed);
+            }
+        }
+        list.position = list.position.max(position);
+        list
+    }
+
+    /// The list in an answer; `None` if the answer does not hold all of it.
+    fn from_answer(answer: &Message) -> Option<Snapshot> {
+        let records = || answer.answers.iter().chain(&answer.additionals);
+        let serial = answer.authorities.iter().chain(&answer.answers).find_map(|r| match &r.data {
+            RData::SOA(soa) => Some(soa.serial),
+            _ => None,
+        })?;
+        let mut servers = BTreeMap::new();
+        for record in records() {
+            let RData::SRV(srv) = &record.data else { continue };
+            let of_target = |r: &&Record| r.name == srv.target;
+            let ip = records().filter(of_target).find_map(|r| match &r.data {
+                RData::A(a) => Some(a.0),
+                _ => None,
+            })?;
+            let mut texts = BTreeMap::new();
+            for record in records().filter(of_target) {
+                if let RData::TXT(txt) = &record.data {
+                    for text in &txt.txt_data {
+                        if let Some((key, value)) = std::str::from_utf8(text).ok()?.split_once('=') {
+                            texts.insert(key, value);
+                        }
+                    }
+                }
+            }
+            let id = String::from_utf8(srv.target.iter().next()?.to_vec()).ok()?;
+            let listed = Listed {
+                address: (ip as Ipv4Addr, srv.port).into(),
+                number: texts.get("cell")?.parse().ok()?,
+                readiness: if srv.priority == 0 { Readiness::Ready } else { Readiness::Draining },
+                started: texts.get("started").map_or(Some(0.0), |ms| ms.parse().ok())? / 1000.0,
+            };
+            servers.insert(id, listed);
+        }
+        Some(Snapshot { position: u64::from(serial), servers })
+    }
+}
+
+/// Asks and listens.
+pub struct Resolver {
+    socket: UdpSocket,
+    name: Name,
+    /// Ids of questions asked lately.
+    asked: VecDeque<u16>,
+    next: u16,
+    position: u64,
+}
+
+impl Resolver {
+    /// A resolver at that address, which has told all up to `position`.
+    pub fn new(address: SocketAddr, position: u64, seed: u64) -> io::Result<Resolver> {
+        let any = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+        let socket = UdpSocket::bind(any)?;
+        socket.connect(address)?;
+        socket.set_nonblocking(true)?;
+        let name = Name::from_ascii(LIST).map_err(io::Error::other)?;
+        Ok(Resolver { socket, name, asked: VecDeque::new(), next: seed as u16, position })
+    }
+
+    /// The socket, to watch it.
+    pub fn socket(&self) -> &UdpSocket {
+        &self.socket
+    }
+
+    /// Asks for the list. A question that cannot be sent is as good as lost.
+    pub fn ask(&mut self) {
+        // Steps through all ids; odd, so that each comes once.
+        self.next = self.next.wrapping_add(0x9e37);
+        let mut question = Message::new(self.next, MessageType::Query, OpCode::Query);
+        question.add_query(Query::query(self.name.clone(), RecordType::SRV));
+        match question.to_vec().map(|bytes| self.socket.send(&bytes)) {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => log::debug!("resolver: {error}"),
+            Err(error) => log::debug!("resolver: {error}"),
+        }
+        self.asked.push_back(self.next);
+        if self.asked.len() > OPEN_QUESTIONS {
+            self.asked.pop_front();
+        }
+    }
+
+    /// Reads what has come; the newest list if it is news.
+    pub fn read(&mut self) -> Option<Snapshot> {
+        let mut news = None;
+        let mut data = vec![0; ANSWER];
+        for _ in 0..2 * OPEN_QUESTIONS {
+            match self.socket.recv(&mut data) {
+                Ok(n) => news = self.take(&data[..n]).or(news),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                // A refused port shows as an error of the next call: the resolver is down for now.
+                Err(error) => log::debug!("resolver: {error}"),
+            }
+        }
+        news
+    }
+
+    fn take(&mut self, data: &[u8]) -> Option<Snapshot> {
+        let answer = match Message::from_vec(data) {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::debug!("resolver: unreadable answer: {error}");
+                return None;
+            }
+        };
+        let head = &answer.metadata;
+        // Guards against answers to somebody else, late ones, and cut ones: a server missing from
+        // a list counts as gone, so only a whole list may be taken.
+        let ours = head.message_type == MessageType::Response && self.asked.contains(&head.id);
+        if !ours || head.truncation || head.response_code != ResponseCode::NoError {
+            log::debug!("resolver: passed over an answer with id {}", head.id);
+            return None;
+        }
+        let list = Snapshot::from_answer(&answer);
+        if list.is_none() {
+            log::debug!("resolver: an answer without the whole list");
+        }
+        let list = list.filter(|list| list.position > self.position)?;
+        self.position = list.position;
+        Some(list)
+    }
+}
--- /dev/null
+++ b/src/node/servers.rs
@@ -0,0 +1,501 @@
+//! The session servers' side: connections to each listed server, and what is said on them.
+//!
+//! A connection is kept open to every listed server, for the states that arrive unasked. A server that
+//! says nothing for a while is tried on a second connection, beside the first, which may yet carry
+//! answers: a machine that vanished leaves its connections open and silent.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpStream};
+
+use hollypaddle::settings::Telemetry;
+use hollypaddle::{Cause, Event, ListKind, Outcome, PoolEntry, PoolId, Readiness, Report};
+use socket2::{Domain, Socket, Type};
+
+use super::calls::{Calls, Content, End, Order};
+use super::config::Link;
+use super::connection::{Connection, Over};
+use super::message::{cause, code, kind, Message};
+use super::poller::{Key, Ready, Watch};
+use super::resolver::{Listed, Snapshot};
+
+/// Connections to one server at most; it tells its state on no more than four.
+const MOST_CONNECTIONS: usize = 3;
+/// Time between tries to connect, in seconds.
+const RETRY: f64 = 0.25;
+/// A server that said nothing for so long is tried on a new connection. Its states come about once a
+/// second while calls come and go.
+const QUIET: f64 = 1.5;
+/// A server is held to have vanished, and its calls to be cut, after so long without a word and
+/// without a connection: their callers must hear of it within 8 s of the end.
+const VANISHED: f64 = 6.5;
+/// Releases kept for a server while it cannot be reached.
+const MOST_OWED: usize = 4096;
+
+/// What every step here works on.
+pub struct Turn<'a> {
+    /// The time, in Unix seconds.
+    pub now: f64,
+    /// The poller.
+    pub watch: &'a mut Watch,
+    /// The calls.
+    pub calls: &'a mut Calls,
+}
+
+struct Channel {
+    connection: Connection<TcpStream>,
+    up: bool,
+    since: f64,
+    heard_at: f64,
+    /// Watched for writing too.
+    writing: bool,
+    /// Set-ups out on this connection.
+    open: BTreeSet<u64>,
+    /// Give-ups being written: the position at which each ends, and its call.
+    leaving: VecDeque<(u64, u64)>,
+}
+
+/// A set-up that waits for a connection.
+struct SetUp {
+    id: u64,
+    class: usize,
+    until: f64,
+    content: std::rc::Rc<Content>,
+}
+
+struct Server {
+    name: String,
+    listed: Listed,
+    channels: BTreeMap<Key, Channel>,
+    waiting: VecDeque<SetUp>,
+    owed: Vec<u64>,
+    /// When it last said anything, and when a connection may next be tried.
+    heard_at: f64,
+    retry_at: f64,
+    /// A connection was tried in vain since it last said anything.
+    unreachable: bool,
+}
+
+/// All listed servers.
+pub struct Servers {
+    link: Link,
+    telemetry: Telemetry,
+    /// The number that stands for an id; kept when a server goes, as it may come back.
+    pools: BTreeMap<String, PoolId>,
+    servers: BTreeMap<PoolId, Server>,
+}
+
+impl Servers {
+    /// No servers yet.
+    pub fn new(link: Link, telemetry: Telemetry) -> Self {
+        Servers { link, telemetry, pools: BTreeMap::new(), servers: BTreeMap::new() }
+    }
+
+    // ---- The list
+
+    /// Takes a whole list. A server missing from it is gone.
+    pub fn list(&mut self, list: &Snapshot, kind: ListKind, turn: &mut Turn) {
+        let mut entries = Vec::new();
+        for (name, listed) in &list.servers {
+            let next = PoolId(self.pools.len() as u64 + 1);
+            let pool = *self.pools.entry(name.clone()).or_insert(next);
+            let (number, readiness, ready_at) = (listed.number, listed.readiness, listed.started);
+            entries.push(PoolEntry { pool, number, readiness, ready_at });
+            let server = self.servers.entry(pool).or_insert_with(|| {
+                log::info!("server {name}: listed as {readiness:?} at {}", listed.address);
+                Server::new(name.clone(), listed.clone(), turn.now)
+            });
+            server.relisted(pool, listed.clone(), turn);
+        }
+        let gone: Vec<PoolId> =
+            self.servers.keys().filter(|p| !entries.iter().any(|e| e.pool == **p)).copied().collect();
+        for pool in gone {
+            if let Some(mut server) = self.servers.remove(&pool) {
+                server.drop_channels(pool, |_| true, turn);
+                server.fail_waiting(pool, turn);
+                let cut = turn.calls.cut(pool, f64::INFINITY, false);
+                log::info!("server {}: gone, {cut} calls cut", server.name);
+            }
+        }
+        turn.calls.events.push(Event::List { kind, entries });
+    }
+
+    // ---- What the calls ask for
+
+    /// Carries an order out.
+    pub fn order(&mut self, pool: PoolId, id: u64, order: Order, turn: &mut Turn) {
+        let server = self.servers.get_mut(&pool);
+        match (order, server) {
+            (Order::SetUp { class, until, content }, Some(server))
+                if server.listed.readiness == Readiness::Ready =>
+            {
+                server.waiting.push_back(SetUp { id, class, until, content });
+                server.send_waiting(&self.link, turn);
+                if !server.waiting.is_empty() && server.channels.values().all(|c| c.up) {
+                    server.connect(pool, turn);
+                }
+            }
+            (Order::SetUp { .. }, _) => turn.calls.never_ran(pool, id),
+            (Order::GiveUp, Some(server)) => server.give_up(pool, id, turn),
+            (Order::GiveUp, None) => turn.calls.gave_up(pool, id),
+            (Order::Release, Some(server)) => server.release(id, turn.watch),
+            (Order::Release, None) => {}
+        }
+    }
+
+    // ---- What happens on the sockets
+
+    /// Takes what is ready, if it is a server's.
+    pub fn ready(&mut self, ready: Ready, turn: &mut Turn) {
+        let found = self.servers.iter_mut().find(|(_, s)| s.channels.contains_key(&ready.key));
+        let Some((&pool, server)) = found else { return };
+        let Some(channel) = server.channels.get_mut(&ready.key) else { return };
+        if !channel.up {
+            return server.connected(pool, ready.key, &self.link, turn);
+        }
+        let mut messages = Vec::new();
+        let mut end = if ready.writable { channel.connection.flush() } else { Ok(()) };
+        if end.is_ok() && ready.readable {
+            end = channel.connection.read(&mut messages);
+        }
+        channel.settle(pool, ready.key, turn);
+        if !messages.is_empty() {
+            (channel.heard_at, server.heard_at, server.unreachable) = (turn.now, turn.now, false);
+        }
+        for message in messages {
+            server.heard(pool, ready.key, message, &self.telemetry, turn);
+        }
+        match end {
+            Ok(()) => server.send_waiting(&self.link, turn),
+            Err(error) => {
+                log::debug!("server {}: connection {}: {error}", server.name, ready.key);
+                server.drop_channels(pool, |key| key == ready.key, turn);
+                // At once: whether it is refused tells whether the process died with its calls.
+                server.connect(pool, turn);
+            }
+        }
+    }
+
+    /// Looks after connections. Called now and then.
+    pub fn beat(&mut self, turn: &mut Turn) {
+        for (&pool, server) in &mut self.servers {
+            server.beat(pool, &self.link, turn);
+        }
+    }
+}
+
+impl Server {
+    fn new(name: String, listed: Listed, now: f64) -> Self {
+        let (channels, waiting) = (BTreeMap::new(), VecDeque::new());
+        let (owed, unreachable) = (Vec::new(), false);
+        Server { name, listed, channels, waiting, owed, heard_at: now, retry_at: now, unreachable }
+    }
+
+    fn relisted(&mut self, pool: PoolId, listed: Listed, turn: &mut Turn) {
+        let old = std::mem::replace(&mut self.listed, listed);
+        let (started, moved) = (self.listed.started, self.listed.address != old.address);
+        if started > old.started || moved {
+            // Another process: what stood at the old one was cut, though it may never have said so, and
+            // connections to it may hang open if it vanished. Newer ones reached the new process.
+            let before = if moved { f64::INFINITY } else { started };
+            let cut = turn.calls.cut(pool, before, false);
+            log::info!("server {}: started anew, {cut} calls cut", self.name);
+            let stale: Vec<Key> =
+                self.channels.iter().filter(|(_, c)| c.since < before).map(|(key, _)| *key).collect();
+            self.drop_channels(pool, |key| stale.contains(&key), turn);
+            self.retry_at = turn.now;
+        }
+        if self.listed.readiness != old.readiness {
+            log::info!("server {}: {:?}", self.name, self.listed.readiness);
+        }
+        if self.listed.readiness != Readiness::Ready {
+            // Guards against a set-up that was decided before the drain was told and leaves after it.
+            self.fail_waiting(pool, turn);
+        }
+    }
+
+    // ---- Connections
+
+    fn connect(&mut self, pool: PoolId, turn: &mut Turn) {
+        if turn.now < self.retry_at || self.channels.len() >= MOST_CONNECTIONS {
+            return;
+        }
+        self.retry_at = turn.now + RETRY;
+        match dial(self.listed.address).and_then(|stream| Ok((turn.watch.add(&stream, true)?, stream))) {
+            Ok((key, stream)) => {
+                let channel = Channel {
+                    connection: Connection::new(stream),
+                    up: false,
+                    since: turn.now,
+                    heard_at: turn.now,
+                    writing: true,
+                    open: BTreeSet::new(),
+                    leaving: VecDeque::new(),
+                };
+                self.channels.insert(key, channel);
+            }
+            Err(error) => self.connect_failed(pool, &error, turn),
+        }
+    }
+
+    fn connected(&mut self, pool: PoolId, key: Key, link: &Link, turn: &mut Turn) {
+        let Some(channel) = self.channels.get_mut(&key) else { return };
+        let stream = channel.connection.stream();
+        let result = match stream.take_error() {
+            Ok(None) => stream.peer_addr().map(drop),
+            Ok(Some(error)) | Err(error) => Err(error),
+        };
+        match result {
+            Err(error) if error.kind() == ErrorKind::NotConnected => {}
+            Err(error) => {
+                self.drop_channels(pool, |k| k == key, turn);
+                self.connect_failed(pool, &error, turn);
+            }
+            Ok(()) => {
+                (channel.up, channel.since, channel.heard_at) = (true, turn.now, turn.now);
+                for id in std::mem::take(&mut self.owed) {
+                    self.release(id, turn.watch);
+                }
+                self.send_waiting(link, turn);
+                if let Some(channel) = self.channels.get_mut(&key) {
+                    channel.watch(key, turn.watch);
+                }
+            }
+        }
+    }
+
+    /// No connection came up. The set-ups that waited for it never ran. Refused, with no other connection
+    /// left, the process is dead and so is what stood there; with one, the server may only hold as many
+    /// connections as it accepts.
+    fn connect_failed(&mut self, pool: PoolId, error: &io::Error, turn: &mut Turn) {
+        log::debug!("server {}: no connection: {error}", self.name);
+        self.fail_waiting(pool, turn);
+        if error.kind() == ErrorKind::ConnectionRefused && !self.channels.values().any(|c| c.up) {
+            let cut = turn.calls.cut(pool, f64::INFINITY, false);
+            if cut > 0 {
+                log::info!("server {}: refuses connections, {cut} calls cut", self.name);
+            }
+        }
+    }
+
+    fn fail_waiting(&mut self, pool: PoolId, turn: &mut Turn) {
+        for set_up in std::mem::take(&mut self.waiting) {
+            turn.calls.never_ran(pool, set_up.id);
+        }
+    }
+
+    fn drop_channels(&mut self, pool: PoolId, which: impl Fn(Key) -> bool, turn: &mut Turn) {
+        let keys: Vec<Key> = self.channels.keys().copied().filter(|k| which(*k)).collect();
+        for channel in keys.iter().filter_map(|key| self.channels.remove(key)) {
+            turn.watch.remove(channel.connection.stream());
+            // Closing it gives up whatever was open on it.
+            for id in channel.open {
+                turn.calls.reset(pool, id);
+            }
+            for (_, id) in channel.leaving {
+                turn.calls.gave_up(pool, id);
+            }
+        }
+    }
+
+    fn beat(&mut self, pool: PoolId, link: &Link, turn: &mut Turn) {
+        let now = turn.now;
+        let late = |c: &Channel| !c.up && now - c.since >= link.connect_timeout;
+        let late: Vec<Key> = self.channels.iter().filter(|(_, c)| late(c)).map(|(key, _)| *key).collect();
+        if !late.is_empty() {
+            self.drop_channels(pool, |key| late.contains(&key), turn);
+            if !self.unreachable {
+                log::debug!("server {}: connections do not come up", self.name);
+            }
+            self.unreachable = true;
+            self.connect_failed(pool, &ErrorKind::TimedOut.into(), turn);
+        }
+        // Old connections that stay silent while a newer one speaks lead to a process that is no more.
+        // What stands belongs to no connection; what is open on them keeps them.
+        let newest = self.channels.values().map(|c| c.heard_at).fold(f64::MIN, f64::max);
+        let stale: Vec<Key> = (self.channels.iter())
+            .filter(|(_, c)| c.up && c.open.is_empty() && newest - c.heard_at > 2.0 * VANISHED)
+            .map(|(key, _)| *key)
+            .collect();
+        self.drop_channels(pool, |key| stale.contains(&key), turn);
+        let quiet = now - self.heard_at;
+        let connecting = self.channels.values().any(|c| !c.up);
+        let idle = self.channels.values().all(|c| now - c.since > QUIET && now - c.heard_at > QUIET);
+        if !connecting && (self.channels.is_empty() || idle && turn.calls.any_at(pool)) {
+            self.connect(pool, turn);
+        }
+        if self.unreachable && quiet >= VANISHED {
+            let cut = turn.calls.cut(pool, now, true);
+            if cut > 0 {
+                log::info!("server {}: silent for {quiet:.1} s and unreachable, {cut} calls cut", self.name);
+            }
+        }
+    }
+
+    // ---- Sending
+
+    /// Sends the set-ups that wait, unless the connection is blocked: bytes that wait in a buffer could
+    /// not be taken back when the server is told to drain. Nor on old connections to a server that
+    /// cannot be reached: set-ups swallowed there would be taken to run, while those that wait for a
+    /// connection prove to have never run.
+    fn send_waiting(&mut self, link: &Link, turn: &mut Turn) {
+        while !self.unreachable && !self.waiting.is_empty() {
+            let Some((key, channel)) = best(&mut self.channels) else { return };
+            if channel.connection.blocked() {
+                return;
+            }
+            let Some(SetUp { id, class, until, content }) = self.waiting.pop_front() else { return };
+            let left = ((until - turn.now) * 1000.0).max(1.0);
+            let mut message = Message::new(kind::SET_UP, id)
+                .with(code::CLASS, link.classes.get(class).map_or("", String::as_str))
+                .with(code::WAIT, format!("{left:.0}"))
+                .with(code::NUMBER, &content.number[..]);
+            if let Some(description) = &content.description {
+                message = message.with(code::DESCRIPTION, &description[..]);
+            }
+            channel.open.insert(id);
+            channel.say(key, &message, turn.watch);
+        }
+    }
+
+    fn give_up(&mut self, pool: PoolId, id: u64, turn: &mut Turn) {
+        if let Some(at) = self.waiting.iter().position(|s| s.id == id) {
+            self.waiting.remove(at);
+            return turn.calls.gave_up(pool, id);
+        }
+        let Some((&key, channel)) = self.channels.iter_mut().find(|(_, c)| c.open.contains(&id)) else {
+            return turn.calls.gave_up(pool, id);
+        };
+        channel.open.remove(&id);
+        let message = Message::new(kind::RELEASE, id).caused(cause::NORMAL);
+        if let Some(end) = channel.say(key, &message, turn.watch) {
+            channel.leaving.push_back((end, id));
+        }
+        channel.settle(pool, key, turn);
+    }
+
+    fn release(&mut self, id: u64, watch: &Watch) {
+        let message = Message::new(kind::RELEASE, id).caused(cause::NORMAL);
+        match best(&mut self.channels) {
+            Some((key, channel)) => drop(channel.say(key, &message, watch)),
+            None if self.owed.len() < MOST_OWED => self.owed.push(id),
+            None => log::warn!("server {}: unreachable; a release is dropped", self.name),
+        }
+    }
+
+    // ---- Hearing
+
+    fn heard(&mut self, pool: PoolId, key: Key, message: Message, telemetry: &Telemetry, turn: &mut Turn) {
+        let id = message.call;
+        let report = message.text(code::REPORT).map_or(Report::default(), |t| telemetry.report_text(t));
+        let told = message.bytes(code::REPORT).is_some();
+        match message.kind {
+            kind::ANSWER => {
+                self.closed(id);
+                let description = message.bytes(code::DESCRIPTION).map(<[u8]>::to_vec);
+                turn.calls.stood(turn.now, pool, id, description);
+                if told {
+                    turn.calls.load(pool, report);
+                }
+            }
+            kind::RELEASE => {
+                self.closed(id);
+                turn.calls.ended(pool, id, end(&message, report));
+            }
+            kind::STATE | kind::TEST_RESULT if told => turn.calls.load(pool, report),
+            kind::TEST => {
+                let passed = Message::new(kind::TEST_RESULT, id).caused(1);
+                if let Some(channel) = self.channels.get_mut(&key) {
+                    channel.say(key, &passed, turn.watch);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A set-up is no longer open on its connection.
+    fn closed(&mut self, id: u64) {
+        for channel in self.channels.values_mut() {
+            channel.open.remove(&id);
+        }
+    }
+}
+
+/// The connection for what is to be sent: the one last heard.
+fn best(channels: &mut BTreeMap<Key, Channel>) -> Option<(Key, &mut Channel)> {
+    let up = channels.iter_mut().filter(|(_, c)| c.up);
+    up.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)).map(|(key, channel)| (*key, channel))
+}
+
+impl Channel {
+    /// Says something; returns where it ends in the stream. A broken connection is found ready with its
+    /// end, in its turn.
+    fn say(&mut self, key: Key, message: &Message, watch: &Watch) -> Option<u64> {
+        let end = match self.connection.send(message) {
+            Ok(end) => Some(end),
+            Err(error) => {
+                log::debug!("connection {key}: {error}");
+                if let Over::Stuck = error {
+                    drop(self.connection.stream().shutdown(std::net::Shutdown::Both));
+                }
+                None
+            }
+        };
+        self.watch(key, watch);
+        end
+    }
+
+    /// Reports the give-ups that are out.
+    fn settle(&mut self, pool: PoolId, key: Key, turn: &mut Turn) {
+        let written = self.connection.written();
+        while let Some((_, id)) = self.leaving.pop_front_if(|(end, _)| *end <= written) {
+            turn.calls.gave_up(pool, id);
+        }
+        self.watch(key, turn.watch);
+    }
+
+    fn watch(&mut self, key: Key, watch: &Watch) {
+        let writing = !self.up || self.connection.blocked();
+        if writing != self.writing {
+            self.writing = writing;
+            watch.set(key, self.connection.stream(), true, writing);
+        }
+    }
+}
+
+fn dial(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Ok(()) => {}
+        Err(error) if error.raw_os_error() == Some(EINPROGRESS) => {}
+        Err(error) => return Err(error),
+    }
+    Ok(socket.into())
+}
+
+/// What Linux says of a connection that is on its way.
+const EINPROGRESS: i32 = 115;
+
+fn end(message: &Message, report: Report) -> End {
+    let outcome = match message.cause() {
+        Some(cause::NORMAL) => Outcome::Done,
+        Some(cause::FULL) => Outcome::Full,
+        Some(cause::MOOT) => Outcome::Moot,
+        Some(cause::TEMPORARY_FAILURE) => Outcome::Reset,
+        Some(cause::BUSY | cause::FAULT) => Outcome::Error,
+        // What no server should say ends the attempt all the same.
+        _ => Outcome::Error,
+    };
+    let cause = match message.text(code::NOTE) {
+        Some("congestion") => Cause::NoLine,
+        Some("crankback" | "remote_throttled") => Cause::TurnedBack,
+        Some("throttled") => Cause::ProcessorFull,
+        Some("engaged") => Cause::NumberBusy,
+        _ => Cause::Unknown,
+    };
+    let wait = message.text(code::RETRY_AFTER).and_then(|text| text.trim().parse::<f64>().ok());
+    let wait = wait.filter(|ms| ms.is_finite() && *ms >= 0.0).map(|ms| ms / 1000.0);
+    End { outcome, cause, wait, report }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -98,24 +98,40 @@
     pub fn report(&self, values: &[f32]) -> Report {
         let mut report = Report::default();
         for (name, value) in self.names.iter().zip(values) {
-            let value = f64::from(*value);
-            if !value.is_finite() || value < 0.0 {
-                continue;
-            }
-            match name.as_str() {
-                "free" => report.free = Some(value),
-                "size" => report.lines = Some(value),
-                "latency_ms" => report.wait = Some(value / 1000.0),
-                "util" => report.util = Some(value),
-                "can_take" => report.can_take = Some(value),
-                "hold_back" => report.hold_back = Some(value),
-                _ => {}
+            tell(&mut report, name, f64::from(*value));
+        }
+        report
+    }
+
+    /// Reads a report as text, `free:12;size:40`. Fields that the settings do not name count as well
+    /// where they are known: a report says itself what its fields are.
+    pub fn report_text(&self, text: &str) -> Report {
+        let mut report = Report::default();
+        for (name, value) in text.split(';').filter_map(|field| field.split_once(':')) {
+            if let Ok(value) = value.trim().parse() {
+                tell(&mut report, name.trim(), value);
             }
         }
         report
     }
 }
 
+/// Enters one value of a report under either of its names; below 0 it was not told.
+fn tell(report: &mut Report, name: &str, value: f64) {
+    if !value.is_finite() || value < 0.0 {
+        return;
+    }
+    match name {
+        "free" | "x0" => report.free = Some(value),
+        "size" | "x1" => report.lines = Some(value),
+        "latency_ms" => report.wait = Some(value / 1000.0),
+        "util" => report.util = Some(value),
+        "can_take" | "qps" => report.can_take = Some(value),
+        "hold_back" | "eps" => report.hold_back = Some(value),
+        _ => {}
+    }
+}
+
 /// Reads the settings' JSON text.
 pub fn read(text: &[u8]) -> Result<(Settings, Telemetry), serde_json::Error> {
     let profile: Profile = serde_json::from_slice(text)?;
