Tell refused callers when to come back; model the calls' states in a test

Seen: refusals told callers to stay away for 0 ms (brain.rs, refuse). They now say two to three wait units, spread by the call's rank, bounded by the settings.

The new model test of the calls found that an attempt left out by a final answer of the module was given up at the server but its end was never told to the module, whose count of set-ups out at that pool would have kept it (calls.rs, answer and caller_release, now one forsake).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,6 +43,8 @@
 const GAP_MOST: f64 = 16.0;
 /// A call that no pool admits is held for at most this share of its goal time, then refused.
 const HOLD: f64 = 0.15;
+/// A refused caller is asked to stay away for so long, and up to one unit more.
+const RETRY_FIRST: f64 = 2.0;
 /// Busy numbers remembered.
 const BUSY_KEPT: usize = 64;
 /// A call with less than this left of its goal time when it is offered counts as late.
@@ -785,7 +787,11 @@
         if call.may_have_run && !self.repeatable(call.class) {
             out.push(Action::Fail { call: id });
         } else {
-            out.push(Action::Refuse { call: id, retry_after: 0.0 });
+            // Pools open again at their next report at the earliest; callers told one and the same time
+            // would come back in step and push them back over, so the rank, which is random, spreads them.
+            let soon = self.unit * (RETRY_FIRST + call.rank);
+            let retry_after = self.settings.retry_after.map_or(0.0, |most| soon.min(most));
+            out.push(Action::Refuse { call: id, retry_after });
         }
     }
 
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -279,14 +279,19 @@
             return;
         }
         let Some(gone) = self.remove(call) else { return };
-        self.forsake(&gone);
+        self.forsake(call, &gone);
         self.effects.push(Effect::Caller { origin: gone.origin, id: gone.id, reply });
     }
 
-    /// Gives up the attempt of a call that is over, unless its give-up is on its way already.
-    fn forsake(&mut self, gone: &Call) {
-        if let State::Out(Attempt { pool, leaving: None, .. }) = gone.state {
-            self.order(pool, gone.id, Order::GiveUp);
+    /// Gives up the attempt of a call that is over, unless its give-up is on its way already. The module
+    /// counts what is out at each pool, so it is told of this end too.
+    fn forsake(&mut self, call: CallId, gone: &Call) {
+        if let State::Out(Attempt { pool, leaving, .. }) = gone.state {
+            if leaving.is_none() {
+                self.order(pool, gone.id, Order::GiveUp);
+            }
+            let end = End::of(leaving.unwrap_or(Outcome::Cancelled));
+            self.events.push(gone.ended(call, pool, true, end));
         }
     }
 
@@ -333,12 +338,10 @@
                 self.order(pool, id, Order::Release);
                 self.events.push(gone.ended(call, pool, true, End::of(Outcome::Cancelled)));
             }
-            State::Out(Attempt { pool, .. }) => {
+            State::Out(_) | State::Held => {
                 self.events.push(Event::Abandoned { call });
-                self.events.push(gone.ended(call, pool, true, End::of(Outcome::Cancelled)));
-                self.forsake(&gone);
+                self.forsake(call, &gone);
             }
-            State::Held => self.events.push(Event::Abandoned { call }),
         }
     }
 
@@ -462,3 +465,168 @@
         self.events.push(Event::Load { pool, report });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::{BTreeMap, BTreeSet};
+
+    const POOLS: u64 = 2;
+
+    /// What the model holds of one call: what its caller may still be told, and the attempt out.
+    #[derive(Default)]
+    struct Model {
+        answered: bool,
+        over: bool,
+        abandoned: bool,
+        out: Option<PoolId>,
+        standing: Option<PoolId>,
+        /// Attempts begun, and those whose end the module was told.
+        attempts: u8,
+        ended: u8,
+    }
+
+    #[derive(Default)]
+    struct Bench {
+        calls: Calls,
+        now: f64,
+        models: BTreeMap<u64, Model>,
+    }
+
+    impl Bench {
+        /// Checks all that the core says since the last step.
+        fn settle(&mut self) {
+            for effect in std::mem::take(&mut self.calls.effects) {
+                match effect {
+                    Effect::Caller { id, reply, .. } => {
+                        let m = self.models.get_mut(&id).expect("a reply to a call never offered");
+                        assert!(!m.abandoned && !m.over, "a reply to a caller that waits for none");
+                        match reply {
+                            Reply::Over { .. } => {
+                                assert!(m.answered, "over before it stood");
+                                (m.over, m.standing) = (true, None);
+                            }
+                            reply => {
+                                assert!(!m.answered, "a second final answer");
+                                m.answered = true;
+                                m.over = !matches!(reply, Reply::Stands(_));
+                            }
+                        }
+                    }
+                    Effect::Server { pool, id, order } => {
+                        let Some(m) = self.models.get_mut(&id) else {
+                            assert_eq!(order, Order::Release, "an order for a call never offered");
+                            continue;
+                        };
+                        match order {
+                            Order::SetUp { until, .. } => {
+                                assert!(until > self.now && m.out.is_none() && m.standing.is_none());
+                                assert!(!m.answered && !m.abandoned, "sent after its final answer");
+                                m.out = Some(pool);
+                                m.attempts += 1;
+                            }
+                            Order::GiveUp => assert_eq!(m.out.take(), Some(pool), "nothing to give up"),
+                            Order::Release => m.standing = m.standing.filter(|at| *at != pool),
+                        }
+                    }
+                    Effect::Deadline { .. } | Effect::Limit { .. } => {}
+                }
+            }
+            for event in std::mem::take(&mut self.calls.events) {
+                let Event::Ended { call, attempt, .. } = event else { continue };
+                let m = self.models.get_mut(&u64::from(call)).expect("the end of a call never offered");
+                assert_eq!(attempt, m.ended, "the module is told of each end once, in order");
+                m.ended += 1;
+            }
+        }
+
+        /// Ends the attempt that is out, by one of the ways in which a server's side can.
+        fn end_attempt(&mut self, id: u64, pool: PoolId, how: u8) {
+            if let Some(m) = self.models.get_mut(&id).filter(|m| m.out == Some(pool)) {
+                m.out = None;
+            }
+            match how {
+                0 => self.calls.never_ran(pool, id),
+                1 => self.calls.reset(pool, id),
+                2 => self.calls.ended(pool, id, End::of(Outcome::Full)),
+                _ => self.calls.ended(pool, id, End::of(Outcome::Done)),
+            }
+        }
+
+        fn step(&mut self, what: u8, id: u64, pool: PoolId) {
+            // The core numbers calls as they come, and so does the model.
+            let (call, origin) = (id as CallId, (id % 3) as Origin);
+            let m = self.models.entry(id).or_default();
+            match what {
+                0 | 1 => self.calls.send(self.now, call, pool, if what == 0 { 0.0 } else { 1.0 }),
+                2 => self.calls.cancel(call, m.attempts.saturating_sub(1)),
+                3 => self.calls.limit(call, m.attempts.saturating_sub(1)),
+                4 => self.calls.refuse(call, 0.5),
+                5 => self.calls.fail(call),
+                6 => self.calls.deadline(self.now, call),
+                7 => {
+                    m.abandoned = true;
+                    self.calls.caller_release(id);
+                }
+                8 => {
+                    let waits = |m: &Model| !m.answered;
+                    for (id, m) in &mut self.models {
+                        m.abandoned |= id % 3 == origin as u64 && waits(m);
+                    }
+                    self.calls.origin_lost(origin);
+                }
+                9..=11 => {
+                    let stands = m.out == Some(pool);
+                    if stands {
+                        (m.out, m.standing) = (None, Some(pool));
+                    }
+                    let known = m.standing == Some(pool);
+                    self.calls.stood(self.now, pool, id, None);
+                    let release = Effect::Server { pool, id, order: Order::Release };
+                    assert_eq!(self.calls.effects.contains(&release), !known, "an answer that crossed");
+                }
+                12..=15 => self.end_attempt(id, pool, what - 12),
+                16 => self.calls.gave_up(pool, id),
+                _ => drop(self.calls.cut(pool, self.now, what % 2 == 0)),
+            }
+        }
+    }
+
+    proptest! {
+        /// Random steps of callers, servers, time and module against a model of each call.
+        #[test]
+        fn each_call_has_one_attempt_out_and_one_final_answer(
+            steps in prop::collection::vec((0u8..19, 1u64..8, 0..POOLS), 1..150),
+        ) {
+            let mut bench = Bench::default();
+            for id in 1..8 {
+                let (wait, content) = (30.0, Content::default());
+                let request = Request { id, class: 0, wait, dialled: id, first_choice: 0, content };
+                prop_assert_eq!(bench.calls.offer(0.0, (id % 3) as Origin, request), Ok(()));
+                bench.models.insert(id, Model::default());
+            }
+            bench.settle();
+            for (what, id, pool) in steps {
+                bench.now += 0.1;
+                bench.step(what, id, PoolId(pool));
+                bench.settle();
+            }
+            // Past the deadline every call gets its answer, whatever the module does.
+            for id in (1..8).chain(1..8) {
+                bench.calls.deadline(40.0, id as CallId);
+                bench.settle();
+            }
+            let open: BTreeSet<u64> =
+                bench.models.iter().filter(|(_, m)| !m.answered && !m.abandoned).map(|(id, _)| *id).collect();
+            prop_assert_eq!(open, BTreeSet::new());
+            prop_assert_eq!(bench.calls.count().0, 0);
+            prop_assert_eq!(bench.calls.held_bytes, 0);
+            prop_assert_eq!(bench.models.values().filter(|m| m.standing.is_some()).count(), bench.calls.count().1);
+            for m in bench.models.values() {
+                let standing = u8::from(m.standing.is_some());
+                prop_assert_eq!(m.attempts, m.ended + standing, "each attempt ends once");
+            }
+        }
+    }
+}
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -11,6 +11,8 @@
 
 /// Releases kept for callers while none is connected.
 const MOST_OWED: usize = 4096;
+/// For how long a caller is to stay away from a gatekeeper that holds too much, in seconds.
+const CROWDED_WAIT: f64 = 1.0;
 /// The longest wait that a set-up may name, in seconds.
 const LONGEST_WAIT: f64 = 3600.0;
 
@@ -127,18 +129,15 @@
     fn heard(&mut self, now: f64, key: Key, message: &Message, watch: &mut Watch, calls: &mut Calls) {
         match message.kind {
             kind::SET_UP => {
-                let taken = request(message, &self.classes).and_then(|request| {
-                    calls.offer(now, key, request).map_err(|why| match why {
-                        NotTaken::Known => None,
-                        NotTaken::Crowded => Some(cause::CONGESTION),
-                    })
-                });
-                if let Err(why) = taken {
-                    log::debug!("set-up {:016x} not taken, cause {why:?}", message.call);
-                    if let Some(cause) = why {
-                        self.say(key, Message::new(kind::RELEASE, message.call).caused(cause), watch);
-                    }
-                }
+                let refusal = match request(message, &self.classes) {
+                    Err(cause) => Message::new(kind::RELEASE, message.call).caused(cause),
+                    Ok(request) => match calls.offer(now, key, request) {
+                        Ok(()) | Err(NotTaken::Known) => return,
+                        Err(NotTaken::Crowded) => encode(message.call, Reply::Refused(CROWDED_WAIT)),
+                    },
+                };
+                log::debug!("set-up {:016x} not taken, cause {:?}", message.call, refusal.cause());
+                self.say(key, refusal, watch);
             }
             kind::RELEASE => calls.caller_release(message.call),
             kind::TEST => self.say(key, Message::new(kind::TEST_RESULT, message.call).caused(1), watch),
@@ -202,8 +201,8 @@
 }
 
 /// Reads a set-up; what is wrong with it is told by the cause of its release.
-fn request(message: &Message, classes: &[String]) -> Result<Request, Option<u8>> {
-    let field = |code| message.bytes(code).ok_or(Some(cause::MISSING_PARAMETER));
+fn request(message: &Message, classes: &[String]) -> Result<Request, u8> {
+    let field = |code| message.bytes(code).ok_or(cause::MISSING_PARAMETER);
     let (class, wait) = (field(code::CLASS)?, field(code::WAIT)?);
     let (number, figures) = (field(code::NUMBER)?, field(code::FIGURES)?);
     let parsed = || {
@@ -219,7 +218,7 @@
         let request = Request { id: message.call, class, wait, dialled, first_choice: first as u32, content };
         sound.then_some(request)
     };
-    parsed().ok_or(Some(cause::INVALID_PARAMETER))
+    parsed().ok_or(cause::INVALID_PARAMETER)
 }
 
 fn encode(id: u64, reply: Reply) -> Message {
--- a/tests/front/mod.rs
+++ b/tests/front/mod.rs
@@ -90,6 +90,8 @@
     pub sends: Vec<Sent>,
     pub logs: Vec<String>,
     pub cancels: usize,
+    /// For how long refused callers were asked to stay away.
+    pub advised: Vec<f64>,
     pub readiness: BTreeMap<PoolId, Readiness>,
     /// Pools that answer every set-up after this time.
     pub answers: BTreeMap<PoolId, f64>,
@@ -112,6 +114,7 @@
             sends: Vec::new(),
             logs: Vec::new(),
             cancels: 0,
+            advised: Vec::new(),
             answers: BTreeMap::new(),
             readiness: BTreeMap::new(),
             timers: Vec::new(),
@@ -150,6 +153,7 @@
             }
             Action::Refuse { call, retry_after } => {
                 assert!((0.0..=2.0).contains(&retry_after));
+                self.advised.push(retry_after);
                 self.answer(call, Final::Refused);
             }
             Action::Fail { call } => self.answer(call, Final::Failed),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod front;
 
 use front::{entry, settings, Final, Front, Shape};
-use hollypaddle::{Action, Cause, Controller, Event, ListKind, Outcome, PoolId, Readiness, Report};
+use hollypaddle::{Action, Cause, Controller, Event, ListKind, Outcome, PoolId, Readiness, Report, Settings};
 
 const POOL_A: PoolId = PoolId(1);
 const POOL_B: PoolId = PoolId(2);
@@ -53,6 +53,23 @@
     assert!(front.refused(call));
 }
 
+#[test]
+fn refused_callers_are_told_when_to_come_back_and_not_all_at_once() {
+    let mut front = Front::new(settings(&Shape::default()), 2);
+    for _ in 0..20 {
+        front.call(0, 1);
+    }
+    front.run(1.0);
+    let (least, most) = front.advised.iter().fold((f64::MAX, 0.0f64), |(l, m), a| (l.min(*a), m.max(*a)));
+    assert_eq!(front.advised.len(), 20);
+    assert!(least >= 0.1 && most <= 1.0 && most > 1.3 * least, "between {least} and {most} s");
+    let quiet = Settings { retry_after: None, ..settings(&Shape::default()) };
+    let mut front = Front::new(quiet, 2);
+    front.call(0, 1);
+    front.run(1.0);
+    assert_eq!(front.advised, [0.0], "callers who are told nothing");
+}
+
 #[test]
 fn a_call_without_time_left_is_answered_at_once() {
     let mut front = two_pools(4);
