--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -570,9 +570,9 @@
                     self.calls.caller_release(id);
                 }
                 8 => {
-                    let waits = |m: &Model| !m.answered;
+                    let lost = |id: &u64, m: &Model| (*id % 3) as Origin == origin && !m.answered;
                     for (id, m) in &mut self.models {
-                        m.abandoned |= id % 3 == origin as u64 && waits(m);
+                        m.abandoned |= lost(id, m);
                     }
                     self.calls.origin_lost(origin);
                 }
@@ -588,7 +588,7 @@
                 }
                 12..=15 => self.end_attempt(id, pool, what - 12),
                 16 => self.calls.gave_up(pool, id),
-                _ => drop(self.calls.cut(pool, self.now, what % 2 == 0)),
+                _ => drop(self.calls.cut(pool, self.now, what == 17)),
             }
         }
     }
