End calls from before a restart, and test the gatekeeper against peers on loopback

Ids offered in this life are remembered; the end of any other is passed on, its release goes to every server. - an answer lost with a broken connection left a call standing at the server; its release now goes out as soon as the server can be reached (servers.rs, drop_channels). - three silent connections kept a fourth from being tried, so a vanished server would not have been found (servers.rs, connect): the one silent for longest makes room. - callers may hold half of the descriptors, for which their buffers fit the memory.

Each path has a test against real peers on loopback in which time is skipped, not waited for.

--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -5,7 +5,7 @@
 //! final answer. Fronts tell it what callers and servers said; it tells the decision module what
 //! happened ([`Event`]) and the fronts what to do ([`Effect`]).
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::fmt;
 use std::rc::Rc;
 
@@ -19,6 +19,12 @@
 /// same turn, so this only guards the caller's final answer against a fault of ours.
 const SLACK: f64 = 0.01;
 
+/// Ids remembered after their calls, to tell a call of this gatekeeper's own from one that stood through
+/// it before its restart.
+const MOST_REMEMBERED: usize = 1 << 16;
+/// The origin of a call that came before a restart: any connection will do.
+pub const NO_ORIGIN: Origin = 0;
+
 /// The connection on which a call came; means something to its front alone.
 pub type Origin = usize;
 
@@ -99,6 +105,8 @@
     Caller { origin: Origin, id: u64, reply: Reply },
     /// Tell a server.
     Server { pool: PoolId, id: u64, order: Order },
+    /// Release a call at whichever server it stands.
+    Stray { id: u64 },
     /// Call [`Calls::deadline`] then.
     Deadline { call: CallId, at: f64 },
     /// Call [`Calls::limit`] then.
@@ -171,6 +179,9 @@
     ids: HashMap<u64, CallId>,
     next: CallId,
     held_bytes: usize,
+    /// Ids offered since the start, the latest of them.
+    offered: HashSet<u64>,
+    offered_order: VecDeque<u64>,
     /// What the decision module has yet to be told.
     pub events: Vec<Event>,
     /// What the fronts have yet to do.
@@ -200,6 +211,12 @@
         self.held_bytes += new.bytes();
         self.calls.insert(call, new);
         self.ids.insert(id, call);
+        if self.offered.insert(id) {
+            self.offered_order.push_back(id);
+        }
+        if self.offered_order.len() > MOST_REMEMBERED {
+            self.offered_order.pop_front().map(|old| self.offered.remove(&old));
+        }
         self.effects.push(Effect::Deadline { call, at: deadline });
         self.events.push(Event::Call { call, class, tenant: 0, time_left: wait, dialled, first_choice });
         Ok(())
@@ -331,7 +348,13 @@
 
     /// A caller gives a call up, or releases one that stands.
     pub fn caller_release(&mut self, id: u64) {
-        let Some(call) = self.ids.get(&id).copied() else { return };
+        let Some(call) = self.ids.get(&id).copied() else {
+            // It may have stood through this gatekeeper before a restart, which knows not where.
+            if !self.offered.contains(&id) {
+                self.effects.push(Effect::Stray { id });
+            }
+            return;
+        };
         let Some(gone) = self.remove(call) else { return };
         match gone.state {
             State::Standing { pool, .. } => {
@@ -399,6 +422,12 @@
                 _ => {}
             }
         }
+        // Set-ups of an earlier life were given up with its connections, so this ends a call that stood
+        // then. Ends of calls of this life that crossed their give-up are no news to anyone.
+        if !self.offered.contains(&id) && matches!(end.outcome, Outcome::Done | Outcome::Reset) {
+            let reply = Reply::Over { cut: end.outcome != Outcome::Done };
+            self.effects.push(Effect::Caller { origin: NO_ORIGIN, id, reply });
+        }
         self.events.push(Event::Load { pool, report: end.report });
     }
 
@@ -530,6 +559,7 @@
                             Order::Release => m.standing = m.standing.filter(|at| *at != pool),
                         }
                     }
+                    Effect::Stray { .. } => panic!("every call of this test was offered"),
                     Effect::Deadline { .. } | Effect::Limit { .. } => {}
                 }
             }
@@ -593,6 +623,21 @@
         }
     }
 
+    #[test]
+    fn what_stood_before_a_restart_is_ended_for_both_sides() {
+        let mut calls = Calls::default();
+        calls.ended(PoolId(1), 7, End::of(Outcome::Done));
+        let reply = Reply::Over { cut: false };
+        assert_eq!(calls.effects, [Effect::Caller { origin: NO_ORIGIN, id: 7, reply }]);
+        calls.effects.clear();
+        calls.caller_release(8);
+        assert_eq!(calls.effects, [Effect::Stray { id: 8 }]);
+        calls.effects.clear();
+        // A refusal belongs to no call that stood.
+        calls.ended(PoolId(1), 9, End::of(Outcome::Full));
+        assert_eq!(calls.effects, []);
+    }
+
     proptest! {
         /// Random steps of callers, servers, time and module against a model of each call.
         #[test]
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -51,6 +51,12 @@
         Ok(Clients { classes, listener, listener_key, paused: false, most, connections, owed })
     }
 
+    /// Where it listens.
+    #[cfg(test)]
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.as_ref()?.local_addr().ok()
+    }
+
     /// Takes no further connections.
     pub fn stop_listening(&mut self, watch: &Watch) {
         if let Some(listener) = self.listener.take() {
@@ -158,7 +164,7 @@
             match newest {
                 Some(key) => self.say(key, message, watch),
                 None if self.owed.len() < MOST_OWED => self.owed.push_back(message),
-                None => log::warn!("no caller is connected; the end of a call is dropped"),
+                None => log::debug!("no caller is connected; the end of a call is dropped"),
             }
         }
     }
--- a/src/node/clock.rs
+++ b/src/node/clock.rs
@@ -22,4 +22,10 @@
     pub fn now(&self) -> f64 {
         (self.anchor + self.started.elapsed()).as_secs_f64()
     }
+
+    /// Lets time pass at once.
+    #[cfg(test)]
+    pub fn skip(&mut self, seconds: f64) {
+        self.anchor += Duration::from_secs_f64(seconds);
+    }
 }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -139,7 +139,8 @@
         Config::read(name, &listen, &text)
     }
 
-    fn read(name: String, listen: &str, text: &str) -> Result<Config, ConfigError> {
+    /// Reads the file's text.
+    pub fn read(name: String, listen: &str, text: &str) -> Result<Config, ConfigError> {
         let file: File = serde_json::from_str(text)?;
         let address = |field, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| ConfigError::Field(field, text.to_string()))
--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -34,8 +34,9 @@
 const LONGEST_WAIT: f64 = 3.0;
 const KILL_AFTER: f64 = 0.7;
 const KILL_RESERVE: f64 = 0.2;
-/// Descriptors kept for the servers, the resolver, the poller and the log.
-const RESERVED: usize = 128;
+/// Part of the descriptors that callers' connections may take; they hold a third by themselves. With
+/// every buffer full, this many keep within the memory too.
+const CALLERS_SHARE: f64 = 0.5;
 
 enum Timer {
     Module(u32),
@@ -68,7 +69,7 @@
         let mut watch = Watch::new()?;
         let resolver = Resolver::new(config.dns, config.known.position, config.seed)?;
         let resolver_key = watch.add(resolver.socket(), false)?;
-        let most = config.sockets.saturating_sub(RESERVED).max(1);
+        let most = ((config.sockets as f64 * CALLERS_SHARE) as usize).max(1);
         let clients = Clients::listen(config.listen, most, config.link.classes.clone(), &mut watch)?;
         let mut settings = config.settings;
         settings.release += SOCKET_SLACK;
@@ -94,6 +95,24 @@
         Ok(node)
     }
 
+    /// Where callers connect.
+    #[cfg(test)]
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.clients.address().expect("listening")
+    }
+
+    /// The time.
+    #[cfg(test)]
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
+    /// Lets time pass at once.
+    #[cfg(test)]
+    pub fn skip(&mut self, seconds: f64) {
+        self.clock.skip(seconds);
+    }
+
     /// Runs until `stop` is set and all is seen to.
     pub fn run(&mut self, stop: &Arc<AtomicBool>) -> io::Result<()> {
         let mut stopping = None;
@@ -125,7 +144,7 @@
     }
 
     /// One turn: waits, gathers, decides.
-    fn turn(&mut self) -> io::Result<()> {
+    pub fn turn(&mut self) -> io::Result<()> {
         let wait = self.wheel.next_in(self.clock.now()).unwrap_or(BEAT).min(BEAT);
         let all = self.watch.wait(wait)?;
         let now = self.clock.now();
@@ -195,6 +214,7 @@
                 let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
                 self.servers.order(pool, id, order, &mut turn);
             }
+            Effect::Stray { id } => self.servers.release_anywhere(id, &self.watch),
             Effect::Deadline { call, at } => self.wheel.set(at, Timer::Deadline(call)),
             Effect::Limit { call, attempt, at } => self.wheel.set(at, Timer::Limit(call, attempt)),
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,4 +11,6 @@
 mod poller;
 mod resolver;
 mod servers;
+#[cfg(test)]
+mod tests;
 mod wheel;
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -129,6 +129,8 @@
             (Order::SetUp { class, until, content }, Some(server))
                 if server.listed.readiness == Readiness::Ready =>
             {
+                // An owed release of an earlier attempt would cut this one.
+                server.owed.retain(|owed| *owed != id);
                 server.waiting.push_back(SetUp { id, class, until, content });
                 server.send_waiting(&self.link, turn);
                 if !server.waiting.is_empty() && server.channels.values().all(|c| c.up) {
@@ -143,6 +145,13 @@
         }
     }
 
+    /// Releases a call at every server, as it is not known where it stands.
+    pub fn release_anywhere(&mut self, id: u64, watch: &Watch) {
+        for server in self.servers.values_mut() {
+            server.release(id, watch);
+        }
+    }
+
     // ---- What happens on the sockets
 
     /// Takes what is ready, if it is a server's.
@@ -217,10 +226,20 @@
     // ---- Connections
 
     fn connect(&mut self, pool: PoolId, turn: &mut Turn) {
-        if turn.now < self.retry_at || self.channels.len() >= MOST_CONNECTIONS {
+        if turn.now < self.retry_at {
             return;
         }
         self.retry_at = turn.now + RETRY;
+        // Makes room by closing what was silent for longest; set-ups open on a connection keep it until
+        // they are given up.
+        if self.channels.len() >= MOST_CONNECTIONS {
+            let unused = self.channels.iter().filter(|(_, c)| c.open.is_empty());
+            let oldest = unused.min_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)).map(|(key, _)| *key);
+            match oldest {
+                Some(oldest) => self.drop_channels(pool, |key| key == oldest, turn),
+                None => return,
+            }
+        }
         match dial(self.listed.address).and_then(|stream| Ok((turn.watch.add(&stream, true)?, stream))) {
             Ok((key, stream)) => {
                 let channel = Channel {
@@ -270,7 +289,9 @@
     fn connect_failed(&mut self, pool: PoolId, error: &io::Error, turn: &mut Turn) {
         log::debug!("server {}: no connection: {error}", self.name);
         self.fail_waiting(pool, turn);
-        if error.kind() == ErrorKind::ConnectionRefused && !self.channels.values().any(|c| c.up) {
+        let refused = error.kind() == ErrorKind::ConnectionRefused;
+        self.unreachable |= !refused;
+        if refused && !self.channels.values().any(|c| c.up) {
             let cut = turn.calls.cut(pool, f64::INFINITY, false);
             if cut > 0 {
                 log::info!("server {}: refuses connections, {cut} calls cut", self.name);
@@ -286,11 +307,14 @@
 
     fn drop_channels(&mut self, pool: PoolId, which: impl Fn(Key) -> bool, turn: &mut Turn) {
         let keys: Vec<Key> = self.channels.keys().copied().filter(|k| which(*k)).collect();
-        for channel in keys.iter().filter_map(|key| self.channels.remove(key)) {
+        for key in keys {
+            let Some(channel) = self.channels.remove(&key) else { continue };
             turn.watch.remove(channel.connection.stream());
-            // Closing it gives up whatever was open on it.
+            // Closing it gives up whatever was open on it, but an answer may have been lost with it: a
+            // call that nobody waits for must not stand on.
             for id in channel.open {
                 turn.calls.reset(pool, id);
+                self.release(id, turn.watch);
             }
             for (_, id) in channel.leaving {
                 turn.calls.gave_up(pool, id);
@@ -304,20 +328,8 @@
         let late: Vec<Key> = self.channels.iter().filter(|(_, c)| late(c)).map(|(key, _)| *key).collect();
         if !late.is_empty() {
             self.drop_channels(pool, |key| late.contains(&key), turn);
-            if !self.unreachable {
-                log::debug!("server {}: connections do not come up", self.name);
-            }
-            self.unreachable = true;
             self.connect_failed(pool, &ErrorKind::TimedOut.into(), turn);
         }
-        // Old connections that stay silent while a newer one speaks lead to a process that is no more.
-        // What stands belongs to no connection; what is open on them keeps them.
-        let newest = self.channels.values().map(|c| c.heard_at).fold(f64::MIN, f64::max);
-        let stale: Vec<Key> = (self.channels.iter())
-            .filter(|(_, c)| c.up && c.open.is_empty() && newest - c.heard_at > 2.0 * VANISHED)
-            .map(|(key, _)| *key)
-            .collect();
-        self.drop_channels(pool, |key| stale.contains(&key), turn);
         let quiet = now - self.heard_at;
         let connecting = self.channels.values().any(|c| !c.up);
         let idle = self.channels.values().all(|c| now - c.since > QUIET && now - c.heard_at > QUIET);
@@ -378,8 +390,15 @@
         let message = Message::new(kind::RELEASE, id).caused(cause::NORMAL);
         match best(&mut self.channels) {
             Some((key, channel)) => drop(channel.say(key, &message, watch)),
-            None if self.owed.len() < MOST_OWED => self.owed.push(id),
-            None => log::warn!("server {}: unreachable; a release is dropped", self.name),
+            None => self.owe(id),
+        }
+    }
+
+    /// Keeps a release for the next connection.
+    fn owe(&mut self, id: u64) {
+        match self.owed.len() < MOST_OWED {
+            true => self.owed.push(id),
+            false => log::debug!("server {}: unreachable; a release is dropped", self.name),
         }
     }
 
--- /dev/null
+++ b/src/node/tests.rs
@@ -0,0 +1,416 @@
+//! The whole gatekeeper against peers on loopback sockets. Time is skipped, not waited for: a test ends
+//! when what it waits for has come, or fails after a bounded number of turns.
+
+use std::collections::BTreeSet;
+use std::io::{ErrorKind, Write};
+use std::net::{TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+
+use hickory_proto::op;
+use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
+use hickory_proto::rr::{Name, RData, Record};
+use proptest::prelude::*;
+
+use super::config::Config;
+use super::connection::Connection;
+use super::event_loop::Gatekeeper;
+use super::message::{cause, code, kind, Message};
+
+const TURNS: usize = 400;
+
+type Peer = Connection<TcpStream>;
+
+struct World {
+    node: Gatekeeper,
+    listeners: Vec<TcpListener>,
+    dns: UdpSocket,
+    caller: Peer,
+    /// What the caller and the servers heard.
+    heard: Vec<Message>,
+    at_servers: Vec<Message>,
+    servers: Vec<Peer>,
+    /// Which server got the set-up of which call.
+    set_ups: BTreeSet<(usize, u64)>,
+}
+
+fn peer(stream: TcpStream) -> Peer {
+    stream.set_nonblocking(true).unwrap();
+    stream.set_nodelay(true).unwrap();
+    Connection::new(stream)
+}
+
+fn config(listeners: &[TcpListener], dns: &UdpSocket) -> Config {
+    let instance = |(n, l): (usize, &TcpListener)| {
+        let address = l.local_addr().unwrap();
+        format!(
+            r#"{{"instanceId":"s-{n}","hostPort":"{address}","cell":{n},"lifecycle":"ready","startedAtMs":0}}"#
+        )
+    };
+    let instances: Vec<String> = listeners.iter().enumerate().map(instance).collect();
+    let text = format!(
+        r#"{{"seed":"8c1f","dns":"{}","limits":{{"sockets":64}},"known":{{"pos":1,"entries":[
+            {{"pos":1,"hosts":{{"reset":true,"instances":[{}]}}}}]}},
+          "settings":{{"peersTotal":4,"period":0.005,"telemetry":{{"names":["free","size","hold_back"]}},
+            "familyInfo":{{"release":0.3,"retransmit":0.4,"poolsByClass":[[0,1]]}},
+            "limits":{{"tryLimit":6,"mayCancel":true,"retryAfter":true,"maxRetryAfter":2.0,"connectTimeout":0.5}},
+            "requestClasses":[{{"name":"meter-read","effect":"read_like","goalTime":1.5,"hardLimit":9.0,"value":1.0}}],
+            "safety":{{"cold":14.0,"coldFrom":0.3,"overloadFactor":3.0}}}}}}"#,
+        dns.local_addr().unwrap(),
+        instances.join(",")
+    );
+    Config::read("n0".into(), "127.0.0.1:0", &text).unwrap()
+}
+
+fn set_up(id: u64, wait: u32) -> Message {
+    set_up_to(0, id, wait)
+}
+
+fn set_up_to(pool: u32, id: u64, wait: u32) -> Message {
+    Message::new(kind::SET_UP, id)
+        .with(code::CLASS, "meter-read")
+        .with(code::WAIT, wait.to_string())
+        .with(code::NUMBER, "7f3a9c21e0b4d655")
+        .with(code::FIGURES, format!("dest:{pool};width:1;via:-1"))
+        .with(code::DESCRIPTION, vec![0, 255, 7])
+}
+
+fn release(id: u64, why: u8) -> Message {
+    Message::new(kind::RELEASE, id).caused(why)
+}
+
+impl World {
+    fn new(servers: usize) -> World {
+        let listeners: Vec<TcpListener> =
+            (0..servers).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        listeners.iter().for_each(|l| l.set_nonblocking(true).unwrap());
+        let dns = UdpSocket::bind("127.0.0.1:0").unwrap();
+        dns.set_nonblocking(true).unwrap();
+        let node = Gatekeeper::new(config(&listeners, &dns)).unwrap();
+        let caller = peer(TcpStream::connect(node.address()).unwrap());
+        let (heard, at_servers) = (Vec::new(), Vec::new());
+        let mut world = World {
+            node,
+            listeners,
+            dns,
+            caller,
+            heard,
+            at_servers,
+            servers: Vec::new(),
+            set_ups: BTreeSet::new(),
+        };
+        world.until("the gatekeeper to connect to each server", |w| w.servers.len() >= servers);
+        world
+    }
+
+    fn turn(&mut self) {
+        self.node.turn().unwrap();
+        let _ = self.caller.read(&mut self.heard);
+        for listener in &self.listeners {
+            match listener.accept() {
+                Ok((stream, _)) => self.servers.push(peer(stream)),
+                Err(error) => assert_eq!(error.kind(), ErrorKind::WouldBlock),
+            }
+        }
+        for server in &mut self.servers {
+            let before = self.at_servers.len();
+            let _ = server.read(&mut self.at_servers);
+            let here = server.stream().local_addr().unwrap();
+            let n = self.listeners.iter().position(|l| l.local_addr().unwrap() == here).unwrap_or(usize::MAX);
+            let set_ups = self.at_servers[before..].iter().filter(|m| m.kind == kind::SET_UP);
+            self.set_ups.extend(set_ups.map(|m| (n, m.call)));
+        }
+    }
+
+    fn until(&mut self, what: &str, mut done: impl FnMut(&World) -> bool) {
+        for _ in 0..TURNS {
+            if done(self) {
+                return;
+            }
+            self.turn();
+        }
+        panic!("waited in vain for {what}; caller {:?}, servers {:?}", self.heard, self.at_servers);
+    }
+
+    fn heard(&mut self, id: u64, kind: u8, why: Option<u8>) -> Message {
+        let wanted = |m: &&Message| m.call == id && m.kind == kind && (why.is_none() || m.cause() == why);
+        self.until("a word to the caller", |w| w.heard.iter().any(|m| wanted(&m)));
+        self.heard.iter().find(wanted).unwrap().clone()
+    }
+
+    fn at_servers(&mut self, id: u64, kind: u8) -> Message {
+        self.until("a word to a server", |w| w.at_servers.iter().any(|m| m.call == id && m.kind == kind));
+        self.at_servers.iter().find(|m| m.call == id && m.kind == kind).unwrap().clone()
+    }
+
+    /// All servers say it: the gatekeeper must take it from the right one alone.
+    fn servers_say(&mut self, message: &Message) {
+        for server in &mut self.servers {
+            server.send(message).unwrap();
+        }
+    }
+
+    fn stand(&mut self, id: u64) {
+        self.caller.send(&set_up(id, 3000)).unwrap();
+        self.at_servers(id, kind::SET_UP);
+        self.servers_say(&Message::new(kind::ANSWER, id).with(code::DESCRIPTION, vec![9, 9]));
+        assert_eq!(self.heard(id, kind::ANSWER, None).bytes(code::DESCRIPTION), Some(&[9, 9][..]));
+    }
+
+    /// Answers the next question with a list of (server, priority, started in Unix ms), after an answer
+    /// to somebody else, a cut one and one that is no message, all of which name no server.
+    fn list(&mut self, position: u32, servers: &[(usize, u16, u64)]) {
+        let mut data = [0; 512];
+        // Old questions have been forgotten by who asked them.
+        while self.dns.recv_from(&mut data).is_ok() {}
+        let (n, from) = loop {
+            self.turn();
+            if let Ok(got) = self.dns.recv_from(&mut data) {
+                break got;
+            }
+        };
+        let question = op::Message::from_vec(&data[..n]).unwrap();
+        let name = |text: &str| Name::from_ascii(text).unwrap();
+        let mut answer = op::Message::response(question.metadata.id, op::OpCode::Query);
+        let soa = SOA::new(name("fleet.local."), name("fleet.local."), position, 1, 1, 1, 1);
+        answer.authorities.push(Record::from_rdata(name("fleet.local."), 0, RData::SOA(soa)));
+        let mut wrong = [answer.clone(), answer.clone()];
+        wrong[0].metadata.id = wrong[0].metadata.id.wrapping_add(1);
+        wrong[1].metadata.truncation = true;
+        for (n, priority, started) in servers {
+            let port = self.listeners[*n].local_addr().unwrap().port();
+            let target = name(&format!("s-{n}.downtown.hosts."));
+            let srv = SRV::new(*priority, 40, port, target.clone());
+            answer.answers.push(Record::from_rdata(question.queries[0].name().clone(), 0, RData::SRV(srv)));
+            let here = RData::A(A(std::net::Ipv4Addr::LOCALHOST));
+            answer.additionals.push(Record::from_rdata(target.clone(), 0, here));
+            let texts = vec![format!("cell={n}"), format!("started={started}")];
+            answer.additionals.push(Record::from_rdata(target, 0, RData::TXT(TXT::new(texts))));
+        }
+        self.dns.send_to(&[7; 40], from).unwrap();
+        for message in wrong.iter().chain([&answer]) {
+            self.dns.send_to(&message.to_vec().unwrap(), from).unwrap();
+        }
+        self.pass(0.2);
+    }
+
+    /// Lets time pass, with turns in between so that nothing is skipped over.
+    fn pass(&mut self, seconds: f64) {
+        let steps = (seconds / 0.1) as usize;
+        for _ in 0..steps {
+            self.node.skip(0.1);
+            self.turn();
+        }
+    }
+}
+
+#[test]
+fn a_call_is_passed_on_unchanged_stands_and_ends() {
+    let mut w = World::new(1);
+    w.stand(1);
+    let seen = w.at_servers(1, kind::SET_UP);
+    let sent = set_up(1, 3000);
+    for code in [code::CLASS, code::NUMBER, code::DESCRIPTION] {
+        assert_eq!(seen.bytes(code), sent.bytes(code));
+    }
+    assert_eq!(seen.bytes(code::FIGURES), None, "the figures are for the gatekeeper");
+    let wait: u32 = seen.text(code::WAIT).unwrap().parse().unwrap();
+    assert!((2000..=3000).contains(&wait));
+    w.servers_say(&release(1, cause::NORMAL));
+    w.heard(1, kind::RELEASE, Some(cause::NORMAL));
+}
+
+/// Guards against a caller left without an answer, and against one without word of when to return.
+#[test]
+fn a_call_that_no_server_answers_is_refused_at_its_deadline_and_given_up_at_the_server() {
+    let mut w = World::new(1);
+    w.caller.send(&set_up(1, 700)).unwrap();
+    w.at_servers(1, kind::SET_UP);
+    w.node.skip(0.72);
+    let refusal = w.heard(1, kind::RELEASE, Some(cause::CONGESTION));
+    assert!(refusal.text(code::RETRY_AFTER).unwrap().parse::<u32>().unwrap() > 0);
+    assert_eq!(w.at_servers(1, kind::RELEASE).cause(), Some(cause::NORMAL));
+    // The answer crosses the give-up: the call must not stand on at the server.
+    w.at_servers.clear();
+    w.servers_say(&Message::new(kind::ANSWER, 1));
+    w.at_servers(1, kind::RELEASE);
+    assert_eq!(w.heard.len(), 1, "one final answer");
+}
+
+#[test]
+fn bad_input_harms_its_own_connection_or_call_alone() {
+    let mut w = World::new(1);
+    let mut bad = peer(TcpStream::connect(w.node.address()).unwrap());
+    let mut raw = bad.stream().try_clone().unwrap();
+    raw.write_all(&[0xff; 64]).unwrap();
+    let mut got = Vec::new();
+    for _ in 0..TURNS {
+        w.turn();
+        if bad.read(&mut got).is_err() {
+            break;
+        }
+    }
+    assert!(bad.read(&mut got).is_err(), "an unreadable message closes its connection");
+    let without = Message::new(kind::SET_UP, 2).with(code::CLASS, "meter-read");
+    w.caller.send(&without).unwrap();
+    w.heard(2, kind::RELEASE, Some(cause::MISSING_PARAMETER));
+    for (n, (code, value)) in [
+        (code::CLASS, "?"),
+        (code::WAIT, "nan"),
+        (code::WAIT, "-1"),
+        (code::FIGURES, "dest:x"),
+        (code::NUMBER, "#"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut message = Message::new(kind::SET_UP, 10 + n as u64).with(code, value);
+        for code in [code::CLASS, code::WAIT, code::NUMBER, code::FIGURES] {
+            message = message.with(code, set_up(1, 1000).bytes(code).unwrap());
+        }
+        w.caller.send(&message).unwrap();
+        w.heard(10 + n as u64, kind::RELEASE, Some(cause::INVALID_PARAMETER));
+    }
+    w.caller.send(&Message::new(200, 3).with(250, "?")).unwrap();
+    w.caller.send(&Message::new(kind::TEST, 4).caused(0)).unwrap();
+    assert_eq!(w.heard(4, kind::TEST_RESULT, None).cause(), Some(1));
+    w.stand(5);
+}
+
+#[test]
+fn a_dead_callers_set_ups_are_given_up_and_what_stands_stays() {
+    let mut w = World::new(1);
+    w.stand(1);
+    w.caller.send(&set_up(2, 3000)).unwrap();
+    w.at_servers(2, kind::SET_UP);
+    let other = peer(TcpStream::connect(w.node.address()).unwrap());
+    w.caller = other;
+    w.at_servers(2, kind::RELEASE);
+    // The end of what stands reaches the caller on whatever connection there is.
+    w.servers_say(&release(1, cause::NORMAL));
+    w.heard(1, kind::RELEASE, Some(cause::NORMAL));
+    assert!(!w.heard.iter().any(|m| m.call == 2), "no answer is owed to a caller that has gone");
+}
+
+/// Guards against calls cut by mistake, and against an end that the server could not send at once.
+#[test]
+fn a_lost_connection_cuts_no_call_and_the_end_comes_on_the_next_one() {
+    let mut w = World::new(1);
+    w.stand(1);
+    w.servers.clear();
+    w.until("the next connection", |w| !w.servers.is_empty());
+    assert!(!w.heard.iter().any(|m| m.kind == kind::RELEASE));
+    w.servers_say(&release(1, cause::TEMPORARY_FAILURE));
+    w.heard(1, kind::RELEASE, Some(cause::TEMPORARY_FAILURE));
+}
+
+#[test]
+fn a_server_that_refuses_connections_is_dead_with_its_calls_and_harms_no_other() {
+    let mut w = World::new(2);
+    w.stand(1);
+    // The first listener and its connection go; the call stood at the pool of its first choice, 0.
+    let gone = w.listeners.remove(0).local_addr().unwrap();
+    w.servers.retain(|s| s.stream().local_addr().unwrap() != gone);
+    w.heard(1, kind::RELEASE, Some(cause::TEMPORARY_FAILURE));
+    w.caller.send(&set_up_to(1, 2, 3000)).unwrap();
+    w.at_servers(2, kind::SET_UP);
+}
+
+/// Guards against callers that wait for the end of a call at a machine that vanished: it sends nothing,
+/// and its connections stay open.
+#[test]
+fn calls_at_a_server_that_vanished_are_cut_in_time_and_not_before() {
+    let mut w = World::new(1);
+    w.stand(1);
+    // No longer accepting, with a full backlog: connections do not come up.
+    let address = w.listeners[0].local_addr().unwrap();
+    let silent: Vec<TcpListener> = w.listeners.drain(..).collect();
+    let full: Vec<socket2::Socket> = (0..5000)
+        .map_while(|_| {
+            let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).ok()?;
+            socket.set_nonblocking(true).ok()?;
+            let up = socket.connect(&address.into()).is_ok() || socket.peer_addr().is_ok();
+            up.then_some(socket)
+        })
+        .collect();
+    w.pass(5.0);
+    assert!(!w.heard.iter().any(|m| m.kind == kind::RELEASE), "it may only be cut off");
+    w.pass(2.5);
+    w.heard(1, kind::RELEASE, Some(cause::TEMPORARY_FAILURE));
+    drop((silent, full));
+}
+
+/// Guards against set-ups to a server that drains, calls that nobody ends after a replacement, and
+/// answers that are not the list.
+#[test]
+fn the_list_drains_restarts_and_removes_servers() {
+    let mut w = World::new(2);
+    w.stand(1);
+    w.list(2, &[(0, 1, 0), (1, 0, 0)]);
+    w.caller.send(&set_up(2, 300)).unwrap();
+    w.pass(0.4);
+    w.heard(2, kind::RELEASE, None);
+    assert!(!w.heard.iter().any(|m| m.call == 1 && m.kind == kind::RELEASE), "a drain cuts nothing");
+    assert!(!w.set_ups.contains(&(0, 2)), "sent to a server that drains");
+    let started = (w.node.now() * 1000.0) as u64 + 50;
+    w.list(3, &[(0, 0, started), (1, 0, 0)]);
+    w.heard(1, kind::RELEASE, Some(cause::TEMPORARY_FAILURE));
+    // Warm again, so that the module sends it calls.
+    w.pass(15.0);
+    w.stand(3);
+    // An older list is no news.
+    w.list(2, &[(1, 0, 0)]);
+    assert!(!w.heard.iter().any(|m| m.call == 3 && m.kind == kind::RELEASE));
+    w.list(4, &[(1, 0, 0)]);
+    w.heard(3, kind::RELEASE, Some(cause::TEMPORARY_FAILURE));
+}
+
+#[test]
+fn sigterm_sees_open_calls_through_and_ends() {
+    let mut w = World::new(1);
+    w.caller.send(&set_up(1, 1000)).unwrap();
+    w.at_servers(1, kind::SET_UP);
+    let stop = Arc::new(AtomicBool::new(true));
+    // Nobody answers: the deadline does, and then nothing is left to wait for.
+    w.node.run(&stop).unwrap();
+    w.heard(1, kind::RELEASE, Some(cause::CONGESTION));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// Random steps of a caller and a server: every set-up gets one final answer, a release after it
+    /// only once it stood, and the server never holds two of one call.
+    #[test]
+    fn every_set_up_gets_one_final_answer(steps in prop::collection::vec((0u8..7, 0usize..6), 1..30)) {
+        let mut w = World::new(1);
+        let (mut next, mut gone) = (1u64, BTreeSet::new());
+        for (what, which) in steps {
+            let id = next.saturating_sub(1 + which as u64).max(1);
+            match what {
+                0 | 1 => {
+                    w.caller.send(&set_up(next, 600)).unwrap();
+                    next += 1;
+                }
+                // Before the first set-up there is nothing to say anything of.
+                2..=5 if next == 1 => {}
+                2 => w.servers_say(&Message::new(kind::ANSWER, id)),
+                3 => w.servers_say(&release(id, cause::FULL).with(code::NOTE, "throttled").with(code::REPORT, "eps:0.1")),
+                4 => w.servers_say(&release(id, cause::NORMAL)),
+                5 if gone.insert(id) => drop(w.caller.send(&release(id, cause::NORMAL))),
+                _ => w.node.skip(0.05),
+            }
+            w.turn();
+        }
+        w.pass(1.5);
+        for id in 1..next {
+            let to_caller: Vec<&Message> = w.heard.iter().filter(|m| m.call == id).collect();
+            let answers = to_caller.iter().filter(|m| m.kind == kind::ANSWER).count();
+            let releases = to_caller.iter().filter(|m| m.kind == kind::RELEASE).count();
+            prop_assert!(answers <= 1 && releases <= 1, "call {}: {:?}", id, to_caller);
+            prop_assert!(answers + releases >= 1 || gone.contains(&id), "call {} without an answer", id);
+            let begun = w.at_servers.iter().filter(|m| m.call == id && m.kind == kind::SET_UP).count();
+            prop_assert!(begun <= 6);
+        }
+    }
+}
