--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -56,7 +56,7 @@
     File(PathBuf, std::io::Error),
     /// The file is not what it should be.
     Json(serde_json::Error),
-    /// A field has no use.
+    /// A variable or a field of the file has a value of no use.
     Field(&'static str, String),
 }
 
@@ -67,7 +67,7 @@
             ConfigError::File(path, error) => write!(f, "{}: {error}", path.display()),
             ConfigError::Json(error) => write!(f, "the configuration file: {error}"),
             ConfigError::Field(name, value) => {
-                write!(f, "the configuration file: {name} cannot be {value:?}")
+                write!(f, "{name} cannot be {value:?}")
             }
         }
     }
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -38,12 +38,10 @@
 
 /// Release causes.
 pub mod cause {
-    pub const BUSY: u8 = 17;
     pub const NORMAL: u8 = 16;
     pub const FULL: u8 = 34;
     pub const TEMPORARY_FAILURE: u8 = 41;
     pub const CONGESTION: u8 = 42;
-    pub const FAULT: u8 = 47;
     pub const MISSING_PARAMETER: u8 = 96;
     pub const INVALID_PARAMETER: u8 = 100;
     pub const MOOT: u8 = 102;
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -72,7 +72,7 @@
     /// When it last said anything, and when a connection may next be tried.
     heard_at: f64,
     retry_at: f64,
-    /// A connection was tried in vain since it last said anything.
+    /// A connection was tried in vain since it last said anything or took one.
     unreachable: bool,
 }
 
@@ -272,6 +272,7 @@
             }
             Ok(()) => {
                 (channel.up, channel.since, channel.heard_at) = (true, turn.now, turn.now);
+                self.unreachable = false;
                 for id in std::mem::take(&mut self.owed) {
                     self.release(id, turn.watch);
                 }
@@ -289,9 +290,12 @@
     fn connect_failed(&mut self, pool: PoolId, error: &io::Error, turn: &mut Turn) {
         log::debug!("server {}: no connection: {error}", self.name);
         self.fail_waiting(pool, turn);
-        let refused = error.kind() == ErrorKind::ConnectionRefused;
-        self.unreachable |= !refused;
-        if refused && !self.channels.values().any(|c| c.up) {
+        // Other errors, such as a want of descriptors, are ours and tell nothing of the server.
+        self.unreachable |= matches!(
+            error.kind(),
+            ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
+        );
+        if error.kind() == ErrorKind::ConnectionRefused && !self.channels.values().any(|c| c.up) {
             let cut = turn.calls.cut(pool, f64::INFINITY, false);
             if cut > 0 {
                 log::info!("server {}: refuses connections, {cut} calls cut", self.name);
@@ -503,8 +507,7 @@
         Some(cause::FULL) => Outcome::Full,
         Some(cause::MOOT) => Outcome::Moot,
         Some(cause::TEMPORARY_FAILURE) => Outcome::Reset,
-        Some(cause::BUSY | cause::FAULT) => Outcome::Error,
-        // What no server should say ends the attempt all the same.
+        // Busy (17), a fault (47), and what no server should say: it ends the attempt all the same.
         _ => Outcome::Error,
     };
     let cause = match message.text(code::NOTE) {
