Connect again at once when a reset tells that a vanished machine is back

A connection that lived and breaks now sets a new one off at once; one that breaks as soon as it is up still waits, so a server that closes at once is not beaten upon.

--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -162,6 +162,7 @@
         if !channel.up {
             return server.connected(pool, ready.key, &self.link, turn);
         }
+        let lived = turn.now - channel.since;
         let mut messages = Vec::new();
         let mut end = if ready.writable { channel.connection.flush() } else { Ok(()) };
         if end.is_ok() && ready.readable {
@@ -178,8 +179,13 @@
             Ok(()) => server.send_waiting(&self.link, turn),
             Err(error) => {
                 log::debug!("server {}: connection {}: {error}", server.name, ready.key);
+                // At once, unless it keeps closing new ones: a connect that is refused tells that the
+                // process died with its calls. One that is on its way may have set out to a machine that
+                // was not there and would be noticed late; this end tells that the machine is back.
+                if lived >= RETRY {
+                    server.retry_at = turn.now;
+                }
                 server.drop_channels(pool, |key| key == ready.key, turn);
-                // At once: whether it is refused tells whether the process died with its calls.
                 server.connect(pool, turn);
             }
         }
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -277,6 +277,33 @@
     w.stand(5);
 }
 
+/// Guards against a loop that spins on a listener it cannot accept from, and against callers shut out
+/// for good.
+#[test]
+fn more_callers_than_descriptors_allow_wait_their_turn() {
+    let mut w = World::new(1);
+    let most = 32;
+    let mut callers: Vec<Peer> =
+        (0..most + 8).map(|_| peer(TcpStream::connect(w.node.address()).unwrap())).collect();
+    let test = |id| Message::new(kind::TEST, id).caused(0);
+    w.pass(1.0);
+    for caller in &mut callers {
+        caller.send(&test(1)).unwrap();
+    }
+    w.pass(1.0);
+    let passed = |callers: &mut Vec<Peer>| {
+        let mut got = Vec::new();
+        callers.iter_mut().for_each(|c| c.read(&mut got).unwrap());
+        got.len()
+    };
+    // One of the places is taken by the world's own caller.
+    assert_eq!(passed(&mut callers), most - 1);
+    callers.drain(..20);
+    w.pass(1.0);
+    assert_eq!(passed(&mut callers), 9, "those who waited are served once others have gone");
+    w.stand(1);
+}
+
 #[test]
 fn a_dead_callers_set_ups_are_given_up_and_what_stands_stays() {
     let mut w = World::new(1);
