Let no stale connect keep set-ups from a connection that works

A connect counts only if it began after the server's last sign of life, which a connection coming up is too.

Checked: the new test fails without the change and passes with it; 65 tests pass.

--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -69,10 +69,10 @@
     channels: BTreeMap<Key, Channel>,
     waiting: VecDeque<SetUp>,
     owed: Vec<u64>,
-    /// When it last said anything, and when a connection may next be tried.
+    /// When it last said anything or took a connection, and when one may next be tried.
     heard_at: f64,
     retry_at: f64,
-    /// A connection was tried in vain since it last said anything or took one.
+    /// A connection was tried in vain since then.
     unreachable: bool,
 }
 
@@ -278,7 +278,8 @@
             }
             Ok(()) => {
                 (channel.up, channel.since, channel.heard_at) = (true, turn.now, turn.now);
-                self.unreachable = false;
+                (self.heard_at, self.unreachable) = (turn.now, false);
+                log::debug!("server {}: connection {key} is up", self.name);
                 for id in std::mem::take(&mut self.owed) {
                     self.release(id, turn.watch);
                 }
@@ -335,9 +336,12 @@
     fn beat(&mut self, pool: PoolId, link: &Link, turn: &mut Turn) {
         let now = turn.now;
         let late = |c: &Channel| !c.up && now - c.since >= link.connect_timeout;
-        let late: Vec<Key> = self.channels.iter().filter(|(_, c)| late(c)).map(|(key, _)| *key).collect();
-        if !late.is_empty() {
-            self.drop_channels(pool, |key| late.contains(&key), turn);
+        let late: BTreeMap<Key, f64> =
+            self.channels.iter().filter(|(_, c)| late(c)).map(|(key, c)| (*key, c.since)).collect();
+        self.drop_channels(pool, |key| late.contains_key(&key), turn);
+        // Guards against one that set out before the server's last sign of life: to a machine that was
+        // away and is back it comes to nothing, and tells nothing of now.
+        if late.values().any(|since| *since >= self.heard_at) {
             self.connect_failed(pool, &ErrorKind::TimedOut.into(), turn);
         }
         let quiet = now - self.heard_at;
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -194,6 +194,20 @@
         self.pass(0.2);
     }
 
+    /// From now on connections to the only server do not come up: nobody accepts, and all places are taken.
+    fn fill_backlog(&mut self) -> (Vec<TcpListener>, Vec<socket2::Socket>) {
+        let address = self.listeners[0].local_addr().unwrap();
+        socket2::SockRef::from(&self.listeners[0]).listen(4).unwrap();
+        let full = (0..50).map_while(|_| {
+            let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            socket.set_nonblocking(true).unwrap();
+            let up = socket.connect(&address.into()).is_ok() || socket.peer_addr().is_ok();
+            up.then_some(socket)
+        });
+        let full = full.collect();
+        (self.listeners.drain(..).collect(), full)
+    }
+
     /// Lets time pass, with turns in between so that nothing is skipped over.
     fn pass(&mut self, seconds: f64) {
         let steps = (seconds / 0.1) as usize;
@@ -349,23 +363,11 @@
 fn calls_at_a_server_that_vanished_are_cut_in_time_and_not_before() {
     let mut w = World::new(1);
     w.stand(1);
-    // No longer accepting, with a full backlog: connections do not come up.
-    socket2::SockRef::from(&w.listeners[0]).listen(4).unwrap();
-    let address = w.listeners[0].local_addr().unwrap();
-    let silent: Vec<TcpListener> = w.listeners.drain(..).collect();
-    let full: Vec<socket2::Socket> = (0..50)
-        .map_while(|_| {
-            let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).ok()?;
-            socket.set_nonblocking(true).ok()?;
-            let up = socket.connect(&address.into()).is_ok() || socket.peer_addr().is_ok();
-            up.then_some(socket)
-        })
-        .collect();
+    let _full = w.fill_backlog();
     w.pass(5.0);
     assert!(!w.heard.iter().any(|m| m.kind == kind::RELEASE), "it may only be cut off");
     w.pass(2.5);
     w.heard(1, kind::RELEASE, Some(cause::TEMPORARY_FAILURE));
-    drop((silent, full));
 }
 
 /// Guards against set-ups to a server that drains, calls that nobody ends after a replacement, and
@@ -393,6 +395,23 @@
     w.heard(3, kind::RELEASE, Some(cause::TEMPORARY_FAILURE));
 }
 
+/// Guards against a connect that comes to nothing while the server speaks: it must not keep set-ups
+/// from the connection that works.
+#[test]
+fn a_server_that_speaks_gets_set_ups_though_a_new_connection_does_not_come_up() {
+    let mut w = World::new(1);
+    w.stand(1);
+    let _full = w.fill_backlog();
+    // Quiet for long enough that a second connection is on its way, then it speaks.
+    w.pass(1.8);
+    w.servers_say(&Message::new(kind::STATE, 0).with(code::REPORT, "x0:12;x1:40"));
+    w.pass(0.6);
+    w.caller.send(&set_up(2, 3000)).unwrap();
+    w.turn();
+    w.turn();
+    assert!(w.at_servers.iter().any(|m| m.call == 2 && m.kind == kind::SET_UP), "it is not sent at once");
+}
+
 #[test]
 fn sigterm_sees_open_calls_through_and_ends() {
     let mut w = World::new(1);
