--- a/src/settings.rs
+++ b/src/settings.rs
@@ -175,3 +175,20 @@
     let mean = values.iter().sum::<f64>() / values.len() as f64;
     (mean > 0.0 && mean.is_finite()).then_some(mean)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_as_text_tells_what_it_names_and_nothing_else() {
+        let telemetry = Telemetry { names: Vec::new() };
+        let report =
+            telemetry.report_text("x0:12;x1: 40;eps:0.25;queue:3;latency_ms:-1;util:nan;can_take:x;;qps");
+        let told = Report { free: Some(12.0), lines: Some(40.0), hold_back: Some(0.25), ..Report::default() };
+        assert_eq!(report, told);
+        assert_eq!(telemetry.report_text("free:1;size:2;hold_back:-1"), {
+            Report { free: Some(1.0), lines: Some(2.0), ..Report::default() }
+        });
+    }
+}
