Read the configuration anew on SIGHUP instead of ending

At fault: src/main.rs registered SIGTERM and SIGINT alone, and Config was read once. Checked and ruled out: the poller passes over an interrupted wait, so the flag alone is enough; an older list in the new file does not undo a drain (test), nor does a file cut short (test). The numbers go on, so the position is kept and only open questions are forgotten.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,22 +4,23 @@
 
 use std::error::Error;
 use std::process::ExitCode;
-use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 
 use node::config::Config;
-use node::event_loop::Gatekeeper;
+use node::event_loop::{Gatekeeper, Signals};
 
 fn run() -> Result<(), Box<dyn Error>> {
-    let stop = Arc::new(AtomicBool::new(false));
+    let signals = Signals::default();
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, Arc::clone(&stop))?;
+        signal_hook::flag::register(signal, Arc::clone(&signals.stop))?;
     }
+    // Before the file is first read: one that is replaced while the program starts is read again.
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, Arc::clone(&signals.reload))?;
     let config = Config::load()?;
     let (name, listen) = (config.name.clone(), config.listen);
     let mut gatekeeper = Gatekeeper::new(config)?;
     log::info!("gatekeeper {name} serves on {listen}");
-    gatekeeper.run(&stop)?;
+    gatekeeper.run(&signals, Config::load)?;
     Ok(())
 }
 
--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -5,12 +5,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
-use hollypaddle::{Action, CallId, Controller, Event, ListKind};
+use hollypaddle::{Action, CallId, Controller, Event, ListKind, Settings};
 
 use super::calls::{Calls, Effect};
 use super::clients::Clients;
 use super::clock::Clock;
-use super::config::Config;
+use super::config::{Config, ConfigError};
 use super::poller::{Key, Watch};
 use super::resolver::Resolver;
 use super::servers::{Servers, Turn};
@@ -46,6 +46,15 @@
     Ask,
 }
 
+/// What signals ask of the gatekeeper.
+#[derive(Default)]
+pub struct Signals {
+    /// To see to what is open, and end.
+    pub stop: Arc<AtomicBool>,
+    /// To read the configuration anew.
+    pub reload: Arc<AtomicBool>,
+}
+
 /// One gatekeeper.
 pub struct Gatekeeper {
     clock: Clock,
@@ -57,6 +66,8 @@
     servers: Servers,
     resolver: Resolver,
     resolver_key: Key,
+    /// The settings in force, as the file gave them.
+    settings: Settings,
     /// The longest time after SIGTERM.
     last: f64,
 }
@@ -71,7 +82,8 @@
         let resolver_key = watch.add(resolver.socket(), false)?;
         let most = ((config.sockets as f64 * CALLERS_SHARE) as usize).max(1);
         let clients = Clients::listen(config.listen, most, config.link.classes.clone(), &mut watch)?;
-        let mut settings = config.settings;
+        let given = config.settings;
+        let mut settings = given.clone();
         settings.release += SOCKET_SLACK;
         let last = config.link.longest.min(LONGEST_WAIT) + KILL_AFTER - KILL_RESERVE;
         let mut node = Gatekeeper {
@@ -84,6 +96,7 @@
             servers: Servers::new(config.link, config.telemetry),
             resolver,
             resolver_key,
+            settings: given,
             last,
         };
         let mut turn = Turn { now, watch: &mut node.watch, calls: &mut node.calls };
@@ -113,13 +126,20 @@
         self.clock.skip(seconds);
     }
 
-    /// Runs until `stop` is set and all is seen to.
-    pub fn run(&mut self, stop: &Arc<AtomicBool>) -> io::Result<()> {
+    /// Runs until it is told to stop and all is seen to. `load` reads the configuration anew.
+    pub fn run(
+        &mut self,
+        signals: &Signals,
+        load: impl Fn() -> Result<Config, ConfigError>,
+    ) -> io::Result<()> {
         let mut stopping = None;
         loop {
             self.turn()?;
             let now = self.clock.now();
-            if stopping.is_none() && stop.load(Ordering::Relaxed) {
+            if signals.reload.swap(false, Ordering::Relaxed) {
+                self.reload(load());
+            }
+            if stopping.is_none() && signals.stop.load(Ordering::Relaxed) {
                 let (open, standing) = self.calls.count();
                 log::info!("stopping: {open} calls open, {standing} stand");
                 stopping = Some(now);
@@ -135,6 +155,36 @@
         }
     }
 
+    /// Moves to a configuration read anew: to its resolver, and to its list where that is newer than the
+    /// one held. Calls, connections and the position in the list stay. Guards against a file that is
+    /// not whole, and against an older list, which would bring servers back that have gone.
+    pub fn reload(&mut self, read: Result<Config, ConfigError>) {
+        let now = self.clock.now();
+        let new = match read {
+            Ok(new) => new,
+            Err(error) => return log::warn!("the configuration in force stays: {error}"),
+        };
+        let moved = self.resolver.move_to(new.dns).and_then(|old| {
+            let key = self.watch.add(self.resolver.socket(), false);
+            self.watch.remove(&old);
+            key
+        });
+        match moved {
+            Ok(key) => self.resolver_key = key,
+            Err(error) => return log::error!("resolver {}: {error}", new.dns),
+        }
+        if self.resolver.accept(new.known.position) {
+            let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
+            self.servers.list(&new.known, ListKind::Full, &mut turn);
+        }
+        self.resolver.ask();
+        self.decide(now);
+        log::info!("configuration read anew; the resolver is {}", new.dns);
+        if new.settings != self.settings {
+            log::warn!("the settings have changed; they count from the next start on");
+        }
+    }
+
     fn finish(&mut self, now: f64) -> io::Result<()> {
         let (open, standing) = self.calls.count();
         self.calls.refuse_all();
--- a/src/node/resolver.rs
+++ b/src/node/resolver.rs
@@ -151,14 +151,26 @@
 impl Resolver {
     /// A resolver at that address, which has told all up to `position`.
     pub fn new(address: SocketAddr, position: u64, seed: u64) -> io::Result<Resolver> {
-        let any = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
-        let socket = UdpSocket::bind(any)?;
-        socket.connect(address)?;
-        socket.set_nonblocking(true)?;
+        let socket = open(address)?;
         let name = Name::from_ascii(LIST).map_err(io::Error::other)?;
         Ok(Resolver { socket, name, asked: VecDeque::new(), next: seed as u16, position })
     }
 
+    /// Asks at another address from now on. Questions to the old one are forgotten, and the position
+    /// is kept, as the numbers of the events go on. Returns the old socket, for the poller.
+    pub fn move_to(&mut self, address: SocketAddr) -> io::Result<UdpSocket> {
+        let old = std::mem::replace(&mut self.socket, open(address)?);
+        self.asked.clear();
+        Ok(old)
+    }
+
+    /// Whether a list at this position is news; its events then count as told.
+    pub fn accept(&mut self, position: u64) -> bool {
+        let news = position > self.position;
+        self.position = self.position.max(position);
+        news
+    }
+
     /// The socket, to watch it.
     pub fn socket(&self) -> &UdpSocket {
         &self.socket
@@ -216,8 +228,14 @@
         if list.is_none() {
             log::debug!("resolver: an answer without the whole list");
         }
-        let list = list.filter(|list| list.position > self.position)?;
-        self.position = list.position;
-        Some(list)
+        list.filter(|list| self.accept(list.position))
     }
 }
+
+fn open(address: SocketAddr) -> io::Result<UdpSocket> {
+    let any = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    let socket = UdpSocket::bind(any)?;
+    socket.connect(address)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -4,8 +4,7 @@
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
-use std::sync::atomic::AtomicBool;
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use hickory_proto::op;
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
@@ -14,7 +13,7 @@
 
 use super::config::Config;
 use super::connection::Connection;
-use super::event_loop::Gatekeeper;
+use super::event_loop::{Gatekeeper, Signals};
 use super::message::{cause, code, kind, Message};
 
 const TURNS: usize = 400;
@@ -417,12 +416,37 @@
     let mut w = World::new(1);
     w.caller.send(&set_up(1, 1000)).unwrap();
     w.at_servers(1, kind::SET_UP);
-    let stop = Arc::new(AtomicBool::new(true));
+    let signals = Signals::default();
+    signals.stop.store(true, Ordering::Relaxed);
     // Nobody answers: the deadline does, and then nothing is left to wait for.
-    w.node.run(&stop).unwrap();
+    w.node.run(&signals, || unreachable!("nobody asks for a new configuration")).unwrap();
     w.heard(1, kind::RELEASE, Some(cause::CONGESTION));
 }
 
+/// Guards against an end on SIGHUP, against a file that is not whole or older than the list held, and
+/// against questions that still go to the old resolver.
+#[test]
+fn a_new_configuration_moves_to_its_resolver_and_keeps_calls_and_the_list() {
+    let mut w = World::new(2);
+    w.stand(1);
+    w.list(5, &[(0, 0, 0), (1, 1, 0)]);
+    // The file's own list, of position 1, still has server 1 as ready.
+    let dns = UdpSocket::bind("127.0.0.1:0").unwrap();
+    dns.set_nonblocking(true).unwrap();
+    let old = std::mem::replace(&mut w.dns, dns);
+    w.node.reload(Config::read("n0".into(), "127.0.0.1:0", "{\"dns\":"));
+    w.node.reload(Ok(config(&w.listeners, &w.dns)));
+    let mut data = [0; 512];
+    while old.recv_from(&mut data).is_ok() {}
+    w.caller.send(&set_up_to(1, 2, 3000)).unwrap();
+    w.pass(0.4);
+    assert!(!w.set_ups.contains(&(1, 2)), "sent to a server that drains");
+    w.list(6, &[(0, 0, 0)]);
+    assert!(old.recv_from(&mut data).is_err(), "the old resolver is still asked");
+    w.servers_say(&release(1, cause::NORMAL));
+    w.heard(1, kind::RELEASE, Some(cause::NORMAL));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
--- /dev/null
+++ b/tests/signals.rs
@@ -0,0 +1,47 @@
+//! The program itself and its signals.
+
+use std::io::{BufRead, BufReader};
+use std::net::UdpSocket;
+use std::process::{Command, Stdio};
+
+/// Guards against a gatekeeper that ends on SIGHUP, or goes on with a resolver that answers no more.
+#[test]
+fn sighup_reads_the_configuration_anew_and_sigterm_ends() {
+    let (old, new) = (UdpSocket::bind("127.0.0.1:0").unwrap(), UdpSocket::bind("127.0.0.1:0").unwrap());
+    let path = std::env::temp_dir().join(format!("hollypaddle-signals-{}.json", std::process::id()));
+    let write = |dns: &UdpSocket| {
+        let text = format!(
+            r#"{{"dns":"{}","seed":"1","settings":{{"peersTotal":1,"period":0.005,
+            "familyInfo":{{"release":0.3}},"limits":{{"tryLimit":6}},"requestClasses":[],
+            "safety":{{"cold":14,"coldFrom":0.3,"overloadFactor":3}}}}}}"#,
+            dns.local_addr().unwrap()
+        );
+        std::fs::write(&path, text).unwrap();
+    };
+    write(&old);
+    let mut program = Command::new(env!("CARGO_BIN_EXE_hollypaddle"))
+        .env("PROXY_NAME", "n0")
+        .env("PROXY_LISTEN", "127.0.0.1:0")
+        .env("PROXY_CONFIG", &path)
+        .env_remove("RUST_LOG")
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(program.stderr.take().unwrap()).lines();
+    let mut until = |text: &str| lines.by_ref().any(|line| line.unwrap().contains(text));
+    let signal = |name: &str| {
+        assert!(Command::new("kill").args([name, &program.id().to_string()]).status().unwrap().success());
+    };
+    assert!(until("serves on"));
+    write(&new);
+    signal("-HUP");
+    assert!(until("configuration read anew"), "it ended");
+    assert!(new.recv_from(&mut [0; 512]).is_ok(), "the new resolver is asked");
+    std::fs::write(&path, "{").unwrap();
+    signal("-HUP");
+    assert!(until("configuration in force stays"), "it ended");
+    signal("-TERM");
+    assert!(until("stopped"));
+    assert!(program.wait().unwrap().success());
+    std::fs::remove_file(&path).unwrap();
+}
