--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -5,50 +5,88 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
 use super::calls::{Calls, Content, NotTaken, Origin, Reply, Request};
+use super::config::LinkClass;
 use super::connection::{Connection, Over};
-use super::message::{cause, code, kind, Message};
+use super::message::{cause, code, kind, Message, MOST};
 use super::poller::{Key, Ready, Watch};
 
 /// Releases kept for callers while none is connected.
 const MOST_OWED: usize = 4096;
+/// A release is kept for a caller that is known to have calls for so long; it is owed within 1 s, and
+/// then any connection has to do.
+const LATEST: f64 = 0.5;
 /// For how long a caller is to stay away from a gatekeeper that holds too much, in seconds.
 const CROWDED_WAIT: f64 = 1.0;
-/// The longest wait that a set-up may name, in seconds.
-const LONGEST_WAIT: f64 = 3600.0;
+/// A caller that was told nothing and waits for nothing is closed after so long, and so is one that
+/// began a message and does not end it: it is owed a word or a close within 3 s of connecting.
+const MUTE: f64 = 2.0;
+/// One that was told something and waits for nothing is closed after so long. Usual callers close such
+/// a connection themselves after 4 s.
+const IDLE: f64 = 8.0;
+/// While places are short, one that waits for nothing makes room for others after so long, mute ones
+/// first. A usual caller's set-up comes right behind its connect.
+const MUTE_SHORT: f64 = 0.25;
+/// Set-ups that make no sense taken from one connection, each with its refusal, before it is closed.
+const MOST_SENSELESS: u32 = 8;
+/// Callers that wait to be accepted. Hundreds connect at once; the standard library's 128 are too few.
+const BACKLOG: i32 = 1024;
 
 struct Client {
     connection: Connection<TcpStream>,
     /// Watched for writing too.
     writing: bool,
+    /// Since when it is connected, and when it last said or was told something.
+    since: f64,
+    used_at: f64,
+    /// What it was told.
+    told: Told,
+    senseless: u32,
+}
+
+/// What a caller was told: the best of it.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Told {
+    Nothing,
+    /// The result of a test, or a refusal of what made no sense.
+    Something,
+    /// What became of a call.
+    Answer,
+    /// That a call stands.
+    Stands,
 }
 
 /// All callers.
 pub struct Clients {
-    classes: Vec<String>,
+    classes: Vec<LinkClass>,
     listener: Option<TcpListener>,
     listener_key: Key,
     /// Not accepting for the moment, for want of descriptors.
     paused: bool,
     most: usize,
+    /// Bytes that may wait for one caller.
+    most_waiting: usize,
     connections: BTreeMap<Key, Client>,
     /// Releases of calls that stood, for which there was no connection.
-    owed: VecDeque<Message>,
+    owed: VecDeque<(f64, Message)>,
 }
 
 impl Clients {
-    /// Listens. At most `most` connections are held at once.
+    /// Listens. At most `most` connections are held at once, with `memory` bytes for what waits on them.
     pub fn listen(
         address: SocketAddr,
         most: usize,
-        classes: Vec<String>,
+        memory: usize,
+        classes: Vec<LinkClass>,
         watch: &mut Watch,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
+        socket2::SockRef::from(&listener).listen(BACKLOG)?;
         listener.set_nonblocking(true)?;
         let listener_key = watch.add(&listener, false)?;
         let (listener, connections) = (Some(listener), BTreeMap::new());
-        let owed = VecDeque::new();
-        Ok(Clients { classes, listener, listener_key, paused: false, most, connections, owed })
+        let (paused, owed) = (false, VecDeque::new());
+        let most_waiting = (memory / most).clamp(2 * MOST, 8 * MOST);
+        Ok(Clients { classes, listener, listener_key, paused, most, most_waiting, connections, owed })
     }
 
     /// Where it listens.
@@ -64,8 +102,24 @@
         }
     }
 
-    /// Carries on after a pause. Called now and then.
-    pub fn beat(&mut self, watch: &Watch) {
+    /// Closes connections that are of no use to anyone, and carries on after a pause. Called now and then.
+    pub fn beat(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
+        let mut over = Vec::new();
+        for (&key, client) in &mut self.connections {
+            if client.connection.stalled(now, MUTE) {
+                over.push((key, Over::Stalled));
+            } else if calls.open_from(key) == 0 && client.unused(now, MUTE, IDLE) {
+                over.push((key, Over::Idle));
+            }
+        }
+        for (key, reason) in over {
+            self.settle(now, key, Err(reason), watch, calls);
+        }
+        if let Some(newest) = self.connections.keys().next_back().copied() {
+            while let Some((_, message)) = self.owed.pop_front_if(|(since, _)| now - *since >= LATEST) {
+                self.say(now, newest, &message, Told::Something, watch);
+            }
+        }
         if let (true, Some(listener)) = (self.paused, &self.listener) {
             self.paused = false;
             watch.set(self.listener_key, listener, true, false);
@@ -75,31 +129,38 @@
     /// Takes what is ready, if it is a caller's.
     pub fn ready(&mut self, now: f64, ready: Ready, watch: &mut Watch, calls: &mut Calls) {
         if ready.key == self.listener_key {
-            return self.accept(watch);
+            return self.accept(now, watch, calls);
         }
         let Some(client) = self.connections.get_mut(&ready.key) else { return };
         if ready.writable {
             let end = client.connection.flush();
-            self.settle(ready.key, end, watch, calls);
+            self.settle(now, ready.key, end, watch, calls);
         }
         let Some(client) = self.connections.get_mut(&ready.key) else { return };
         if ready.readable {
             let mut messages = Vec::new();
-            let end = client.connection.read(&mut messages);
+            let mut end = client.connection.read(&mut messages);
             for message in messages {
-                self.heard(now, ready.key, &message, watch, calls);
+                if let Err(reason) = self.heard(now, ready.key, &message, watch, calls) {
+                    end = Err(reason);
+                    break;
+                }
             }
-            self.settle(ready.key, end, watch, calls);
+            self.settle(now, ready.key, end, watch, calls);
         }
     }
 
-    fn accept(&mut self, watch: &mut Watch) {
-        while let Some(listener) = &self.listener {
+    fn accept(&mut self, now: f64, watch: &mut Watch, calls: &mut Calls) {
+        loop {
+            if self.connections.len() >= self.most {
+                self.make_room(now, watch, calls);
+            }
+            let Some(listener) = &self.listener else { return };
             let accepted = match self.connections.len() < self.most {
                 true => listener.accept(),
                 false => Err(io::Error::other("as many callers are connected as may be")),
             };
-            let error = match accepted.and_then(|(stream, _)| self.admit(stream, watch)) {
+            let error = match accepted.and_then(|(stream, _)| self.admit(now, stream, watch)) {
                 Ok(()) => continue,
                 Err(error) => error,
             };
@@ -121,57 +182,115 @@
         }
     }
 
-    fn admit(&mut self, stream: TcpStream, watch: &mut Watch) -> io::Result<()> {
+    /// Closes the connection that has been of no use for longest, the ones that were told nothing first.
+    /// Guards against callers locked out by others that connect by hundreds and say nothing, or ask once
+    /// and keep their connection for good.
+    fn make_room(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
+        let unused = self
+            .connections
+            .iter()
+            .filter(|(&key, client)| calls.open_from(key) == 0 && client.unused(now, MUTE_SHORT, MUTE_SHORT));
+        let order = |c: &Client| (c.told != Told::Nothing, c.used_at);
+        let oldest = unused.min_by(|a, b| {
+            let (a, b) = (order(a.1), order(b.1));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        });
+        if let Some((&key, _)) = oldest {
+            self.settle(now, key, Err(Over::Idle), watch, calls);
+        }
+    }
+
+    fn admit(&mut self, now: f64, stream: TcpStream, watch: &mut Watch) -> io::Result<()> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let key = watch.add(&stream, false)?;
-        self.connections.insert(key, Client { connection: Connection::new(stream), writing: false });
-        for message in std::mem::take(&mut self.owed) {
-            self.say(key, message, watch);
-        }
+        let connection = Connection::new(stream, self.most_waiting);
+        let (writing, told, senseless) = (false, Told::Nothing, 0);
+        let client = Client { connection, writing, since: now, used_at: now, told, senseless };
+        self.connections.insert(key, client);
         Ok(())
     }
 
-    fn heard(&mut self, now: f64, key: Key, message: &Message, watch: &mut Watch, calls: &mut Calls) {
+    /// Takes a message; an error ends the connection.
+    fn heard(
+        &mut self,
+        now: f64,
+        key: Key,
+        message: &Message,
+        watch: &mut Watch,
+        calls: &mut Calls,
+    ) -> Result<(), Over> {
+        let Some(client) = self.connections.get_mut(&key) else { return Ok(()) };
         match message.kind {
             kind::SET_UP => {
+                client.used_at = now;
                 let refusal = match request(message, &self.classes) {
                     Err(cause) => Message::new(kind::RELEASE, message.call).caused(cause),
                     Ok(request) => match calls.offer(now, key, request) {
-                        Ok(()) | Err(NotTaken::Known) => return,
-                        Err(NotTaken::Crowded) => encode(message.call, Reply::Refused(CROWDED_WAIT)),
+                        Ok(()) => return Ok(()),
+                        Err(NotTaken::Crowded) => {
+                            let refusal = encode(message.call, Reply::Refused(CROWDED_WAIT));
+                            self.say(now, key, &refusal, Told::Answer, watch);
+                            return Ok(());
+                        }
+                        Err(NotTaken::Known) => {
+                            Message::new(kind::RELEASE, message.call).caused(cause::INVALID_PARAMETER)
+                        }
+                        Err(NotTaken::Repeated) => return Err(Over::Improper("a set-up came twice")),
                     },
                 };
                 log::debug!("set-up {:016x} not taken, cause {:?}", message.call, refusal.cause());
-                self.say(key, refusal, watch);
+                client.senseless += 1;
+                let senseless = client.senseless;
+                self.say(now, key, &refusal, Told::Something, watch);
+                if senseless >= MOST_SENSELESS {
+                    return Err(Over::Improper("nothing but set-ups that make no sense"));
+                }
+            }
+            kind::RELEASE => {
+                client.used_at = now;
+                calls.caller_release(now, message.call);
+            }
+            kind::TEST => {
+                client.used_at = now;
+                let passed = Message::new(kind::TEST_RESULT, message.call).caused(1);
+                self.say(now, key, &passed, Told::Something, watch);
             }
-            kind::RELEASE => calls.caller_release(message.call),
-            kind::TEST => self.say(key, Message::new(kind::TEST_RESULT, message.call).caused(1), watch),
             _ => {}
         }
+        Ok(())
     }
 
     /// Tells a caller what became of a call.
-    pub fn reply(&mut self, origin: Origin, id: u64, reply: Reply, watch: &Watch) {
+    pub fn reply(&mut self, now: f64, origin: Origin, id: u64, reply: Reply, watch: &Watch) {
         let over = matches!(reply, Reply::Over { .. });
+        let told = if matches!(reply, Reply::Stands(_)) { Told::Stands } else { Told::Answer };
         let message = encode(id, reply);
         if self.connections.contains_key(&origin) {
-            return self.say(origin, message, watch);
-        }
-        // What stood belongs to no connection; the newest is the least likely to be closing. Before
-        // that, a caller whose connection is gone has given its call up.
-        if let (true, newest) = (over, self.connections.keys().next_back().copied()) {
-            match newest {
-                Some(key) => self.say(key, message, watch),
-                None if self.owed.len() < MOST_OWED => self.owed.push_back(message),
+            self.say(now, origin, &message, told, watch);
+            // Whoever gets answers reads them: a connection for what was owed.
+            for (_, message) in std::mem::take(&mut self.owed) {
+                self.say(now, origin, &message, told, watch);
+            }
+            return;
+        }
+        // What stood belongs to no connection, but what is said to somebody who never had a call is lost:
+        // the end goes to one that was told of a call that stands, the newest of them as the least
+        // likely to be closing. Before that, a caller whose connection is gone has given its call up.
+        if over {
+            let known = self.connections.iter().filter(|(_, c)| c.told >= Told::Answer);
+            match known.max_by_key(|(&key, c)| (c.told, key)).map(|(key, _)| *key) {
+                Some(key) => self.say(now, key, &message, told, watch),
+                None if self.owed.len() < MOST_OWED => self.owed.push_back((now, message)),
                 None => log::debug!("no caller is connected; the end of a call is dropped"),
             }
         }
     }
 
-    fn say(&mut self, key: Key, message: Message, watch: &Watch) {
+    fn say(&mut self, now: f64, key: Key, message: &Message, told: Told, watch: &Watch) {
         let Some(client) = self.connections.get_mut(&key) else { return };
-        match client.connection.send(&message) {
+        (client.used_at, client.told) = (now, client.told.max(told));
+        match client.connection.send(message) {
             Ok(_) => {}
             // Nobody reads there: shut, it is found ready with its end, in its turn.
             Err(Over::Stuck) => drop(client.connection.stream().shutdown(std::net::Shutdown::Both)),
@@ -181,22 +300,32 @@
         client.watch(key, watch);
     }
 
-    fn settle(&mut self, key: Key, end: Result<(), Over>, watch: &Watch, calls: &mut Calls) {
+    fn settle(&mut self, now: f64, key: Key, end: Result<(), Over>, watch: &Watch, calls: &mut Calls) {
         let Some(client) = self.connections.get_mut(&key) else { return };
-        match end {
-            Ok(()) => client.watch(key, watch),
-            Err(error) => {
-                log::debug!("caller {key}: {error}");
-                if let Some(client) = self.connections.remove(&key) {
-                    watch.remove(client.connection.stream());
-                }
-                calls.origin_lost(key);
+        let Err(error) = end else { return client.watch(key, watch) };
+        log::debug!("caller {key}: {error}");
+        if let Some(mut client) = self.connections.remove(&key) {
+            watch.remove(client.connection.stream());
+            // One that is closed for what it sent is still owed the answers to what it sent before.
+            if !matches!(error, Over::Closed | Over::Broken(_)) {
+                let answered = |id: &u64| client.connection.send(&encode(*id, Reply::Failed)).is_ok();
+                let _ = calls.ids_from(key).iter().all(answered);
             }
         }
+        calls.origin_lost(now, key);
     }
 }
 
 impl Client {
+    /// Whether it was of no use for so long: one that was told nothing, counted from its connect, and any
+    /// other, counted from the last word.
+    fn unused(&self, now: f64, mute: f64, idle: f64) -> bool {
+        match self.told {
+            Told::Nothing => now - self.since >= mute,
+            _ => now - self.used_at >= idle,
+        }
+    }
+
     fn watch(&mut self, key: Key, watch: &Watch) {
         let writing = self.connection.blocked();
         if writing != self.writing {
@@ -206,27 +335,58 @@
     }
 }
 
-/// Reads a set-up; what is wrong with it is told by the cause of its release.
-fn request(message: &Message, classes: &[String]) -> Result<Request, u8> {
+/// Reads a set-up; what is wrong with it is told by the cause of its release. Guards the servers: what
+/// they can't use costs work there, and what they can't read makes them close a connection that carries
+/// others' set-ups. So every field is checked before anything goes on.
+fn request(message: &Message, classes: &[LinkClass]) -> Result<Request, u8> {
     let field = |code| message.bytes(code).ok_or(cause::MISSING_PARAMETER);
     let (class, wait) = (field(code::CLASS)?, field(code::WAIT)?);
     let (number, figures) = (field(code::NUMBER)?, field(code::FIGURES)?);
+    let description = Some(field(code::DESCRIPTION)?.to_vec());
     let parsed = || {
-        let text = |bytes| std::str::from_utf8(bytes).ok();
-        let class = classes.iter().position(|c| c.as_bytes() == class)?;
-        let wait = text(wait)?.trim().parse::<f64>().ok()? / 1000.0;
-        let dialled = u64::from_str_radix(text(number)?.trim(), 16).ok()?;
-        let first = text(figures)?.split(';').find_map(|f| f.trim().strip_prefix("dest:"))?;
-        let first = first.trim().parse::<f64>().ok()?;
-        let sound = (0.0..=LONGEST_WAIT).contains(&wait) && (0.0..=f64::from(u32::MAX)).contains(&first);
-        let description = message.bytes(code::DESCRIPTION).map(<[u8]>::to_vec);
+        let (index, class) = classes.iter().enumerate().find(|(_, c)| c.name.as_bytes() == class)?;
+        let wait = plain_number(wait)? / 1000.0;
+        let dialled = hexadecimal(number)?;
+        let first = first_choice(std::str::from_utf8(figures).ok()?, class)?;
+        let sound = message.call != 0 && !message.repeats() && wait > 0.0 && wait <= class.longest;
         let content = Content { number: number.to_vec(), description };
-        let request = Request { id: message.call, class, wait, dialled, first_choice: first as u32, content };
-        sound.then_some(request)
+        let id = message.call;
+        sound.then_some(Request { id, class: index, wait, dialled, first_choice: first, content })
     };
     parsed().ok_or(cause::INVALID_PARAMETER)
 }
 
+/// Digits and nothing else, so that a sign, an exponent or "nan" is none.
+fn plain_number(text: &[u8]) -> Option<f64> {
+    let digits = !text.is_empty() && text.len() <= 9 && text.iter().all(u8::is_ascii_digit);
+    std::str::from_utf8(text).ok().filter(|_| digits)?.parse().ok()
+}
+
+/// Up to 16 hex digits and nothing else.
+fn hexadecimal(text: &[u8]) -> Option<u64> {
+    let digits = (1..=16).contains(&text.len()) && text.iter().all(u8::is_ascii_hexdigit);
+    u64::from_str_radix(std::str::from_utf8(text).ok().filter(|_| digits)?, 16).ok()
+}
+
+/// The pool of first choice in a set-up's figures, if all of them are in range and none comes twice.
+fn first_choice(figures: &str, class: &LinkClass) -> Option<u32> {
+    let mut seen = BTreeMap::new();
+    for figure in figures.split(';') {
+        let (name, value) = figure.split_once(':')?;
+        let value = value.parse::<f64>().ok().filter(|v| v.is_finite())?;
+        if seen.insert(name, value).is_some() {
+            return None;
+        }
+    }
+    let whole = |v: &f64| v.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(v);
+    let pool = |v: &f64| whole(v) && (class.pools.is_empty() || class.pools.contains(&(*v as u32)));
+    let width = |v: &f64| whole(v) && *v >= 1.0 && class.width.is_none_or(|width| width == *v);
+    let sound = seen.get("width").is_none_or(width)
+        && seen.get("via").is_none_or(|v| *v == -1.0 || whole(v))
+        && seen.get("again").is_none_or(|v| *v == 0.0 || *v == 1.0);
+    seen.get("dest").filter(|v| sound && pool(v)).map(|v| *v as u32)
+}
+
 fn encode(id: u64, reply: Reply) -> Message {
     let release = Message::new(kind::RELEASE, id);
     match reply {
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -13,6 +13,7 @@
 
 /// Descriptors and memory that a gatekeeper keeps to where the file gives no figure.
 const SOCKETS: usize = 1024;
+const MEMORY_MB: f64 = 64.0;
 
 /// What a gatekeeper is told at its start.
 pub struct Config {
@@ -24,6 +25,8 @@
     pub dns: SocketAddr,
     /// Descriptors that it may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may use.
+    pub memory: usize,
     /// Seed of all random draws.
     pub seed: u64,
     /// The pool list as known at the start.
@@ -39,12 +42,30 @@
 /// What the sockets need of the settings.
 #[derive(Clone, Debug)]
 pub struct Link {
-    /// The classes' names, in the order of their numbers.
-    pub classes: Vec<String>,
+    /// The classes, in the order of their numbers.
+    pub classes: Vec<LinkClass>,
     /// A connection not up within so many seconds has failed.
     pub connect_timeout: f64,
-    /// The longest that any caller waits, in seconds.
+}
+
+/// What a set-up of a class may say.
+#[derive(Clone, Debug)]
+pub struct LinkClass {
+    /// The class's name.
+    pub name: String,
+    /// The longest that a caller waits, in seconds.
     pub longest: f64,
+    /// Numbers of the pools that it may go to; empty means any.
+    pub pools: Vec<u32>,
+    /// How many circuits a call takes, if told.
+    pub width: Option<f64>,
+}
+
+impl Link {
+    /// The longest that any caller waits, in seconds.
+    pub fn longest(&self) -> f64 {
+        self.classes.iter().map(|c| c.longest).fold(0.0, f64::max)
+    }
 }
 
 /// What is wrong with the configuration.
@@ -95,6 +116,7 @@
 #[derive(Deserialize, Default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 #[derive(Deserialize, Default)]
@@ -108,6 +130,15 @@
 struct LinkSettings {
     request_classes: Vec<Class>,
     limits: LinkLimits,
+    #[serde(default)]
+    family_info: LinkFamily,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct LinkFamily {
+    pools_by_class: Vec<Vec<u32>>,
+    widths: Vec<f64>,
 }
 
 #[derive(Deserialize)]
@@ -147,21 +178,27 @@
         };
         let (settings, telemetry) = settings::read(file.settings.to_string().as_bytes())?;
         let link: LinkSettings = serde_json::from_value(file.settings)?;
-        let longest = link.request_classes.iter().map(|c| c.hard_limit).fold(0.0, f64::max);
+        let family = link.family_info;
+        let class = |(n, class): (usize, Class)| LinkClass {
+            name: class.name,
+            longest: class.hard_limit,
+            pools: family.pools_by_class.get(n).cloned().unwrap_or_default(),
+            width: family.widths.get(n).copied(),
+        };
         let seed = u64::from_str_radix(&file.seed, 16);
         Ok(Config {
             name,
             listen: address("PROXY_LISTEN", listen)?,
             dns: address("dns", &file.dns)?,
+            memory: (file.limits.memory_mb.unwrap_or(MEMORY_MB).max(1.0) * 1048576.0) as usize,
             sockets: file.limits.sockets.unwrap_or(SOCKETS),
             seed: seed.map_err(|_| ConfigError::Field("seed", file.seed.clone()))?,
             known: Snapshot::replay(file.known.pos, &file.known.entries),
             settings,
             telemetry,
             link: Link {
-                classes: link.request_classes.into_iter().map(|c| c.name).collect(),
+                classes: link.request_classes.into_iter().enumerate().map(class).collect(),
                 connect_timeout: link.limits.connect_timeout,
-                longest,
             },
         })
     }
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -5,11 +5,8 @@
 
 use super::message::{Message, Unreadable};
 
-/// Bytes read in one go, and goes in one turn, so that one busy peer does not keep the others waiting.
+/// Bytes read in one turn, so that one busy peer does not keep the others waiting.
 const CHUNK: usize = 16 * 1024;
-const GOES: usize = 4;
-/// Most bytes that wait to be written. A peer that reads so slowly is cut off.
-const MOST_WAITING: usize = 128 * 1024;
 
 /// Why a connection is over.
 #[derive(Debug)]
@@ -22,6 +19,12 @@
     Unreadable(Unreadable),
     /// The peer does not read what it is sent.
     Stuck,
+    /// The peer began a message and does not end it.
+    Stalled,
+    /// The peer sent a message that has no place there.
+    Improper(&'static str),
+    /// The peer has been idle, or silent from the start, for too long.
+    Idle,
 }
 
 impl fmt::Display for Over {
@@ -31,6 +34,9 @@
             Over::Broken(error) => write!(f, "{error}"),
             Over::Unreadable(reason) => write!(f, "{reason}"),
             Over::Stuck => write!(f, "the peer does not read what it is sent"),
+            Over::Stalled => write!(f, "a message was begun and not ended"),
+            Over::Improper(what) => write!(f, "{what}"),
+            Over::Idle => write!(f, "idle"),
         }
     }
 }
@@ -45,12 +51,18 @@
     /// Bytes put in and bytes written since the start.
     queued: u64,
     written: u64,
+    /// Most bytes that wait to be written. A peer that reads so slowly is cut off.
+    most_waiting: usize,
+    /// Whole messages read so far; and which message was last seen half read, and since when.
+    messages: u64,
+    half: Option<(u64, f64)>,
 }
 
 impl<S: Read + Write> Connection<S> {
     /// Wraps a non-blocking stream.
-    pub fn new(stream: S) -> Self {
-        Connection { stream, input: Vec::new(), output: Vec::new(), queued: 0, written: 0 }
+    pub fn new(stream: S, most_waiting: usize) -> Self {
+        let (input, output, half) = (Vec::new(), Vec::new(), None);
+        Connection { stream, input, output, queued: 0, written: 0, most_waiting, messages: 0, half }
     }
 
     /// The stream, to watch it.
@@ -62,16 +74,23 @@
     /// turns out to be over: what was sent before its end counts.
     pub fn read(&mut self, messages: &mut Vec<Message>) -> Result<(), Over> {
         let mut chunk = [0; CHUNK];
-        for _ in 0..GOES {
+        loop {
             match self.stream.read(&mut chunk) {
                 Ok(0) => return Err(Over::Closed),
-                Ok(n) => self.take(&chunk[..n], messages)?,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Ok(n) => return self.take(&chunk[..n], messages),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(Over::Broken(error)),
             }
         }
-        Ok(())
+    }
+
+    /// Whether one and the same message has been half read for so many seconds, as far as the looks at
+    /// it tell. Guards against a length that is too long: whatever comes later is taken for its rest.
+    pub fn stalled(&mut self, now: f64, limit: f64) -> bool {
+        let since = self.half.filter(|half| half.0 == self.messages).map_or(now, |half| half.1);
+        self.half = (!self.input.is_empty()).then_some((self.messages, since));
+        self.half.is_some() && now - since >= limit
     }
 
     fn take(&mut self, data: &[u8], messages: &mut Vec<Message>) -> Result<(), Over> {
@@ -81,6 +100,7 @@
             match Message::decode(&self.input[used..]) {
                 Ok(Some((message, length))) => {
                     messages.push(message);
+                    self.messages += 1;
                     used += length;
                 }
                 Ok(None) => break Ok(()),
@@ -88,6 +108,10 @@
             }
         };
         self.input.drain(..used);
+        // Many idle connections would each hold on to the room of their largest message.
+        if self.input.is_empty() {
+            self.input = Vec::new();
+        }
         end
     }
 
@@ -99,7 +123,7 @@
         self.queued += (self.output.len() - before) as u64;
         self.flush()?;
         match self.output.len() {
-            n if n > MOST_WAITING => Err(Over::Stuck),
+            n if n > self.most_waiting => Err(Over::Stuck),
             _ => Ok(self.queued),
         }
     }
@@ -120,6 +144,9 @@
             }
         };
         self.output.drain(..done);
+        if self.output.is_empty() {
+            self.output = Vec::new();
+        }
         self.written += done as u64;
         end
     }
@@ -183,7 +210,7 @@
         /// `written` passes a message's end exactly when its last byte is out.
         #[test]
         fn messages_survive_any_cuts(steps in prop::collection::vec((0usize..60, 0usize..60, 0usize..50), 1..80)) {
-            let mut connection = Connection::new(Choppy::default());
+            let mut connection = Connection::new(Choppy::default(), 64 * 1024);
             let (mut sent, mut got, mut ends) = (Vec::new(), Vec::new(), Vec::new());
             for (call, (gives, takes, size)) in steps.into_iter().enumerate() {
                 connection.stream.gives = gives;
@@ -201,14 +228,37 @@
             connection.flush().unwrap();
             let out = std::mem::take(&mut connection.stream.outgoing);
             connection.stream.incoming.extend(out);
-            connection.read(&mut got).unwrap();
+            // The ring gives its two halves one by one.
+            (0..2).for_each(|_| connection.read(&mut got).unwrap());
             prop_assert_eq!(got, sent);
         }
     }
 
+    /// Guards against a half message that swallows all that comes later; whole ones are not held against
+    /// the peer however often a look finds the next one half read.
+    #[test]
+    fn a_message_that_does_not_end_is_noticed() {
+        let mut connection = Connection::new(Choppy::default(), 64 * 1024);
+        let mut bytes = Vec::new();
+        Message::new(kind::RELEASE, 2).encode(&mut bytes);
+        let half = bytes.len() / 2;
+        connection.stream.gives = usize::MAX;
+        connection.stream.incoming.extend(&bytes[..half]);
+        for look in 0..9 {
+            connection.read(&mut Vec::new()).unwrap();
+            assert!(!connection.stalled(f64::from(look), 1.5));
+            connection.stream.incoming.extend(bytes[half..].iter().chain(&bytes[..half]));
+        }
+        connection.read(&mut Vec::new()).unwrap();
+        assert!(!connection.stalled(9.0, 1.5) && connection.stalled(10.5, 1.5));
+        connection.stream.incoming.extend(&bytes[half..]);
+        connection.read(&mut Vec::new()).unwrap();
+        assert!(!connection.stalled(99.0, 1.5));
+    }
+
     #[test]
     fn a_peer_that_does_not_read_is_cut_off_and_bad_input_keeps_what_came_before() {
-        let mut connection = Connection::new(Choppy::default());
+        let mut connection = Connection::new(Choppy::default(), 64 * 1024);
         let message = Message::new(kind::ANSWER, 1).with(61, vec![0; 16_000]);
         let end = (0..20).find_map(|_| connection.send(&message).err());
         assert!(matches!(end, Some(Over::Stuck)));
--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -34,9 +34,11 @@
 const LONGEST_WAIT: f64 = 3.0;
 const KILL_AFTER: f64 = 0.7;
 const KILL_RESERVE: f64 = 0.2;
-/// Part of the descriptors that callers' connections may take; they hold a third by themselves. With
-/// every buffer full, this many keep within the memory too.
-const CALLERS_SHARE: f64 = 0.5;
+/// Part of the descriptors that callers' connections may take; the usual ones hold a third by themselves.
+const CALLERS_SHARE: f64 = 0.7;
+/// Parts of the memory for set-ups held, and for what waits to be written to callers.
+const HELD_SHARE: usize = 8;
+const WAITING_SHARE: usize = 4;
 
 enum Timer {
     Module(u32),
@@ -81,17 +83,23 @@
         let resolver = Resolver::new(config.dns, config.known.position, config.seed)?;
         let resolver_key = watch.add(resolver.socket(), false)?;
         let most = ((config.sockets as f64 * CALLERS_SHARE) as usize).max(1);
-        let clients = Clients::listen(config.listen, most, config.link.classes.clone(), &mut watch)?;
+        let clients = Clients::listen(
+            config.listen,
+            most,
+            config.memory / WAITING_SHARE,
+            config.link.classes.clone(),
+            &mut watch,
+        )?;
         let given = config.settings;
         let mut settings = given.clone();
         settings.release += SOCKET_SLACK;
-        let last = config.link.longest.min(LONGEST_WAIT) + KILL_AFTER - KILL_RESERVE;
+        let last = config.link.longest().min(LONGEST_WAIT) + KILL_AFTER - KILL_RESERVE;
         let mut node = Gatekeeper {
             clock,
             watch,
             wheel: Wheel::new(now, TICK),
             controller: Controller::new(settings, config.seed),
-            calls: Calls::default(),
+            calls: Calls::new(now, config.memory / HELD_SHARE),
             clients,
             servers: Servers::new(config.link, config.telemetry),
             resolver,
@@ -217,7 +225,7 @@
                 Timer::Beat => {
                     let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
                     self.servers.beat(&mut turn);
-                    self.clients.beat(&self.watch);
+                    self.clients.beat(now, &self.watch, &mut self.calls);
                     self.wheel.set(now + BEAT, Timer::Beat);
                 }
                 Timer::Ask => {
@@ -259,7 +267,7 @@
 
     fn effect(&mut self, now: f64, effect: Effect) {
         match effect {
-            Effect::Caller { origin, id, reply } => self.clients.reply(origin, id, reply, &self.watch),
+            Effect::Caller { origin, id, reply } => self.clients.reply(now, origin, id, reply, &self.watch),
             Effect::Server { pool, id, order } => {
                 let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
                 self.servers.order(pool, id, order, &mut turn);
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -102,6 +102,13 @@
         self.parameters.iter().find(|p| p.0 == code).map(|p| &p.1[..])
     }
 
+    /// Whether any parameter comes twice; then nobody can tell which one was meant.
+    pub fn repeats(&self) -> bool {
+        let mut codes: Vec<u8> = self.parameters.iter().map(|p| p.0).collect();
+        codes.sort_unstable();
+        codes.windows(2).any(|pair| pair[0] == pair[1])
+    }
+
     /// A parameter's value as text.
     pub fn text(&self, code: u8) -> Option<&str> {
         std::str::from_utf8(self.bytes(code)?).ok()
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -29,6 +29,8 @@
 /// A server is held to have vanished, and its calls to be cut, after so long without a word and
 /// without a connection: their callers must hear of it within 8 s of the end.
 const VANISHED: f64 = 6.5;
+/// Most bytes that wait to be written to one server.
+const MOST_WAITING: usize = 128 * 1024;
 /// Releases kept for a server while it cannot be reached.
 const MOST_OWED: usize = 4096;
 
@@ -249,7 +251,7 @@
         match dial(self.listed.address).and_then(|stream| Ok((turn.watch.add(&stream, true)?, stream))) {
             Ok((key, stream)) => {
                 let channel = Channel {
-                    connection: Connection::new(stream),
+                    connection: Connection::new(stream, MOST_WAITING),
                     up: false,
                     since: turn.now,
                     heard_at: turn.now,
@@ -373,7 +375,7 @@
             let Some(SetUp { id, class, until, content }) = self.waiting.pop_front() else { return };
             let left = ((until - turn.now) * 1000.0).max(1.0);
             let mut message = Message::new(kind::SET_UP, id)
-                .with(code::CLASS, link.classes.get(class).map_or("", String::as_str))
+                .with(code::CLASS, link.classes.get(class).map_or("", |c| c.name.as_str()))
                 .with(code::WAIT, format!("{left:.0}"))
                 .with(code::NUMBER, &content.number[..]);
             if let Some(description) = &content.description {
@@ -433,7 +435,7 @@
             }
             kind::RELEASE => {
                 self.closed(id);
-                turn.calls.ended(pool, id, end(&message, report));
+                turn.calls.ended(turn.now, pool, id, end(&message, report));
             }
             kind::STATE | kind::TEST_RESULT if told => turn.calls.load(pool, report),
             kind::TEST => {
