End a connection on any spoilt answer, and pass over what is ahead of its call

At fault: Server::heard passed over types that no server sends and answers without a description; nothing noticed half a message; Calls::ended turned 'over' before the answer into an error, which is tried again at once; releases with a description, which are answers ahead under unknown ids, went on to callers; new connections that were reset waited 0.25 s each. The module never tried a reset call's own pool again. Ruled out: messages behind a spoilt one that are lost with it; servers say them again on the next connection. Conclusion: spoilt answers now cost the calls on their connection one release time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -851,16 +851,21 @@
         let from = if resting { now + self.settings.release } else { now };
         call.held_from = Some(from);
         call.hold_until = call.hold_until.max(from + self.unit);
-        // Lines come free all the time, and a pool that lost one set-up may take the next.
-        let lost = |i: usize| outcome == Outcome::Cancelled && !self.pools[i].silent;
+        // Lines come free all the time, and a pool that lost one set-up, or the connection that it was on,
+        // may take the next.
+        let again = matches!(outcome, Outcome::Cancelled | Outcome::Reset);
+        let lost = |i: usize| again && !self.pools[i].silent;
         call.avoid = index.filter(|i| cause != Cause::NoLine && !lost(*i));
         let dialled = call.dialled;
         if let (Some(i), Cause::NoLine) = (index, cause) {
             self.lines_short(now, i);
         }
+        // A call that is over before anyone heard that it stood is not set up a second time.
         if cause == Cause::NumberBusy || outcome == Outcome::Done {
             self.calls.remove(&id);
-            self.number_found(now, dialled, false);
+            if cause == Cause::NumberBusy {
+                self.number_found(now, dialled, false);
+            }
             out.push(Action::Fail { call: id });
         }
         self.place(now, id, out);
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -511,10 +511,9 @@
         if let Some((call, c)) = known.and_then(|call| Some((call, self.calls.get_mut(&call)?))) {
             match c.state {
                 State::Out(Attempt { pool: at, .. }) if at == pool => {
+                    // An end before the answer tells that the answer got lost: the call stood, and is over.
                     c.state = State::Held;
-                    // Before the answer there is nothing that could have come to its end.
-                    let outcome = if end.outcome == Outcome::Done { Outcome::Error } else { end.outcome };
-                    self.events.push(c.ended(call, pool, false, End { outcome, ..end }));
+                    self.events.push(c.ended(call, pool, false, end));
                     return;
                 }
                 State::Standing { pool: at, .. } if at == pool => {
@@ -583,6 +582,15 @@
         ids.len()
     }
 
+    /// Whether a call stands at a pool, or waits for an answer from it.
+    pub fn is_at(&self, pool: PoolId, id: u64) -> bool {
+        let call = self.ids.get(&id).and_then(|call| self.calls.get(call));
+        call.is_some_and(|c| match c.state {
+            State::Held => false,
+            State::Out(Attempt { pool: at, .. }) | State::Standing { pool: at, .. } => at == pool,
+        })
+    }
+
     /// Whether any call stands at a pool, or waits for an answer from it.
     pub fn any_at(&self, pool: PoolId) -> bool {
         self.calls.values().any(|c| match c.state {
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -16,8 +16,10 @@
 /// Message types.
 pub mod kind {
     pub const SET_UP: u8 = 1;
+    pub const PROGRESS: u8 = 6;
     pub const ANSWER: u8 = 9;
     pub const RELEASE: u8 = 12;
+    pub const RELEASE_HEARD: u8 = 16;
     pub const STATE: u8 = 43;
     pub const TEST: u8 = 52;
     pub const TEST_RESULT: u8 = 53;
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -29,6 +29,11 @@
 /// A server is held to have vanished, and its calls to be cut, after so long without a word and
 /// without a connection: their callers must hear of it within 8 s of the end.
 const VANISHED: f64 = 6.5;
+/// A message begun and not ended for so long makes its connection useless, in seconds: messages are
+/// short, and what follows on that connection would be taken for the rest of this one.
+const STALLED: f64 = 0.25;
+/// Connections that broke as soon as they were up after which the next one waits its time.
+const QUICK_ENDS: u32 = 3;
 /// Most bytes that wait to be written to one server.
 const MOST_WAITING: usize = 128 * 1024;
 /// Releases kept for a server while it cannot be reached.
@@ -76,6 +81,8 @@
     retry_at: f64,
     /// A connection was tried in vain since then.
     unreachable: bool,
+    /// How many connections in a row broke as soon as they were up.
+    quick_ends: u32,
 }
 
 /// All listed servers.
@@ -164,7 +171,6 @@
         if !channel.up {
             return server.connected(pool, ready.key, &self.link, turn);
         }
-        let lived = turn.now - channel.since;
         let mut messages = Vec::new();
         let mut end = if ready.writable { channel.connection.flush() } else { Ok(()) };
         if end.is_ok() && ready.readable {
@@ -175,21 +181,14 @@
             (channel.heard_at, server.heard_at, server.unreachable) = (turn.now, turn.now, false);
         }
         for message in messages {
-            server.heard(pool, ready.key, message, &self.telemetry, turn);
+            if let Err(reason) = server.heard(pool, ready.key, message, &self.telemetry, turn) {
+                end = Err(reason);
+                break;
+            }
         }
         match end {
             Ok(()) => server.send_waiting(&self.link, turn),
-            Err(error) => {
-                log::debug!("server {}: connection {}: {error}", server.name, ready.key);
-                // At once, unless it keeps closing new ones: a connect that is refused tells that the
-                // process died with its calls. One that is on its way may have set out to a machine that
-                // was not there and would be noticed late; this end tells that the machine is back.
-                if lived >= RETRY {
-                    server.retry_at = turn.now;
-                }
-                server.drop_channels(pool, |key| key == ready.key, turn);
-                server.connect(pool, turn);
-            }
+            Err(error) => server.broken(pool, ready.key, &error, turn),
         }
     }
 
@@ -204,8 +203,9 @@
 impl Server {
     fn new(name: String, listed: Listed, now: f64) -> Self {
         let (channels, waiting) = (BTreeMap::new(), VecDeque::new());
-        let (owed, unreachable) = (Vec::new(), false);
-        Server { name, listed, channels, waiting, owed, heard_at: now, retry_at: now, unreachable }
+        let (owed, unreachable, quick_ends) = (Vec::new(), false, 0);
+        let (heard_at, retry_at) = (now, now);
+        Server { name, listed, channels, waiting, owed, heard_at, retry_at, unreachable, quick_ends }
     }
 
     fn relisted(&mut self, pool: PoolId, listed: Listed, turn: &mut Turn) {
@@ -265,6 +265,25 @@
         }
     }
 
+    /// A connection is over, or of no more use: what is open on it ends, and set-ups go elsewhere.
+    fn broken(&mut self, pool: PoolId, key: Key, reason: &Over, turn: &mut Turn) {
+        log::debug!("server {}: connection {key}: {reason}", self.name);
+        let lived = self.channels.get(&key).map_or(0.0, |c| turn.now - c.since);
+        self.drop_channels(pool, |k| k == key, turn);
+        self.again(lived, pool, turn);
+    }
+
+    /// Connects again at once, unless it keeps closing new ones: a connect that is refused tells that the
+    /// process died with its calls. One that is on its way may have set out to a machine that was not
+    /// there and would be noticed late; this end tells that the machine is back.
+    fn again(&mut self, lived: f64, pool: PoolId, turn: &mut Turn) {
+        self.quick_ends = if lived >= RETRY { 0 } else { self.quick_ends.saturating_add(1) };
+        if self.quick_ends <= QUICK_ENDS {
+            self.retry_at = turn.now;
+        }
+        self.connect(pool, turn);
+    }
+
     fn connected(&mut self, pool: PoolId, key: Key, link: &Link, turn: &mut Turn) {
         let Some(channel) = self.channels.get_mut(&key) else { return };
         let stream = channel.connection.stream();
@@ -274,6 +293,11 @@
         };
         match result {
             Err(error) if error.kind() == ErrorKind::NotConnected => {}
+            // Reset as it came up: there is somebody, and what waits has not run. Guards against a
+            // healthy server taken for dead, and for a cold one as it answers again.
+            Err(error) if error.kind() == ErrorKind::ConnectionReset && self.quick_ends < QUICK_ENDS => {
+                self.broken(pool, key, &Over::Broken(error), turn);
+            }
             Err(error) => {
                 self.drop_channels(pool, |k| k == key, turn);
                 self.connect_failed(pool, &error, turn);
@@ -337,6 +361,12 @@
 
     fn beat(&mut self, pool: PoolId, link: &Link, turn: &mut Turn) {
         let now = turn.now;
+        let stalled = |c: &mut Channel| c.up && c.connection.stalled(now, STALLED);
+        let useless: Vec<Key> =
+            self.channels.iter_mut().filter_map(|(key, c)| stalled(c).then_some(*key)).collect();
+        for key in useless {
+            self.broken(pool, key, &Over::Stalled, turn);
+        }
         let late = |c: &Channel| !c.up && now - c.since >= link.connect_timeout;
         let late: BTreeMap<Key, f64> =
             self.channels.iter().filter(|(_, c)| late(c)).map(|(key, c)| (*key, c.since)).collect();
@@ -420,19 +450,41 @@
 
     // ---- Hearing
 
-    fn heard(&mut self, pool: PoolId, key: Key, message: Message, telemetry: &Telemetry, turn: &mut Turn) {
+    /// Takes a message; an error tells that its connection is of no more use.
+    fn heard(
+        &mut self,
+        pool: PoolId,
+        key: Key,
+        message: Message,
+        telemetry: &Telemetry,
+        turn: &mut Turn,
+    ) -> Result<(), Over> {
         let id = message.call;
         let report = message.text(code::REPORT).map_or(Report::default(), |t| telemetry.report_text(t));
         let told = message.bytes(code::REPORT).is_some();
+        let description = message.bytes(code::DESCRIPTION).map(<[u8]>::to_vec);
+        // Guards against spoilt answers that still have the form of a message. The call may stand at the
+        // server, but what it said is not known; and nothing good follows on that connection.
+        if message.repeats() {
+            return Err(Over::Improper("a message with a parameter that comes twice"));
+        }
         match message.kind {
+            kind::ANSWER if description.is_none() || message.cause().is_some() => {
+                return Err(Over::Improper("an answer without a description, or with a cause"));
+            }
             kind::ANSWER => {
                 self.closed(id);
-                let description = message.bytes(code::DESCRIPTION).map(<[u8]>::to_vec);
                 turn.calls.stood(turn.now, pool, id, description);
                 if told {
                     turn.calls.load(pool, report);
                 }
             }
+            kind::RELEASE if message.cause().is_none() || description.is_some() => {
+                // For a call that is not there it is no more than an answer ahead.
+                if turn.calls.is_at(pool, id) {
+                    return Err(Over::Improper("a release without a cause, or with a description"));
+                }
+            }
             kind::RELEASE => {
                 self.closed(id);
                 turn.calls.ended(turn.now, pool, id, end(&message, report));
@@ -444,8 +496,10 @@
                     channel.say(key, &passed, turn.watch);
                 }
             }
-            _ => {}
+            kind::PROGRESS | kind::RELEASE_HEARD | kind::STATE | kind::TEST_RESULT => {}
+            _ => return Err(Over::Improper("a message of a type that no server sends")),
         }
+        Ok(())
     }
 
     /// A set-up is no longer open on its connection.
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -74,6 +74,10 @@
         .with(code::DESCRIPTION, vec![0, 255, 7])
 }
 
+fn answer(id: u64) -> Message {
+    Message::new(kind::ANSWER, id).with(code::DESCRIPTION, vec![9, 9])
+}
+
 fn release(id: u64, why: u8) -> Message {
     Message::new(kind::RELEASE, id).caused(why)
 }
@@ -152,7 +156,7 @@
     fn stand(&mut self, id: u64) {
         self.caller.send(&set_up(id, 3000)).unwrap();
         self.at_servers(id, kind::SET_UP);
-        self.servers_say(&Message::new(kind::ANSWER, id).with(code::DESCRIPTION, vec![9, 9]));
+        self.servers_say(&answer(id));
         assert_eq!(self.heard(id, kind::ANSWER, None).bytes(code::DESCRIPTION), Some(&[9, 9][..]));
     }
 
@@ -245,7 +249,7 @@
     assert_eq!(w.at_servers(1, kind::RELEASE).cause(), Some(cause::NORMAL));
     // The answer crosses the give-up: the call must not stand on at the server.
     w.at_servers.clear();
-    w.servers_say(&Message::new(kind::ANSWER, 1));
+    w.servers_say(&answer(1));
     w.at_servers(1, kind::RELEASE);
     assert_eq!(w.heard.len(), 1, "one final answer");
 }
@@ -330,7 +334,7 @@
     assert_eq!(got.len(), 1, "one that asks is served beside {} that do not", others.len());
     w.pass(1.0);
     assert!(others.iter_mut().all(|c| c.read(&mut got).is_err()), "each is closed in time");
-    w.servers_say(&Message::new(kind::ANSWER, 1).with(code::DESCRIPTION, vec![9]));
+    w.servers_say(&answer(1));
     w.heard(1, kind::ANSWER, None);
     // Nor are those kept for good that ask for nothing more.
     w.pass(9.0);
@@ -350,7 +354,7 @@
     let mut got = Vec::new();
     w.until("a refusal of the second", |_| stranger.read(&mut got).is_err() || !got.is_empty());
     assert_eq!(got, [release(2, cause::INVALID_PARAMETER)]);
-    w.servers_say(&Message::new(kind::ANSWER, 2).with(code::DESCRIPTION, vec![9]));
+    w.servers_say(&answer(2));
     w.heard(2, kind::ANSWER, None);
     let mut kept = peer(TcpStream::connect(w.node.address()).unwrap());
     std::mem::swap(&mut kept, &mut w.caller);
@@ -397,6 +401,80 @@
     w.heard(1, kind::RELEASE, Some(cause::TEMPORARY_FAILURE));
 }
 
+/// Guards against set-ups left on a connection that a spoilt answer has made useless: it may stay open,
+/// and swallow or never bring what comes later. They end, and come again elsewhere after the release time.
+#[test]
+fn a_spoilt_answer_ends_its_connection_and_all_that_is_open_on_it() {
+    let spoilt: [(&[u8], Message); 5] = [
+        (&[], Message::new(123, 1).with(code::DESCRIPTION, vec![9])),
+        (&[], Message::new(kind::ANSWER, 1)),
+        (&[], answer(1).with(code::DESCRIPTION, vec![8])),
+        (&[], release(1, cause::NORMAL).with(code::DESCRIPTION, vec![9])),
+        // The length of a longer message, of which no more comes than this.
+        (&[1], answer(1)),
+    ];
+    for (lead, message) in spoilt {
+        let mut w = World::new(1);
+        w.stand(7);
+        w.caller.send(&set_up(1, 9000)).unwrap();
+        w.caller.send(&set_up(2, 9000)).unwrap();
+        w.at_servers(2, kind::SET_UP);
+        let mut old = w.servers.remove(0);
+        old.stream().write_all(lead).unwrap();
+        old.send(&message).unwrap();
+        w.pass(0.5);
+        assert!(old.read(&mut Vec::new()).is_err(), "still open after {message:?}");
+        w.pass(0.5);
+        let again = w.at_servers.iter().filter(|m| m.call == 2 && m.kind == kind::SET_UP).count();
+        assert_eq!(again, 2, "{message:?}");
+        w.servers_say(&answer(2));
+        w.heard(2, kind::ANSWER, None);
+        assert!(!w.heard.iter().any(|m| m.call == 7 && m.kind == kind::RELEASE), "what stands, stands");
+    }
+}
+
+/// Guards against more than belongs to an answer: a second copy, and an answer ahead of its call.
+#[test]
+fn what_a_server_says_too_much_is_passed_over() {
+    let mut w = World::new(1);
+    w.stand(1);
+    w.servers_say(&answer(1));
+    for ahead in [answer(50), release(51, cause::NORMAL).with(code::DESCRIPTION, vec![9])] {
+        w.servers_say(&ahead);
+    }
+    w.pass(0.5);
+    assert_eq!((w.heard.len(), w.servers.len()), (1, 1), "{:?}", w.heard);
+    assert!(w.at_servers.iter().all(|m| m.kind == kind::SET_UP), "nothing is released");
+    w.stand(50);
+}
+
+/// Guards against a call set up a second time though it has stood and is over: its answer got lost.
+#[test]
+fn a_call_that_ends_before_its_answer_has_failed_at_once() {
+    let mut w = World::new(2);
+    w.caller.send(&set_up(1, 3000)).unwrap();
+    w.at_servers(1, kind::SET_UP);
+    w.servers_say(&release(1, cause::NORMAL));
+    w.heard(1, kind::RELEASE, Some(cause::TEMPORARY_FAILURE));
+    w.pass(0.5);
+    assert_eq!(w.at_servers.iter().filter(|m| m.kind == kind::SET_UP).count(), 1);
+}
+
+/// Guards against a healthy server left out because its new connections were reset a few times.
+#[test]
+fn connections_reset_when_new_are_opened_again_at_once() {
+    let mut w = World::new(1);
+    let before = w.node.now();
+    for _ in 0..3 {
+        let reset = w.servers.remove(0);
+        socket2::SockRef::from(reset.stream()).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+        drop(reset);
+        w.until("another connection", |w| !w.servers.is_empty());
+    }
+    assert!(w.node.now() - before < 0.5, "it waited in between");
+    w.stand(1);
+}
+
 #[test]
 fn a_server_that_refuses_connections_is_dead_with_its_calls_and_harms_no_other() {
     let mut w = World::new(2);
@@ -519,7 +597,7 @@
                 }
                 // Before the first set-up there is nothing to say anything of.
                 2..=5 if next == 1 => {}
-                2 => w.servers_say(&Message::new(kind::ANSWER, id)),
+                2 => w.servers_say(&answer(id)),
                 3 => w.servers_say(&release(id, cause::FULL).with(code::NOTE, "throttled").with(code::REPORT, "eps:0.1")),
                 4 => w.servers_say(&release(id, cause::NORMAL)),
                 5 if gone.insert(id) => drop(w.caller.send(&release(id, cause::NORMAL))),
