Replace connections that fall silent; a caller that leaves early marks no pool silent

The debug log had 106 'pool silent' lines for 598 callers that went away. With the module's state logged each half second, all words of one server stopped in one instant (9.97 s, again 12.85 s) and came back the moment a second connection was up, 1.5 s later each time: the connection had fallen silent, not the server. At fault: brain.rs attempt_over took any cancelled attempt without a word since for a silent pool, also one whose caller had left after a moment; servers.rs tried another connection only after 1.5 s of no word, and kept sending set-ups into the silent one till then. Ruled out: load (the figure stood below 0.2 units, nothing held back) and lines (170 of 247 free).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -829,7 +829,10 @@
                 pool.ready_at = now;
                 self.gone_silent(now, i, out)
             }
-            Outcome::Timeout | Outcome::Cancelled if sent.is_some_and(|s| pool.word_at < s) => {
+            // Not one whose caller left before an answer was due, which tells nothing of the pool.
+            Outcome::Timeout | Outcome::Cancelled
+                if sent.is_some_and(|s| pool.word_at < s && now - s >= PATIENCE * self.unit) =>
+            {
                 self.gone_silent(now, i, out)
             }
             _ => {}
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -21,6 +21,8 @@
     Stuck,
     /// The peer began a message and does not end it.
     Stalled,
+    /// The peer answers elsewhere what was sent later.
+    Silent,
     /// The peer sent a message that has no place there.
     Improper(&'static str),
     /// The peer has been idle, or silent from the start, for too long.
@@ -35,6 +37,7 @@
             Over::Unreadable(reason) => write!(f, "{reason}"),
             Over::Stuck => write!(f, "the peer does not read what it is sent"),
             Over::Stalled => write!(f, "a message was begun and not ended"),
+            Over::Silent => write!(f, "silent, while answers come on another"),
             Over::Improper(what) => write!(f, "{what}"),
             Over::Idle => write!(f, "idle"),
         }
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -4,7 +4,7 @@
 //! says nothing for a while is tried on a second connection, beside the first, which may yet carry
 //! answers: a machine that vanished leaves its connections open and silent.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 
@@ -26,6 +26,13 @@
 /// A server that said nothing for so long is tried on a new connection. Its states come about once a
 /// second while calls come and go.
 const QUIET: f64 = 1.5;
+/// A connection with a set-up out for so long and no word since is tried beside another one; each such
+/// try that brings no word doubles it. Guards against a connection that has fallen silent, or a machine
+/// that has, while callers wait.
+const UNHEARD: f64 = 0.25;
+/// A processor serves first come, first served. A connection is dead if it brought no word since a set-up
+/// went out on it, and one that went out so much later elsewhere was answered.
+const OVERTAKEN: f64 = 0.1;
 /// A server is held to have vanished, and its calls to be cut, after so long without a word and
 /// without a connection: their callers must hear of it within 8 s of the end.
 const VANISHED: f64 = 6.5;
@@ -56,8 +63,8 @@
     heard_at: f64,
     /// Watched for writing too.
     writing: bool,
-    /// Set-ups out on this connection.
-    open: BTreeSet<u64>,
+    /// Set-ups out on this connection, and when they were sent.
+    open: BTreeMap<u64, f64>,
     /// Give-ups being written: the position at which each ends, and its call.
     leaving: VecDeque<(u64, u64)>,
 }
@@ -83,6 +90,8 @@
     unreachable: bool,
     /// How many connections in a row broke as soon as they were up.
     quick_ends: u32,
+    /// How long its connections may be silent while a set-up is out, see [`UNHEARD`].
+    patience: f64,
 }
 
 /// All listed servers.
@@ -205,7 +214,18 @@
         let (channels, waiting) = (BTreeMap::new(), VecDeque::new());
         let (owed, unreachable, quick_ends) = (Vec::new(), false, 0);
         let (heard_at, retry_at) = (now, now);
-        Server { name, listed, channels, waiting, owed, heard_at, retry_at, unreachable, quick_ends }
+        Server {
+            name,
+            listed,
+            channels,
+            waiting,
+            owed,
+            heard_at,
+            retry_at,
+            unreachable,
+            quick_ends,
+            patience: UNHEARD,
+        }
     }
 
     fn relisted(&mut self, pool: PoolId, listed: Listed, turn: &mut Turn) {
@@ -256,7 +276,7 @@
                     since: turn.now,
                     heard_at: turn.now,
                     writing: true,
-                    open: BTreeSet::new(),
+                    open: BTreeMap::new(),
                     leaving: VecDeque::new(),
                 };
                 self.channels.insert(key, channel);
@@ -349,7 +369,7 @@
             turn.watch.remove(channel.connection.stream());
             // Closing it gives up whatever was open on it, but an answer may have been lost with it: a
             // call that nobody waits for must not stand on.
-            for id in channel.open {
+            for id in channel.open.into_keys() {
                 turn.calls.reset(pool, id);
                 self.release(id, turn.watch);
             }
@@ -379,7 +399,11 @@
         let quiet = now - self.heard_at;
         let connecting = self.channels.values().any(|c| !c.up);
         let idle = self.channels.values().all(|c| now - c.since > QUIET && now - c.heard_at > QUIET);
-        if !connecting && (self.channels.is_empty() || idle && turn.calls.any_at(pool)) {
+        let unheard = !connecting && self.unheard(now);
+        if unheard {
+            self.patience *= 2.0;
+        }
+        if !connecting && (unheard || self.channels.is_empty() || idle && turn.calls.any_at(pool)) {
             self.connect(pool, turn);
         }
         if self.unreachable && quiet >= VANISHED {
@@ -390,6 +414,26 @@
         }
     }
 
+    /// Whether the connection for new set-ups has been silent for too long while one is out on it.
+    fn unheard(&mut self, now: f64) -> bool {
+        let patience = self.patience;
+        let late = |c: &Channel| {
+            let out = c.open.values().any(|sent| now - sent >= patience);
+            out && now - c.heard_at >= patience
+        };
+        now >= self.retry_at && best(&mut self.channels).is_some_and(|(_, c)| late(c))
+    }
+
+    /// An answer came to a set-up sent at that time. Connections that were silent meanwhile are dead: what
+    /// is open on them ends, and what the server said on them comes again on the next to be opened.
+    fn overtake(&mut self, pool: PoolId, sent: f64, turn: &mut Turn) {
+        let dead = |c: &Channel| c.open.values().any(|at| at + OVERTAKEN < sent && c.heard_at <= *at);
+        let dead: Vec<Key> = self.channels.iter().filter(|(_, c)| dead(c)).map(|(key, _)| *key).collect();
+        for key in dead {
+            self.broken(pool, key, &Over::Silent, turn);
+        }
+    }
+
     // ---- Sending
 
     /// Sends the set-ups that wait, unless the connection is blocked: bytes that wait in a buffer could
@@ -411,7 +455,7 @@
             if let Some(description) = &content.description {
                 message = message.with(code::DESCRIPTION, &description[..]);
             }
-            channel.open.insert(id);
+            channel.open.insert(id, turn.now);
             channel.say(key, &message, turn.watch);
         }
     }
@@ -421,7 +465,7 @@
             self.waiting.remove(at);
             return turn.calls.gave_up(pool, id);
         }
-        let Some((&key, channel)) = self.channels.iter_mut().find(|(_, c)| c.open.contains(&id)) else {
+        let Some((&key, channel)) = self.channels.iter_mut().find(|(_, c)| c.open.contains_key(&id)) else {
             return turn.calls.gave_up(pool, id);
         };
         channel.open.remove(&id);
@@ -473,7 +517,10 @@
                 return Err(Over::Improper("an answer without a description, or with a cause"));
             }
             kind::ANSWER => {
-                self.closed(id);
+                self.patience = UNHEARD;
+                if let Some(sent) = self.closed(id) {
+                    self.overtake(pool, sent, turn);
+                }
                 turn.calls.stood(turn.now, pool, id, description);
                 if told {
                     turn.calls.load(pool, report);
@@ -486,6 +533,7 @@
                 }
             }
             kind::RELEASE => {
+                self.patience = UNHEARD;
                 self.closed(id);
                 turn.calls.ended(turn.now, pool, id, end(&message, report));
             }
@@ -502,11 +550,9 @@
         Ok(())
     }
 
-    /// A set-up is no longer open on its connection.
-    fn closed(&mut self, id: u64) {
-        for channel in self.channels.values_mut() {
-            channel.open.remove(&id);
-        }
+    /// A set-up is no longer open on its connection. Returns when it was sent.
+    fn closed(&mut self, id: u64) -> Option<f64> {
+        self.channels.values_mut().find_map(|channel| channel.open.remove(&id))
     }
 }
 
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -460,6 +460,33 @@
     assert_eq!(w.at_servers.iter().filter(|m| m.kind == kind::SET_UP).count(), 1);
 }
 
+/// Guards against a connection that stays open and silent while its server is well: callers wait, and the
+/// ends of calls that the server says on it are lost until another connection is opened.
+#[test]
+fn a_connection_that_falls_silent_is_replaced_and_what_is_open_on_it_comes_again() {
+    let mut w = World::new(1);
+    // The module knows that the server takes several at once and holds nothing back.
+    (10..20).for_each(|id| w.stand(id));
+    w.servers_say(&Message::new(kind::STATE, 0).with(code::REPORT, "eps:0"));
+    w.turn();
+    w.caller.send(&set_up(2, 9000)).unwrap();
+    w.at_servers(2, kind::SET_UP);
+    w.pass(0.2);
+    assert_eq!(w.servers.len(), 1, "it may be slow");
+    w.pass(0.3);
+    assert_eq!(w.servers.len(), 2);
+    let mut silent = w.servers.remove(0);
+    w.caller.send(&set_up(3, 9000)).unwrap();
+    w.at_servers(3, kind::SET_UP);
+    assert!(silent.read(&mut Vec::new()).is_ok(), "it may be slow still");
+    w.servers_say(&answer(3));
+    w.heard(3, kind::ANSWER, None);
+    w.pass(0.5);
+    assert!(silent.read(&mut Vec::new()).is_err(), "what went out later was answered");
+    assert_eq!(w.servers.len(), 2, "another one, for what was said on the silent one");
+    assert_eq!(w.at_servers.iter().filter(|m| m.call == 2 && m.kind == kind::SET_UP).count(), 2);
+}
+
 /// Guards against a healthy server left out because its new connections were reset a few times.
 #[test]
 fn connections_reset_when_new_are_opened_again_at_once() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -187,6 +187,19 @@
     assert!(swallowed <= 15, "{swallowed} of 40 went to the silent pool");
 }
 
+#[test]
+fn a_caller_that_leaves_before_an_answer_was_due_tells_nothing_of_its_pool() {
+    let mut front = two_used_pools(31);
+    let leaving = front.call(0, 1);
+    front.run(0.1);
+    front.abandon(leaving);
+    front.end(leaving, Outcome::Cancelled, Cause::Unknown);
+    for n in 0..3 {
+        let call = front.call(0, 1);
+        assert_eq!(front.out_to(call), Some(POOL_A), "call {n} after it");
+    }
+}
+
 #[test]
 fn a_pool_that_is_slow_but_still_gives_words_is_not_called_silent() {
     let mut front = two_pools(19);
