Fail a call after two errors, and forget pools that are gone

At fault: brain.rs ended() offered such a call again until the try limit; Vec pools and Servers.pools kept every server that ever was, with its figure, which a server listed again under that id started from. Ruled out: refusing such calls at the first error, as another server may still set a usual one up.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,6 +45,8 @@
 const HOLD: f64 = 0.15;
 /// A refused caller is asked to stay away for so long, and up to one unit more.
 const RETRY_FIRST: f64 = 2.0;
+/// A call that so many attempts found in error has failed.
+const ERRORS: u32 = 2;
 /// Busy numbers remembered.
 const BUSY_KEPT: usize = 64;
 /// A call with less than this left of its goal time when it is offered counts as late.
@@ -189,6 +191,8 @@
     held_from: Option<f64>,
     attempts: u32,
     called_off: bool,
+    /// Attempts that a pool answered with an error.
+    errors: u32,
     /// The pool that failed this call last.
     avoid: Option<usize>,
     /// Whether an attempt may have taken effect.
@@ -343,9 +347,29 @@
             pool.number = entry.number;
             pool.readiness = entry.readiness;
         }
+        self.forget_gone();
         self.drain_held(now, out);
     }
 
+    /// Drops all that is known of pools that are gone. Guards against state that grows with every
+    /// replacement, and against an old figure held against a pool that comes back under the same id.
+    fn forget_gone(&mut self) {
+        let mut left = 0;
+        let mut place = |p: &Pool| {
+            let stays = p.readiness != Readiness::Gone;
+            left += usize::from(stays);
+            stays.then(|| left - 1)
+        };
+        let places: Vec<Option<usize>> = self.pools.iter().map(&mut place).collect();
+        self.pools.retain(|p| p.readiness != Readiness::Gone);
+        let moved = |i: usize| places.get(i).copied().flatten();
+        let sticky = std::mem::take(&mut self.sticky);
+        self.sticky = sticky.into_iter().filter_map(|(key, i)| Some((key, moved(i)?))).collect();
+        for call in self.calls.values_mut() {
+            call.avoid = call.avoid.and_then(moved);
+        }
+    }
+
     // ---- The figure and the three states
 
     fn reported(&mut self, now: f64, id: PoolId, report: &Report, out: &mut Vec<Action>) {
@@ -859,12 +883,15 @@
         let again = matches!(outcome, Outcome::Cancelled | Outcome::Reset);
         let lost = |i: usize| again && !self.pools[i].silent;
         call.avoid = index.filter(|i| cause != Cause::NoLine && !lost(*i));
-        let dialled = call.dialled;
+        call.errors += u32::from(outcome == Outcome::Error);
+        let (dialled, errors) = (call.dialled, call.errors);
         if let (Some(i), Cause::NoLine) = (index, cause) {
             self.lines_short(now, i);
         }
-        // A call that is over before anyone heard that it stood is not set up a second time.
-        if cause == Cause::NumberBusy || outcome == Outcome::Done {
+        // A call that is over before anyone heard that it stood is not set up a second time. Nor is one
+        // that two pools can make nothing of tried at each in turn: what is wrong is in the call, and each
+        // attempt takes work from calls that are sound.
+        if cause == Cause::NumberBusy || outcome == Outcome::Done || errors >= ERRORS {
             self.calls.remove(&id);
             if cause == Cause::NumberBusy {
                 self.number_found(now, dialled, false);
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -98,15 +98,17 @@
 pub struct Servers {
     link: Link,
     telemetry: Telemetry,
-    /// The number that stands for an id; kept when a server goes, as it may come back.
+    /// The number that stands for an id while it is listed, and the last number given. None is given
+    /// twice: nothing that still comes in for one that has gone may be taken for its successor's.
     pools: BTreeMap<String, PoolId>,
+    last_pool: u64,
     servers: BTreeMap<PoolId, Server>,
 }
 
 impl Servers {
     /// No servers yet.
     pub fn new(link: Link, telemetry: Telemetry) -> Self {
-        Servers { link, telemetry, pools: BTreeMap::new(), servers: BTreeMap::new() }
+        Servers { link, telemetry, pools: BTreeMap::new(), last_pool: 0, servers: BTreeMap::new() }
     }
 
     // ---- The list
@@ -115,8 +117,10 @@
     pub fn list(&mut self, list: &Snapshot, kind: ListKind, turn: &mut Turn) {
         let mut entries = Vec::new();
         for (name, listed) in &list.servers {
-            let next = PoolId(self.pools.len() as u64 + 1);
-            let pool = *self.pools.entry(name.clone()).or_insert(next);
+            let pool = *self.pools.entry(name.clone()).or_insert_with(|| {
+                self.last_pool += 1;
+                PoolId(self.last_pool)
+            });
             let (number, readiness, ready_at) = (listed.number, listed.readiness, listed.started);
             entries.push(PoolEntry { pool, number, readiness, ready_at });
             let server = self.servers.entry(pool).or_insert_with(|| {
@@ -129,6 +133,7 @@
             self.servers.keys().filter(|p| !entries.iter().any(|e| e.pool == **p)).copied().collect();
         for pool in gone {
             if let Some(mut server) = self.servers.remove(&pool) {
+                self.pools.remove(&server.name);
                 server.drop_channels(pool, |_| true, turn);
                 server.fail_waiting(pool, turn);
                 let cut = turn.calls.cut(pool, f64::INFINITY, false);
@@ -633,3 +638,32 @@
     let wait = wait.filter(|ms| ms.is_finite() && *ms >= 0.0).map(|ms| ms / 1000.0);
     End { outcome, cause, wait, report }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against state that grows with every replacement.
+    #[test]
+    fn a_server_that_is_gone_leaves_nothing_and_its_number_is_not_given_again() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (mut watch, mut calls) = (Watch::new().unwrap(), Calls::new(0.0, 0));
+        let link = Link { classes: Vec::new(), connect_timeout: 0.5 };
+        let (_, telemetry) = hollypaddle::settings::read(
+            br#"{"peersTotal":1,"period":0.005,"familyInfo":{"release":0.3},"limits":{"tryLimit":6},
+                "requestClasses":[],"safety":{"cold":14,"coldFrom":0.3,"overloadFactor":3}}"#,
+        )
+        .unwrap();
+        let mut servers = Servers::new(link, telemetry);
+        for n in 0..50 {
+            let listed = Listed { address, number: 0, readiness: Readiness::Ready, started: 0.0 };
+            let list = Snapshot { position: n, servers: [(format!("s-{n}"), listed)].into() };
+            let mut turn = Turn { now: n as f64, watch: &mut watch, calls: &mut calls };
+            servers.list(&list, ListKind::Full, &mut turn);
+            servers.beat(&mut turn);
+            assert_eq!((servers.pools.len(), servers.servers.len()), (1, 1));
+            assert!(servers.servers.contains_key(&PoolId(n + 1)));
+        }
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -187,6 +187,31 @@
     assert!(swallowed <= 15, "{swallowed} of 40 went to the silent pool");
 }
 
+#[test]
+fn a_call_that_two_pools_can_make_nothing_of_has_failed() {
+    let mut front = two_used_pools(32);
+    let before = front.sends.len();
+    let call = front.call(0, 1);
+    front.end(call, Outcome::Error, Cause::Unknown);
+    front.run(0.1);
+    assert_eq!(front.out_to(call), Some(POOL_B), "what one cannot use another may");
+    front.end(call, Outcome::Error, Cause::Unknown);
+    assert_eq!((front.calls[&call].answer, front.sends.len() - before), (Some(Final::Failed), 2));
+}
+
+#[test]
+fn a_pool_that_was_gone_comes_back_without_its_old_figure() {
+    let mut front = two_used_pools(33);
+    let call = front.call(0, 1);
+    front.end_full(call, Some(9.0), Report::default());
+    let call = front.call(0, 1);
+    assert_ne!(front.out_to(call), Some(POOL_A), "it asked to be left alone");
+    front.list(ListKind::Full, vec![entry(2, Readiness::Ready, 0.0)]);
+    front.list(ListKind::Changes, vec![entry(1, Readiness::Ready, 0.0)]);
+    let call = front.call(0, 1);
+    assert_eq!(front.out_to(call), Some(POOL_A));
+}
+
 #[test]
 fn a_caller_that_leaves_before_an_answer_was_due_tells_nothing_of_its_pool() {
     let mut front = two_used_pools(31);
