Let a share to hold back count for eight wait units unless it is renewed

At fault: brain.rs reported() kept the last share to hold back for ever. Answers bring no report here, and until the first calls end none comes for seconds, so one share told early was taken for the pool's word on now. Ruled out by the log: silent or reset connections (none before 3 s), set-ups refused by the front (none). The test of q renews its report now.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,6 +67,8 @@
 const OWN_WEIGHT: f64 = 0.4;
 /// A figure not renewed for this long fades, as a line that gets nothing new runs empty.
 const FRESH: f64 = 3.0;
+/// A share to hold back that is not renewed counts for so long.
+const HOLD_BACK_LASTS: f64 = 8.0;
 /// Nor before so many of the usual calls there; an unused budget is gone after as many.
 const KEPT_CALLS: f64 = 2.0;
 /// Housekeeping interval.
@@ -155,6 +157,8 @@
     report_at: f64,
     /// The share that the pool asks senders to hold back; it is q itself.
     hold_back: Option<f64>,
+    /// When that was told.
+    hold_back_at: f64,
     /// Unanswered set-ups: when sent, and for which call. In the order of sending.
     out: Vec<(f64, CallId)>,
     /// Calls of this front that stood here.
@@ -377,7 +381,9 @@
         let pool = &mut self.pools[i];
         pool.lines = report.free.zip(report.lines).or(pool.lines);
         pool.can_take = report.can_take.or(pool.can_take);
-        pool.hold_back = report.hold_back.map(|q| q.min(1.0)).or(pool.hold_back);
+        if let Some(q) = report.hold_back {
+            (pool.hold_back, pool.hold_back_at) = (Some(q.min(1.0)), now);
+        }
         // Without a wait, a busy share serves: ABATE at the one edge, ONSET at the other.
         let scaled = |util: f64| ABATE + (ONSET - ABATE) * (util - UTIL_ABATE) / (UTIL_ONSET - UTIL_ABATE);
         let wait = report.wait.or(report.util.map(|util| scaled(util).max(0.0) * self.unit));
@@ -408,7 +414,13 @@
         let figure = self.figure(now, i);
         let step = Q_FOLLOW * (figure - ONSET).min(DISCARD) * elapsed / self.unit;
         let lasts = self.unit;
+        let told = HOLD_BACK_LASTS * self.unit;
         let pool = &mut self.pools[i];
+        // Answers bring no report, and with few calls that end none comes for seconds: a share asked for
+        // back then is no longer the pool's word on now.
+        if now - pool.hold_back_at > told {
+            pool.hold_back = None;
+        }
         if pool.state != State::Normal {
             pool.q_slow = (pool.q_slow + step).clamp(0.0, Q_MOST);
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -329,9 +329,9 @@
     front.list(ListKind::Changes, vec![entry(2, Readiness::Gone, 0.0)]);
     front.answers.insert(POOL_A, 0.03);
     let report = Report { hold_back: Some(0.5), ..Report::default() };
-    front.event(Event::Load { pool: POOL_A, report });
     let calls: Vec<u32> = (0..400)
         .map(|_| {
+            front.event(Event::Load { pool: POOL_A, report });
             let call = front.call(0, 1);
             front.run(0.05);
             call
@@ -342,6 +342,20 @@
     assert!((140..=260).contains(&refused), "{refused} of 400");
 }
 
+#[test]
+fn a_share_to_hold_back_that_is_not_renewed_no_longer_counts() {
+    let mut front = two_used_pools(34);
+    let report = Report { hold_back: Some(1.0), ..Report::default() };
+    front.event(Event::Load { pool: POOL_A, report });
+    let call = front.call(0, 1);
+    assert_ne!(front.out_to(call), Some(POOL_A), "it asked for all to be held back");
+    front.run(4.0);
+    for n in 0..3 {
+        let call = front.call(0, 1);
+        assert_eq!(front.out_to(call), Some(POOL_A), "call {n} after it");
+    }
+}
+
 #[test]
 fn a_busy_share_alone_turns_a_pool_to_overload_and_back() {
     let mut front = two_pools(22);
