Move the program into a workspace of five crates

Later subjects need room of their own beside the decision module. Files are moved as they were; what changed are paths, crate names and the comments that the lints want of what is now public. The two programs keep their names and are what cargo build builds.

--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,11 @@
 	$(BUILD)
 
 test:
-	PROPTEST_RNG_SEED=$(SEED) cargo test --locked
+	PROPTEST_RNG_SEED=$(SEED) cargo test --locked --workspace
 
 lint:
-	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 
 # Wants PROXY_NAME, PROXY_LISTEN and PROXY_CONFIG in the environment.
 run: build
--- a/src/node/calls.rs
+++ b/crates/core/src/calls.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 use std::rc::Rc;
 
-use hollypaddle::{CallId, Cause, Event, Outcome, PoolId, Report};
+use hollypaddle_policy::{CallId, Cause, Event, Outcome, PoolId, Report};
 
 /// What a held call costs beside its content.
 const CALL_BYTES: usize = 512;
@@ -84,6 +84,7 @@
 
 /// What a caller is told.
 #[derive(Clone, Debug, PartialEq)]
+#[expect(missing_docs, reason = "the variants tell what their fields are")]
 pub enum Reply {
     /// The call stands.
     Stands(Option<Vec<u8>>),
@@ -97,6 +98,7 @@
 
 /// What a server is told.
 #[derive(Clone, Debug, PartialEq)]
+#[expect(missing_docs, reason = "the variants tell what their fields are")]
 pub enum Order {
     /// A set-up, worth an answer until then.
     SetUp { class: usize, until: f64, content: Rc<Content> },
@@ -108,6 +110,7 @@
 
 /// What the fronts are to do.
 #[derive(Clone, Debug, PartialEq)]
+#[expect(missing_docs, reason = "the variants tell what their fields are")]
 pub enum Effect {
     /// Tell a caller.
     Caller { origin: Origin, id: u64, reply: Reply },
--- a/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -4,11 +4,11 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
-use super::calls::{Calls, Content, NotTaken, Origin, Reply, Request};
 use super::config::LinkClass;
 use super::connection::{Connection, Over};
-use super::message::{cause, code, kind, Message, MOST};
 use super::poller::{Key, Ready, Watch};
+use hollypaddle_core::calls::{Calls, Content, NotTaken, Origin, Reply, Request};
+use hollypaddle_platform::message::{cause, code, kind, Message, MOST};
 
 /// Releases kept for callers while none is connected.
 const MOST_OWED: usize = 4096;
--- a/src/node/config.rs
+++ b/crates/gatekeeper/src/node/config.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use hollypaddle::settings::{self, Telemetry};
-use hollypaddle::Settings;
+use hollypaddle_policy::settings::{self, Telemetry};
+use hollypaddle_policy::Settings;
 use serde::Deserialize;
 use serde_json::Value;
 
--- a/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -5,16 +5,16 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
-use hollypaddle::{Action, CallId, Controller, Event, ListKind, Settings};
+use hollypaddle_policy::{Action, CallId, Controller, Event, ListKind, Settings};
 
-use super::calls::{Calls, Effect};
 use super::clients::Clients;
 use super::clock::Clock;
 use super::config::{Config, ConfigError};
 use super::poller::{Key, Watch};
 use super::resolver::Resolver;
 use super::servers::{Servers, Turn};
-use super::wheel::Wheel;
+use hollypaddle_core::calls::{Calls, Effect};
+use hollypaddle_core::wheel::Wheel;
 
 /// A tick of the timer wheel, in seconds.
 const TICK: f64 = 0.005;
--- a/src/node/resolver.rs
+++ b/crates/gatekeeper/src/node/resolver.rs
@@ -6,7 +6,7 @@
 
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::{Name, RData, Record, RecordType};
-use hollypaddle::Readiness;
+use hollypaddle_policy::Readiness;
 use serde::Deserialize;
 
 /// The name whose SRV records are the list.
--- a/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -8,16 +8,16 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 
-use hollypaddle::settings::Telemetry;
-use hollypaddle::{Cause, Event, ListKind, Outcome, PoolEntry, PoolId, Readiness, Report};
+use hollypaddle_policy::settings::Telemetry;
+use hollypaddle_policy::{Cause, Event, ListKind, Outcome, PoolEntry, PoolId, Readiness, Report};
 use socket2::{Domain, Socket, Type};
 
-use super::calls::{Calls, Content, End, Order};
 use super::config::Link;
 use super::connection::{Connection, Over};
-use super::message::{cause, code, kind, Message};
 use super::poller::{Key, Ready, Watch};
 use super::resolver::{Listed, Snapshot};
+use hollypaddle_core::calls::{Calls, Content, End, Order};
+use hollypaddle_platform::message::{cause, code, kind, Message};
 
 /// Connections to one server at most; it tells its state on no more than four.
 const MOST_CONNECTIONS: usize = 3;
@@ -650,7 +650,7 @@
         let address = listener.local_addr().unwrap();
         let (mut watch, mut calls) = (Watch::new().unwrap(), Calls::new(0.0, 0));
         let link = Link { classes: Vec::new(), connect_timeout: 0.5 };
-        let (_, telemetry) = hollypaddle::settings::read(
+        let (_, telemetry) = hollypaddle_policy::settings::read(
             br#"{"peersTotal":1,"period":0.005,"familyInfo":{"release":0.3},"limits":{"tryLimit":6},
                 "requestClasses":[],"safety":{"cold":14,"coldFrom":0.3,"overloadFactor":3}}"#,
         )
--- a/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -14,7 +14,7 @@
 use super::config::Config;
 use super::connection::Connection;
 use super::event_loop::{Gatekeeper, Signals};
-use super::message::{cause, code, kind, Message};
+use hollypaddle_platform::message::{cause, code, kind, Message};
 
 const TURNS: usize = 400;
 
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,3 @@
+//! The platform's binary protocol: pure encoding and decoding.
+
+pub mod message;
--- a/src/node/message.rs
+++ b/crates/platform/src/message.rs
@@ -15,37 +15,61 @@
 
 /// Message types.
 pub mod kind {
+    /// A set-up.
     pub const SET_UP: u8 = 1;
+    /// Progress; means nothing.
     pub const PROGRESS: u8 = 6;
+    /// An answer: the call stands.
     pub const ANSWER: u8 = 9;
+    /// A release, with a cause.
     pub const RELEASE: u8 = 12;
+    /// A release was heard.
     pub const RELEASE_HEARD: u8 = 16;
+    /// The state of a group.
     pub const STATE: u8 = 43;
+    /// A test.
     pub const TEST: u8 = 52;
+    /// Its result.
     pub const TEST_RESULT: u8 = 53;
 }
 
 /// Parameter codes.
 pub mod code {
+    /// The class, named as in the settings.
     pub const CLASS: u8 = 16;
+    /// How long the sender waits, in milliseconds.
     pub const WAIT: u8 = 19;
+    /// The number called, in hex digits.
     pub const NUMBER: u8 = 28;
+    /// The request's figures.
     pub const FIGURES: u8 = 31;
+    /// For how long to stay away, in milliseconds.
     pub const RETRY_AFTER: u8 = 34;
+    /// Why a server turned a set-up back.
     pub const NOTE: u8 = 37;
+    /// A load report.
     pub const REPORT: u8 = 43;
+    /// The cause, one byte.
     pub const CAUSE: u8 = 58;
+    /// The description.
     pub const DESCRIPTION: u8 = 61;
 }
 
 /// Release causes.
 pub mod cause {
+    /// Normal end, or given up.
     pub const NORMAL: u8 = 16;
+    /// Full: it never ran.
     pub const FULL: u8 = 34;
+    /// Failed, or cut.
     pub const TEMPORARY_FAILURE: u8 = 41;
+    /// Refused: trying again is harmless.
     pub const CONGESTION: u8 = 42;
+    /// A field is missing.
     pub const MISSING_PARAMETER: u8 = 96;
+    /// A field makes no sense.
     pub const INVALID_PARAMETER: u8 = 100;
+    /// It never left.
     pub const MOOT: u8 = 102;
 }
 
--- a/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -1,5 +1,5 @@
 //! The decision module: hysteretic overload control for one front. Its interface, all types, events
-//! and actions, is the file `src/interface.rs`.
+//! and actions, is the file `interface.rs`.
 //!
 //! Each front keeps a state for every pool, after Abaev et al.: *normal* sends every new set-up,
 //! *overload* refuses each with probability q, *discard* sends none. docs/DESIGN.md tells what was
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,7 +4,7 @@
 //! A front embeds one [`Controller`], hands it every [`Event`] with the time at which it happened
 //! and carries out the [`Action`]s that come back. The controller does no input or output, reads no
 //! clock and shares nothing: the same settings, seed and events give the same actions.
-#![doc = include_str!("../README.md")]
+#![doc = include_str!("../../../README.md")]
 
 mod brain;
 pub mod interface;
--- a/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -4,7 +4,7 @@
 mod front;
 
 use front::{entry, settings, Front, Shape};
-use hollypaddle::{Cause, Event, ListKind, Outcome, PoolId, Readiness, Report};
+use hollypaddle_policy::{Cause, Event, ListKind, Outcome, PoolId, Readiness, Report};
 
 const FRONTS: u64 = 200;
 const POOLS: u64 = 5;
@@ -126,7 +126,7 @@
     fleet.fronts.clear();
     let shape = Shape { fronts: FRONTS as u32, ..Shape::default() };
     for seed in 0..FRONTS {
-        let settings = hollypaddle::Settings { hold: Some(8.0), ..settings(&shape) };
+        let settings = hollypaddle_policy::Settings { hold: Some(8.0), ..settings(&shape) };
         let mut front = Front::new(settings, seed);
         front.list(ListKind::Cached, (1..=POOLS).map(|n| entry(n as u32, Readiness::Ready, 0.0)).collect());
         front.answers.extend((1..=POOLS).map(|n| (PoolId(n), 0.03)));
@@ -178,7 +178,7 @@
     for fronts in [0, u32::MAX] {
         let shape = Shape { fronts, ..Shape::default() };
         let hold = if fronts == 0 { Some(f64::NAN) } else { Some(0.0) };
-        let mut front = Front::new(hollypaddle::Settings { hold, ..settings(&shape) }, 3);
+        let mut front = Front::new(hollypaddle_policy::Settings { hold, ..settings(&shape) }, 3);
         front.list(ListKind::Cached, (1..=3).map(|n| entry(n, Readiness::Ready, 0.0)).collect());
         for free in [0.0, -5.0, f64::NAN, f64::INFINITY, 9.0] {
             for pool in 1..=3 {
--- a/tests/front/mod.rs
+++ b/crates/policy/tests/front/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use hollypaddle::{
+use hollypaddle_policy::{
     Action, CallId, Cause, ClassSettings, Controller, Event, GoalWeights, ListKind, Outcome, PoolEntry,
     PoolId, Readiness, Report, Settings, TenantSettings,
 };
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -3,7 +3,9 @@
 mod front;
 
 use front::{entry, settings, Final, Front, Shape};
-use hollypaddle::{Action, Cause, Controller, Event, ListKind, Outcome, PoolId, Readiness, Report, Settings};
+use hollypaddle_policy::{
+    Action, Cause, Controller, Event, ListKind, Outcome, PoolId, Readiness, Report, Settings,
+};
 
 const POOL_A: PoolId = PoolId(1);
 const POOL_B: PoolId = PoolId(2);
--- a/tests/streams.rs
+++ b/crates/policy/tests/streams.rs
@@ -4,7 +4,7 @@
 mod front;
 
 use front::{entry, settings, Final, Front, Shape};
-use hollypaddle::{Cause, Controller, Event, ListKind, Outcome, Readiness, Report};
+use hollypaddle_policy::{Cause, Controller, Event, ListKind, Outcome, Readiness, Report};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 
--- a/src/bin/hollypaddle-wirehost/codec.rs
+++ b/crates/wirehost/src/codec.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::io::{self, Read};
 
-use hollypaddle::{Action, Cause, Event, ListKind, Outcome, PoolEntry, PoolId, Readiness, Report};
+use hollypaddle_policy::{Action, Cause, Event, ListKind, Outcome, PoolEntry, PoolId, Readiness, Report};
 
 /// Bytes of the clock at the head of a frame's body.
 pub const CLOCK_BYTES: usize = 8;
--- a/src/bin/hollypaddle-wirehost/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -7,8 +7,8 @@
 use std::process::ExitCode;
 
 use codec::{Record, WireError};
-use hollypaddle::settings::{self, Telemetry};
-use hollypaddle::{Action, Controller, Event, PoolEntry};
+use hollypaddle_policy::settings::{self, Telemetry};
+use hollypaddle_policy::{Action, Controller, Event, PoolEntry};
 
 struct Host {
     instances: BTreeMap<u16, (Controller, Telemetry)>,
@@ -36,7 +36,7 @@
                 }
                 Record::List { who, kind, number } => {
                     let entries = match (kind, self.lists.get(&number)) {
-                        (hollypaddle::ListKind::Failed, _) => Vec::new(),
+                        (hollypaddle_policy::ListKind::Failed, _) => Vec::new(),
                         (_, Some(entries)) => entries.clone(),
                         (_, None) => return Err(WireError::UnknownList(number)),
                     };
