Ask a gate before each set-up, and tell it what was sent and how it ended

Budgets, tenants and reserves need a say in where a set-up goes without a patch of the module each.

The module asks its gate of each pool that it would choose itself, in its own order; what is denied is asked for again as a last resort when nothing else is open; a call denied everywhere is refused at once, with the gate's time to come back. Lists tell the server's district.

--- a/crates/gatekeeper/src/node/config.rs
+++ b/crates/gatekeeper/src/node/config.rs
@@ -46,6 +46,8 @@
     pub classes: Vec<LinkClass>,
     /// A connection not up within so many seconds has failed.
     pub connect_timeout: f64,
+    /// The districts.
+    pub districts: Vec<String>,
 }
 
 /// What a set-up of a class may say.
@@ -132,6 +134,8 @@
     limits: LinkLimits,
     #[serde(default)]
     family_info: LinkFamily,
+    #[serde(default)]
+    zones: Vec<String>,
 }
 
 #[derive(Deserialize, Default)]
@@ -193,12 +197,13 @@
             memory: (file.limits.memory_mb.unwrap_or(MEMORY_MB).max(1.0) * 1048576.0) as usize,
             sockets: file.limits.sockets.unwrap_or(SOCKETS),
             seed: seed.map_err(|_| ConfigError::Field("seed", file.seed.clone()))?,
-            known: Snapshot::replay(file.known.pos, &file.known.entries),
+            known: Snapshot::replay(file.known.pos, &file.known.entries, &link.zones),
             settings,
             telemetry,
             link: Link {
                 classes: link.request_classes.into_iter().enumerate().map(class).collect(),
                 connect_timeout: link.limits.connect_timeout,
+                districts: link.zones,
             },
         })
     }
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -80,7 +80,8 @@
         let clock = Clock::new();
         let now = clock.now();
         let mut watch = Watch::new()?;
-        let resolver = Resolver::new(config.dns, config.known.position, config.seed)?;
+        let resolver =
+            Resolver::new(config.dns, config.known.position, config.seed, config.link.districts.clone())?;
         let resolver_key = watch.add(resolver.socket(), false)?;
         let most = ((config.sockets as f64 * CALLERS_SHARE) as usize).max(1);
         let clients = Clients::listen(
--- a/crates/gatekeeper/src/node/resolver.rs
+++ b/crates/gatekeeper/src/node/resolver.rs
@@ -28,6 +28,8 @@
     pub readiness: Readiness,
     /// Unix seconds of a late start, or 0.
     pub started: f64,
+    /// Its district, an index into the settings' list, if it is told and one of these.
+    pub district: Option<u16>,
 }
 
 /// The whole list at one position.
@@ -60,6 +62,8 @@
     instance_id: String,
     host_port: SocketAddr,
     cell: u32,
+    #[serde(default)]
+    zone: String,
     lifecycle: Lifecycle,
     #[serde(default)]
     started_at_ms: f64,
@@ -75,7 +79,7 @@
 
 impl Snapshot {
     /// The list after these events.
-    pub fn replay(position: u64, updates: &[Update]) -> Snapshot {
+    pub fn replay(position: u64, updates: &[Update], districts: &[String]) -> Snapshot {
         let mut list = Snapshot::default();
         for update in updates {
             if update.hosts.reset {
@@ -92,7 +96,8 @@
                     }
                 };
                 let (address, number, started) = (host.host_port, host.cell, host.started_at_ms / 1000.0);
-                let listed = Listed { address, number, readiness, started };
+                let district = district(districts, &host.zone);
+                let listed = Listed { address, number, readiness, started, district };
                 list.servers.insert(host.instance_id.clone(), listed);
             }
         }
@@ -101,7 +106,7 @@
     }
 
     /// The list in an answer; `None` if the answer does not hold all of it.
-    fn from_answer(answer: &Message) -> Option<Snapshot> {
+    fn from_answer(answer: &Message, districts: &[String]) -> Option<Snapshot> {
         let records = || answer.answers.iter().chain(&answer.additionals);
         let serial = answer.authorities.iter().chain(&answer.answers).find_map(|r| match &r.data {
             RData::SOA(soa) => Some(soa.serial),
@@ -125,12 +130,15 @@
                     }
                 }
             }
-            let id = String::from_utf8(srv.target.iter().next()?.to_vec()).ok()?;
+            let mut labels = srv.target.iter();
+            let id = String::from_utf8(labels.next()?.to_vec()).ok()?;
+            let zone = labels.next().and_then(|label| std::str::from_utf8(label).ok());
             let listed = Listed {
                 address: (ip as Ipv4Addr, srv.port).into(),
                 number: texts.get("cell")?.parse().ok()?,
                 readiness: if srv.priority == 0 { Readiness::Ready } else { Readiness::Draining },
                 started: texts.get("started").map_or(Some(0.0), |ms| ms.parse().ok())? / 1000.0,
+                district: zone.and_then(|zone| district(districts, zone)),
             };
             servers.insert(id, listed);
         }
@@ -138,10 +146,18 @@
     }
 }
 
+/// The number of a district's name. A server of a district that the settings do not have is listed
+/// without one: it serves all the same.
+fn district(districts: &[String], name: &str) -> Option<u16> {
+    let at = districts.iter().position(|d| d.eq_ignore_ascii_case(name))?;
+    u16::try_from(at).ok()
+}
+
 /// Asks and listens.
 pub struct Resolver {
     socket: UdpSocket,
     name: Name,
+    districts: Vec<String>,
     /// Ids of questions asked lately.
     asked: VecDeque<u16>,
     next: u16,
@@ -150,10 +166,15 @@
 
 impl Resolver {
     /// A resolver at that address, which has told all up to `position`.
-    pub fn new(address: SocketAddr, position: u64, seed: u64) -> io::Result<Resolver> {
+    pub fn new(
+        address: SocketAddr,
+        position: u64,
+        seed: u64,
+        districts: Vec<String>,
+    ) -> io::Result<Resolver> {
         let socket = open(address)?;
         let name = Name::from_ascii(LIST).map_err(io::Error::other)?;
-        Ok(Resolver { socket, name, asked: VecDeque::new(), next: seed as u16, position })
+        Ok(Resolver { socket, name, districts, asked: VecDeque::new(), next: seed as u16, position })
     }
 
     /// Asks at another address from now on. Questions to the old one are forgotten, and the position
@@ -224,7 +245,7 @@
             log::debug!("resolver: passed over an answer with id {}", head.id);
             return None;
         }
-        let list = Snapshot::from_answer(&answer);
+        let list = Snapshot::from_answer(&answer, &self.districts);
         if list.is_none() {
             log::debug!("resolver: an answer without the whole list");
         }
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -122,7 +122,8 @@
                 PoolId(self.last_pool)
             });
             let (number, readiness, ready_at) = (listed.number, listed.readiness, listed.started);
-            entries.push(PoolEntry { pool, number, readiness, ready_at });
+            let district = listed.district;
+            entries.push(PoolEntry { pool, number, readiness, ready_at, district });
             let server = self.servers.entry(pool).or_insert_with(|| {
                 log::info!("server {name}: listed as {readiness:?} at {}", listed.address);
                 Server::new(name.clone(), listed.clone(), turn.now)
@@ -649,7 +650,8 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (mut watch, mut calls) = (Watch::new().unwrap(), Calls::new(0.0, 0));
-        let link = Link { classes: Vec::new(), connect_timeout: 0.5 };
+        let districts = Vec::new();
+        let link = Link { classes: Vec::new(), connect_timeout: 0.5, districts };
         let (_, telemetry) = hollypaddle_policy::settings::read(
             br#"{"peersTotal":1,"period":0.005,"familyInfo":{"release":0.3},"limits":{"tryLimit":6},
                 "requestClasses":[],"safety":{"cold":14,"coldFrom":0.3,"overloadFactor":3}}"#,
@@ -657,7 +659,8 @@
         .unwrap();
         let mut servers = Servers::new(link, telemetry);
         for n in 0..50 {
-            let listed = Listed { address, number: 0, readiness: Readiness::Ready, started: 0.0 };
+            let (readiness, district) = (Readiness::Ready, None);
+            let listed = Listed { address, number: 0, readiness, started: 0.0, district };
             let list = Snapshot { position: n, servers: [(format!("s-{n}"), listed)].into() };
             let mut turn = Turn { now: n as f64, watch: &mut watch, calls: &mut calls };
             servers.list(&list, ListKind::Full, &mut turn);
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -11,7 +11,8 @@
 use rand_core::{RngCore, SeedableRng};
 
 use crate::interface::{
-    Action, CallId, Cause, Event, ListKind, Outcome, PoolEntry, PoolId, Readiness, Report, Settings,
+    Action, CallId, Candidate, Cause, Denial, Event, Gate, ListKind, Open, Outcome, PoolEntry, PoolId,
+    Readiness, Report, Settings,
 };
 
 // ---- Tuned values: all there are. Times are multiples of the wait unit unless said.
@@ -203,9 +204,17 @@
     may_have_run: bool,
 }
 
-/// The call controller of one front.
-pub struct Controller {
+/// Where a call may go: nowhere at present, to a pool, or to none because the gate denies the first.
+enum Choice {
+    Nowhere,
+    Pool(usize, Candidate),
+    Denied(Candidate, Denial),
+}
+
+/// The call controller of one front, with the gate that its set-ups have to pass.
+pub struct Controller<G = Open> {
     settings: Settings,
+    gate: G,
     /// Times derived from the settings, so that every threshold follows the deployment: the wait unit, the
     /// housekeeping interval and the window of the own call rate.
     unit: f64,
@@ -246,6 +255,13 @@
 impl Controller {
     /// A controller that knows nothing yet; `seed` feeds all its random draws.
     pub fn new(settings: Settings, seed: u64) -> Self {
+        Controller::gated(settings, seed, Open)
+    }
+}
+
+impl<G: Gate> Controller<G> {
+    /// The same, with a gate.
+    pub fn gated(settings: Settings, seed: u64, gate: G) -> Self {
         let goal = settings.classes.iter().map(|c| c.goal_time).filter(|g| *g > 0.0).fold(f64::MAX, f64::min);
         let mut unit = if goal < f64::MAX { goal * UNIT_OF_GOAL } else { 1.0 };
         if settings.retransmit > 0.0 {
@@ -257,6 +273,7 @@
         let mix = vec![0.0; settings.tenants.len()];
         Controller {
             settings,
+            gate,
             unit,
             tick,
             window,
@@ -277,8 +294,14 @@
         }
     }
 
+    /// The gate.
+    pub fn gate(&mut self) -> &mut G {
+        &mut self.gate
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
+        self.gate.hear(now, &event);
         match event {
             Event::List { kind, entries } => self.list(now, kind, &entries, out),
             Event::Call { call, class, tenant, time_left, dialled, first_choice } => {
@@ -652,8 +675,9 @@
         }
     }
 
-    /// The first choice, else the pool that last took such a call, else the others in random order.
-    fn choose(&mut self, now: f64, call: &Call) -> Option<usize> {
+    /// The first choice, else the pool that last took such a call, else the others in random order, as far
+    /// as the gate lets it go there. Pools that would have taken it are asked for again as a last resort.
+    fn choose(&mut self, now: f64, id: CallId, call: &Call) -> Choice {
         let key = (call.class, call.first_choice);
         let sticky = self.sticky.get(&key).copied();
         let mut order = Vec::with_capacity(self.pools.len());
@@ -662,11 +686,31 @@
             order.push((!own, sticky != Some(i), self.rng.next_u64(), i));
         }
         order.sort_unstable();
-        let found = order.into_iter().map(|o| o.3).find(|&i| self.admits(now, i, call))?;
-        if self.pools[found].number != call.first_choice {
-            self.sticky.insert(key, found);
+        let (mut denied, mut found) = (Vec::new(), None);
+        for i in order.into_iter().map(|o| o.3) {
+            if !self.admits(now, i, call) {
+                continue;
+            }
+            let (class, pool, first_tried) = (call.class, self.pools[i].id, call.first_tried);
+            let ask =
+                Candidate { call: id, class, pool, attempt: call.attempts, first_tried, last_resort: false };
+            let Err(denial) = self.gate.may_send(now, &ask) else {
+                found = Some((i, ask));
+                break;
+            };
+            denied.push((i, ask, denial));
+        }
+        if found.is_none() {
+            let asked = denied.iter().map(|(i, ask, _)| (*i, Candidate { last_resort: true, ..*ask }));
+            found = asked.into_iter().find(|(_, ask)| self.gate.may_send(now, ask).is_ok());
+        }
+        let Some((i, ask)) = found else {
+            return denied.first().map_or(Choice::Nowhere, |(_, ask, denial)| Choice::Denied(*ask, *denial));
+        };
+        if self.pools[i].number != call.first_choice {
+            self.sticky.insert(key, i);
         }
-        Some(found)
+        Choice::Pool(i, ask)
     }
 
     fn draw(&mut self) -> f64 {
@@ -795,8 +839,12 @@
         let hopeless = from > last
             || call.attempts >= self.settings.try_limit
             || (call.may_have_run && !self.repeatable(call.class));
-        let choice = if hopeless || from > now { None } else { self.choose(now, &call) };
-        if let Some(i) = choice {
+        let choice = if hopeless || from > now { Choice::Nowhere } else { self.choose(now, id, &call) };
+        if let Choice::Denied(ask, denial) = choice {
+            self.gate.turned_away(now, &ask, &denial);
+            return self.refuse(now, id, &call, denial.retry_after, out);
+        } else if let Choice::Pool(i, ask) = choice {
+            self.gate.sent(now, &ask);
             let number = self.pools[i].number;
             if let (true, Some(carried)) = (self.steady(now, i), self.carried.get_mut(&number)) {
                 carried.calls += 1.0;
@@ -809,7 +857,7 @@
             call.called_off = false;
             out.push(Action::Send { call: id, pool: pool.id, limit: 0.0 });
         } else if hopeless || now >= call.hold_until.min(last) {
-            return self.refuse(now, id, &call, out);
+            return self.refuse(now, id, &call, 0.0, out);
         }
         self.calls.insert(id, call);
     }
@@ -818,14 +866,14 @@
         self.settings.classes.get(class).is_none_or(|c| c.repeatable)
     }
 
-    fn refuse(&mut self, now: f64, id: CallId, call: &Call, out: &mut Vec<Action>) {
+    fn refuse(&mut self, now: f64, id: CallId, call: &Call, least: f64, out: &mut Vec<Action>) {
         self.remember(now, call);
         if call.may_have_run && !self.repeatable(call.class) {
             out.push(Action::Fail { call: id });
         } else {
             // Pools open again at their next report at the earliest; callers told one and the same time
             // would come back in step and push them back over, so the rank, which is random, spreads them.
-            let soon = self.unit * (RETRY_FIRST + call.rank);
+            let soon = (self.unit * (RETRY_FIRST + call.rank)).max(least);
             let retry_after = self.settings.retry_after.map_or(0.0, |most| soon.min(most));
             out.push(Action::Refuse { call: id, retry_after });
         }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -106,6 +106,9 @@
     pub readiness: Readiness,
     /// When its processor last started; 0 is long past.
     pub ready_at: f64,
+    /// The district in which it stands, an index into the deployment's list, if told. The module does not
+    /// read it; gates may.
+    pub district: Option<u16>,
 }
 
 /// How a list is to be read.
@@ -298,3 +301,65 @@
     /// Subscribe to the list of pools.
     Subscribe,
 }
+
+/// A set-up that the module is about to send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Which call.
+    pub call: CallId,
+    /// Its class, an index into the settings.
+    pub class: usize,
+    /// To which pool.
+    pub pool: PoolId,
+    /// Which attempt, from 0.
+    pub attempt: u32,
+    /// When the caller first tried.
+    pub first_tried: f64,
+    /// Whether no pool is open to the call that the gate lets it go to.
+    pub last_resort: bool,
+}
+
+/// Why a set-up may not go now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Denial {
+    /// Which gate, in a word for logs and figures.
+    pub reason: &'static str,
+    /// After how many seconds it may be worth asking again.
+    pub retry_after: f64,
+}
+
+/// A further condition on set-ups, beside the module's own. The module asks it of each pool that it would
+/// choose itself, in its own order; of those that were denied it asks again, as a last resort, when nothing
+/// else is open. A call that is denied is refused at once.
+///
+/// A gate cannot send, retry or answer anything. Where several are needed, one is made of them that asks
+/// each in a fixed order.
+pub trait Gate {
+    /// Hears every event, before the module acts on it.
+    fn hear(&mut self, now: f64, event: &Event);
+
+    /// Whether a set-up may go now. Asking takes nothing.
+    fn may_send(&mut self, now: f64, candidate: &Candidate) -> Result<(), Denial>;
+
+    /// A set-up that was let pass is sent.
+    fn sent(&mut self, now: f64, candidate: &Candidate);
+
+    /// A call is refused because its set-up, the first in the module's order, was denied.
+    fn turned_away(&mut self, now: f64, candidate: &Candidate, denial: &Denial);
+}
+
+/// The gate that lets everything pass.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Open;
+
+impl Gate for Open {
+    fn hear(&mut self, _: f64, _: &Event) {}
+
+    fn may_send(&mut self, _: f64, _: &Candidate) -> Result<(), Denial> {
+        Ok(())
+    }
+
+    fn sent(&mut self, _: f64, _: &Candidate) {}
+
+    fn turned_away(&mut self, _: f64, _: &Candidate, _: &Denial) {}
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use brain::Controller;
 pub use interface::{
-    Action, CallId, Cause, ClassSettings, Event, GoalWeights, ListKind, Outcome, PoolEntry, PoolId,
-    Readiness, Report, Settings, TenantSettings,
+    Action, CallId, Candidate, Cause, ClassSettings, Denial, Event, Gate, GoalWeights, ListKind, Open,
+    Outcome, PoolEntry, PoolId, Readiness, Report, Settings, TenantSettings,
 };
--- a/crates/policy/tests/front/mod.rs
+++ b/crates/policy/tests/front/mod.rs
@@ -54,7 +54,7 @@
 }
 
 pub fn entry(number: u32, readiness: Readiness, ready_at: f64) -> PoolEntry {
-    PoolEntry { pool: PoolId(u64::from(number)), number, readiness, ready_at }
+    PoolEntry { pool: PoolId(u64::from(number)), number, readiness, ready_at, district: None }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -89,6 +89,8 @@
     pub calls: BTreeMap<CallId, CallState>,
     pub sends: Vec<Sent>,
     pub logs: Vec<String>,
+    /// Each event handed over, and what came back.
+    pub record: Vec<(f64, Event, Vec<Action>)>,
     pub cancels: usize,
     /// For how long refused callers were asked to stay away.
     pub advised: Vec<f64>,
@@ -113,6 +115,7 @@
             calls: BTreeMap::new(),
             sends: Vec::new(),
             logs: Vec::new(),
+            record: Vec::new(),
             cancels: 0,
             advised: Vec::new(),
             answers: BTreeMap::new(),
@@ -125,7 +128,8 @@
     /// Hands one event over, carries the actions out and checks what each may do.
     pub fn event(&mut self, event: Event) {
         let mut out = Vec::new();
-        self.controller.handle(self.now, event, &mut out);
+        self.controller.handle(self.now, event.clone(), &mut out);
+        self.record.push((self.now, event, out.clone()));
         for action in out {
             self.carry_out(action);
         }
--- a/crates/policy/tests/streams.rs
+++ b/crates/policy/tests/streams.rs
@@ -4,7 +4,9 @@
 mod front;
 
 use front::{entry, settings, Final, Front, Shape};
-use hollypaddle_policy::{Cause, Controller, Event, ListKind, Outcome, Readiness, Report};
+use hollypaddle_policy::{
+    Action, Candidate, Cause, Controller, Denial, Event, Gate, ListKind, Outcome, Readiness, Report,
+};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 
@@ -33,7 +35,7 @@
     }
 }
 
-fn stream(shape: &Shape, reports: bool, hints: bool, seed: u64) {
+fn stream(shape: &Shape, reports: bool, hints: bool, seed: u64) -> Front {
     let mut dice = Dice(ChaCha8Rng::seed_from_u64(seed));
     let mut front = Front::new(settings(shape), seed);
     let readiness =
@@ -109,21 +111,87 @@
     assert!(front.calls.values().all(|c| c.answer.is_some()));
     let stood = front.calls.values().filter(|c| c.answer == Some(Final::Stood)).count();
     assert!(stood > 0, "no call stood");
+    front
 }
 
-#[test]
-fn the_five_rules_hold_over_random_legal_streams_under_every_shape_of_settings() {
-    let mut seed = 100;
+/// One stream for each shape of settings, with the shape and the seed.
+fn streams() -> Vec<(Shape, u64, Front)> {
+    let mut all = Vec::new();
     for tenants in [0, 3] {
         for (reports, hints) in [(true, true), (true, false), (false, true), (false, false)] {
             for (retransmit, may_cancel, try_limit, fronts) in
                 [(0.4, true, 6, 4), (0.8, false, 5, 8), (0.0, true, 2, 1), (0.0, false, 1, 1)]
             {
-                seed += 1;
-                stream(&Shape { tenants, retransmit, try_limit, may_cancel, fronts }, reports, hints, seed);
+                let seed = 101 + all.len() as u64;
+                let shape = Shape { tenants, retransmit, try_limit, may_cancel, fronts };
+                let front = stream(&shape, reports, hints, seed);
+                all.push((shape, seed, front));
             }
         }
     }
+    all
+}
+
+/// A number that stands for a text (FNV-1a).
+fn digest(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+}
+
+/// Lets everything pass, and keeps what it was told.
+#[derive(Default)]
+struct Watching {
+    heard: usize,
+    asked: Vec<Candidate>,
+    sent: Vec<Candidate>,
+}
+
+impl Gate for Watching {
+    fn hear(&mut self, _: f64, _: &Event) {
+        self.heard += 1;
+    }
+
+    fn may_send(&mut self, _: f64, candidate: &Candidate) -> Result<(), Denial> {
+        self.asked.push(*candidate);
+        Ok(())
+    }
+
+    fn sent(&mut self, _: f64, candidate: &Candidate) {
+        self.sent.push(*candidate);
+    }
+
+    fn turned_away(&mut self, _: f64, _: &Candidate, _: &Denial) {
+        panic!("nothing is denied");
+    }
+}
+
+/// What all streams brought back before there was a gate.
+const BEFORE_GATES: u64 = 0xfef8_f0c8_c175_749e;
+
+/// Over random legal streams under every shape of settings, [`Front`] holds the five rules; the actions
+/// are, byte for byte, those of before there was a gate; and a gate that lets everything pass changes
+/// nothing, is asked once for each set-up and told of each.
+#[test]
+fn the_five_rules_hold_and_an_open_gate_changes_nothing() {
+    let mut before = String::new();
+    for (shape, seed, front) in streams() {
+        let mut controller = Controller::gated(settings(&shape), seed, Watching::default());
+        let mut sends = Vec::new();
+        for (now, event, actions) in &front.record {
+            let mut out = Vec::new();
+            controller.handle(*now, event.clone(), &mut out);
+            assert_eq!(format!("{out:?}"), format!("{actions:?}"), "seed {seed} at {now}");
+            before.push_str(&format!("{actions:?}"));
+            sends.extend(out.into_iter().filter_map(|a| match a {
+                Action::Send { call, pool, .. } => Some((call, pool)),
+                _ => None,
+            }));
+        }
+        let gate = controller.gate();
+        let told: Vec<_> = gate.sent.iter().map(|c| (c.call, c.pool)).collect();
+        assert_eq!((gate.heard, &gate.asked, told), (front.record.len(), &gate.sent, sends));
+        assert!(gate.asked.iter().all(|c| !c.last_resort));
+    }
+    assert_eq!(digest(&before), BEFORE_GATES);
 }
 
 #[test]
--- a/crates/wirehost/src/codec.rs
+++ b/crates/wirehost/src/codec.rs
@@ -192,7 +192,7 @@
 
     fn entry(&mut self) -> Result<PoolEntry, WireError> {
         let pool = self.pool()?;
-        let _site = self.u16()?;
+        let district = Some(self.u16()?);
         let _kind = self.u16()?;
         let number = u32::from(self.u16()?);
         let readiness = match self.u8()? {
@@ -203,7 +203,7 @@
         };
         let _rating = self.f32()?;
         let ready_at = self.f64()?;
-        Ok(PoolEntry { pool, number, readiness, ready_at })
+        Ok(PoolEntry { pool, number, readiness, ready_at, district })
     }
 
     /// The next record; `None` at the end of the batch.
