Account, budgets and bending for set-ups that cross districts

Crossings cost 12 to 24 ms each way and nobody can see or bound them.

crates/crossing is a gate without I/O, clock or randomness: an account by class and directed pair of districts, since the start and in three sliding windows; budgets by rate, share and calls at a time that nest; and a bounded overdraft for urgent classes while nothing else is open to them, paid back later.

--- /dev/null
+++ b/crates/crossing/src/gate.rs
@@ -0,0 +1,257 @@
+//! The gate: answers the decision module, and keeps account, budgets and bending in step.
+
+use std::collections::HashMap;
+
+use hollypaddle_policy::{CallId, Candidate, Denial, Event, Gate, ListKind, Outcome, PoolId, Readiness};
+
+use crate::account::Account;
+use crate::bending::{BendSettings, Bending};
+use crate::budget::{crosses, never_ran, Budgets, Debit, Rule};
+use crate::District;
+
+/// The reason that a denial carries.
+pub const REASON: &str = "crossing-budget";
+
+/// What is to be known of a class.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClassInfo {
+    /// Its name.
+    pub name: String,
+    /// The wanted time to stand, in seconds.
+    pub goal_time: f64,
+    /// Whether it may overdraw budgets.
+    pub urgent: bool,
+}
+
+/// What the gate is told at its start, and again when that changes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The districts' names.
+    pub districts: Vec<String>,
+    /// Where this gatekeeper stands.
+    pub own: District,
+    /// The classes of call.
+    pub classes: Vec<ClassInfo>,
+    /// This gatekeeper's part of a figure that is told for the fleet, 0 to 1.
+    pub part: f64,
+    /// When bending starts and ends.
+    pub bend: BendSettings,
+    /// The budgets, no two of one scope.
+    pub rules: Vec<Rule>,
+}
+
+impl Settings {
+    /// A district's name; one that is not known has none of its own.
+    pub fn district(&self, district: District) -> &str {
+        self.districts.get(usize::from(district.0)).map_or("unknown", String::as_str)
+    }
+
+    /// A class's name.
+    pub fn class(&self, class: usize) -> &str {
+        self.classes.get(class).map_or("unknown", |c| c.name.as_str())
+    }
+
+    fn urgent(&self, class: usize) -> bool {
+        self.classes.get(class).is_some_and(|c| c.urgent)
+    }
+}
+
+/// A set-up that is out, or the call that stood by it.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    debit: Debit,
+    first_tried: f64,
+    stood: bool,
+}
+
+/// Account, budgets and bending of one gatekeeper.
+#[derive(Clone, Debug)]
+pub struct Crossing {
+    pub(crate) settings: Settings,
+    pub(crate) account: Account,
+    pub(crate) budgets: Budgets,
+    /// By class; only urgent ones bend.
+    pub(crate) bending: Vec<Option<Bending>>,
+    /// Where the listed servers stand.
+    places: HashMap<PoolId, District>,
+    /// No more than the calls that the front holds.
+    open: HashMap<CallId, Open>,
+    /// The attempt whose want of an open pool was last noted, so that it is noted once.
+    noted: Option<(CallId, u32)>,
+    pub(crate) started: f64,
+}
+
+impl Crossing {
+    /// An empty account, budgets with empty bursts.
+    pub fn new(settings: Settings, now: f64) -> Self {
+        let mut crossing = Crossing {
+            settings: Settings { rules: Vec::new(), ..settings.clone() },
+            account: Account::default(),
+            budgets: Budgets::default(),
+            bending: Vec::new(),
+            places: HashMap::new(),
+            open: HashMap::new(),
+            noted: None,
+            started: now,
+        };
+        crossing.change(settings, now);
+        crossing
+    }
+
+    /// Takes new settings while traffic goes on. The account stays; budgets of a scope that is still there
+    /// keep what they hold and owe, cut to their new bounds; new ones begin with an empty burst.
+    pub fn change(&mut self, settings: Settings, now: f64) {
+        let open: Vec<Debit> = self.open.values().map(|o| o.debit).collect();
+        self.budgets.set(&settings.rules, settings.part, now, &open);
+        let mut before = std::mem::take(&mut self.bending);
+        before.resize(settings.classes.len(), None);
+        self.bending = (settings.classes.iter().zip(before))
+            .map(|(class, before)| match (class.urgent, before) {
+                (false, _) => None,
+                (true, None) => Some(Bending::new(settings.bend, now)),
+                (true, Some(mut bending)) => {
+                    bending.change(settings.bend);
+                    Some(bending)
+                }
+            })
+            .collect();
+        self.settings = settings;
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// The account.
+    pub fn account(&mut self) -> &mut Account {
+        &mut self.account
+    }
+
+    /// The budgets.
+    pub fn budgets(&mut self) -> &mut Budgets {
+        &mut self.budgets
+    }
+
+    /// Whether a class bends at this time.
+    pub fn bends(&mut self, now: f64, class: usize) -> bool {
+        self.bending.get_mut(class).and_then(Option::as_mut).is_some_and(|b| b.on(now))
+    }
+
+    /// Set-ups out and calls standing that are remembered.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    fn place(&self, pool: PoolId) -> District {
+        self.places.get(&pool).copied().unwrap_or(District::UNKNOWN)
+    }
+
+    /// Whether a crossing fits its budget, or may overdraw it; else when to come back.
+    fn allowed(&mut self, now: f64, candidate: &Candidate) -> Result<bool, f64> {
+        let (own, to) = (self.settings.own, self.place(candidate.pool));
+        if !crosses(own, to) {
+            return Ok(false);
+        }
+        let bends = candidate.last_resort && self.bends(now, candidate.class);
+        let Some(budget) = self.budgets.deciding(own, to, candidate.class) else { return Ok(false) };
+        match budget.fits(now) {
+            Ok(()) => Ok(false),
+            Err(_) if bends && budget.may_overdraw(now) => Ok(true),
+            Err(wait) => Err(wait),
+        }
+    }
+
+    fn note(&mut self, now: f64, class: usize, closed: bool) {
+        if let Some(bending) = self.bending.get_mut(class).and_then(Option::as_mut) {
+            bending.note(now, closed);
+        }
+    }
+
+    /// A list names servers, and where they stand; one that moves counts there from its next set-up on.
+    fn listed(&mut self, kind: ListKind, entries: &[hollypaddle_policy::PoolEntry]) {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            self.places.clear();
+        }
+        for entry in entries {
+            let known = entry.district.filter(|d| usize::from(*d) < self.settings.districts.len());
+            let district = known.map_or(District::UNKNOWN, District);
+            match entry.readiness {
+                Readiness::Gone => drop(self.places.remove(&entry.pool)),
+                _ => drop(self.places.insert(entry.pool, district)),
+            }
+        }
+    }
+
+    fn stood(&mut self, now: f64, call: CallId, lag: f64) {
+        let Some(open) = self.open.get_mut(&call).filter(|o| !o.stood) else { return };
+        open.stood = true;
+        let Debit { class, to, .. } = open.debit;
+        let goal = self.settings.classes.get(class).map_or(f64::INFINITY, |c| c.goal_time);
+        let lag = if lag.is_finite() { lag.max(0.0) } else { 0.0 };
+        self.account.stood(now, class, to, lag, now - open.first_tried > goal);
+    }
+
+    fn over(&mut self, now: f64, call: CallId, outcome: Outcome) {
+        let Some(Open { debit, stood, .. }) = self.open.remove(&call) else { return };
+        match stood {
+            true => {
+                let cut = !matches!(outcome, Outcome::Done | Outcome::Cancelled);
+                self.account.over(now, debit.class, debit.to, cut);
+            }
+            false => self.account.ended(now, debit.class, debit.to, outcome),
+        }
+        self.budgets.over(now, &debit, !stood && never_ran(outcome));
+    }
+}
+
+impl Gate for Crossing {
+    fn hear(&mut self, now: f64, event: &Event) {
+        match event {
+            Event::List { kind, entries } => self.listed(*kind, entries),
+            Event::Stood { call, lag, .. } => self.stood(now, *call, *lag),
+            Event::Ended { call, outcome, .. } => self.over(now, *call, *outcome),
+            _ => {}
+        }
+    }
+
+    fn may_send(&mut self, now: f64, candidate: &Candidate) -> Result<(), Denial> {
+        let attempt = (candidate.call, candidate.attempt);
+        if candidate.last_resort && self.settings.urgent(candidate.class) && self.noted != Some(attempt) {
+            self.noted = Some(attempt);
+            self.note(now, candidate.class, true);
+        }
+        let denial = |retry_after| Denial { reason: REASON, retry_after };
+        self.allowed(now, candidate).map(drop).map_err(denial)
+    }
+
+    fn sent(&mut self, now: f64, candidate: &Candidate) {
+        let (from, to) = (self.settings.own, self.place(candidate.pool));
+        let class = candidate.class;
+        let overdraws = self.allowed(now, candidate) == Ok(true);
+        let bent = match overdraws {
+            true => self.budgets.deciding(from, to, class).map(|b| b.rule().scope),
+            false => None,
+        };
+        if from == to {
+            self.note(now, class, false);
+        }
+        // Each attempt's end is told before the next is sent; were one not, it must not stay out for ever.
+        self.over(now, candidate.call, Outcome::Cancelled);
+        let debit = Debit { at: now, generation: self.budgets.generation(), from, to, class, bent };
+        self.account.sent(now, class, to, overdraws);
+        self.budgets.sent(&debit);
+        self.open.insert(candidate.call, Open { debit, first_tried: candidate.first_tried, stood: false });
+    }
+
+    fn turned_away(&mut self, now: f64, candidate: &Candidate, denial: &Denial) {
+        if denial.reason != REASON {
+            return;
+        }
+        let (own, to) = (self.settings.own, self.place(candidate.pool));
+        self.account.denied(now, candidate.class, to);
+        if let Some(budget) = self.budgets.deciding(own, to, candidate.class) {
+            budget.denied();
+        }
+    }
+}
