Read an own configuration file and tell every mistake in it with its place

New subjects are set in a file of the project's own, line-based as classic daemons have it.

crates/config reads directives, blocks and includes, checks names and units, and reports all mistakes of one run as FILE:LINE:COLUMN with what was expected. logos cuts the words with their places, shlex takes the quotes away, glob expands includes, humantime reads times, strsim names the word that was meant. Thirty-one kinds of bad file have their test, and random words and bytes do not panic it.

--- /dev/null
+++ b/crates/config/src/syntax.rs
@@ -0,0 +1,278 @@
+//! Lines, words and blocks; files and what they include.
+
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+use logos::Logos;
+
+use crate::problem::{Place, Problem};
+
+/// Longest file, most files, deepest nesting of blocks and of files. Guards against a device, a pattern that
+/// takes in a whole disk, and a stack that runs out.
+const MOST_BYTES: u64 = 1 << 20;
+const MOST_FILES: usize = 256;
+const MOST_DEPTH: usize = 16;
+
+#[derive(Logos, Clone, Copy, Debug, PartialEq)]
+#[logos(skip r"[ \t\r]+")]
+#[logos(skip(r"#[^\n]*", allow_greedy = true))]
+enum Token {
+    #[token("\n")]
+    Newline,
+    #[token("{")]
+    Open,
+    #[token("}")]
+    Close,
+    // Bare characters, escapes and quoted stretches in any mix, as a shell has them; a `#` inside a word
+    // begins no comment.
+    #[regex(r##"([^\s{}"'#\\]|\\[^\n]|"([^"\\]|\\[^\n])*"|'[^']*')([^\s{}"'\\]|\\[^\n]|"([^"\\]|\\[^\n])*"|'[^']*')*"##)]
+    Word,
+}
+
+/// A word and where it stands.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Word {
+    pub text: String,
+    pub place: Place,
+}
+
+/// A line: its name, its arguments, and its block where it has one.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Directive {
+    pub name: Word,
+    pub args: Vec<Word>,
+    pub block: Option<Vec<Directive>>,
+}
+
+/// Reads a file and all that it includes.
+pub(crate) fn read(path: &Path, problems: &mut Vec<Problem>) -> Vec<Directive> {
+    let mut reader = Reader { open: Vec::new(), files: 0, problems };
+    let name: Rc<str> = path.display().to_string().into();
+    reader.file(path, &Place { file: name, line: 1, column: 1 })
+}
+
+struct Reader<'p> {
+    /// Files that are being read, from the outermost.
+    open: Vec<PathBuf>,
+    files: usize,
+    problems: &'p mut Vec<Problem>,
+}
+
+impl Reader<'_> {
+    fn problem(&mut self, place: &Place, what: impl Into<String>) {
+        self.problems.push(Problem { place: place.clone(), what: what.into() });
+    }
+
+    /// Reads one file; `from` is where it was asked for.
+    fn file(&mut self, path: &Path, from: &Place) -> Vec<Directive> {
+        let real = match std::fs::canonicalize(path) {
+            Ok(real) => real,
+            Err(error) => {
+                self.problem(from, format!("{} cannot be read: {error}", path.display()));
+                return Vec::new();
+            }
+        };
+        if self.open.contains(&real) {
+            self.problem(from, format!("{} includes itself, expected another file", path.display()));
+            return Vec::new();
+        }
+        if self.open.len() >= MOST_DEPTH || self.files >= MOST_FILES {
+            let what = format!("too many files, expected at most {MOST_FILES}, {MOST_DEPTH} deep");
+            self.problem(from, what);
+            return Vec::new();
+        }
+        self.files += 1;
+        let plain = std::fs::metadata(&real).is_ok_and(|m| m.is_file() && m.len() <= MOST_BYTES);
+        let bytes = match plain.then(|| std::fs::read(&real)) {
+            Some(Ok(bytes)) => bytes,
+            Some(Err(error)) => {
+                self.problem(from, format!("{} cannot be read: {error}", path.display()));
+                return Vec::new();
+            }
+            None => {
+                let what = format!("{} is no file of at most {MOST_BYTES} bytes", path.display());
+                self.problem(from, what);
+                return Vec::new();
+            }
+        };
+        let name: Rc<str> = path.display().to_string().into();
+        let text = match std::str::from_utf8(&bytes) {
+            Ok(text) => text,
+            Err(error) => {
+                let sound = String::from_utf8_lossy(&bytes[..error.valid_up_to()]);
+                let place = place(&name, &sound, sound.len());
+                self.problem(&place, "a byte that is no UTF-8, expected text");
+                return Vec::new();
+            }
+        };
+        self.open.push(real);
+        let parsed = Parser::new(name, text, self.problems).lines();
+        let read = self.expand(parsed, path);
+        self.open.pop();
+        read
+    }
+
+    /// Puts included files in the place of their lines.
+    fn expand(&mut self, lines: Vec<Directive>, path: &Path) -> Vec<Directive> {
+        let mut all = Vec::new();
+        for mut line in lines {
+            if line.name.text != "include" {
+                line.block = line.block.map(|block| self.expand(block, path));
+                all.push(line);
+                continue;
+            }
+            if line.args.is_empty() || line.block.is_some() {
+                self.problem(&line.name.place, "include, expected the pattern of a file");
+            }
+            for pattern in &line.args {
+                let whole = path.parent().unwrap_or(Path::new("")).join(&pattern.text);
+                let found = match glob::glob(&whole.to_string_lossy()) {
+                    Ok(found) => found.filter_map(Result::ok).take(MOST_FILES + 1).collect::<Vec<PathBuf>>(),
+                    Err(error) => {
+                        self.problem(
+                            &pattern.place,
+                            format!("{:?} is no pattern: {}", pattern.text, error.msg),
+                        );
+                        continue;
+                    }
+                };
+                // A pattern may match nothing; a plain name is meant to be there.
+                let plain = !pattern.text.contains(['*', '?', '[']);
+                if found.is_empty() && plain {
+                    self.problem(&pattern.place, format!("{} is not there", whole.display()));
+                }
+                for file in found {
+                    all.extend(self.file(&file, &pattern.place));
+                }
+            }
+        }
+        all
+    }
+}
+
+/// The place of a byte offset.
+fn place(file: &Rc<str>, text: &str, at: usize) -> Place {
+    let before = &text[..at];
+    let start = before.rfind('\n').map_or(0, |n| n + 1);
+    let (line, column) = (before.matches('\n').count() + 1, before[start..].chars().count() + 1);
+    Place { file: Rc::clone(file), line, column }
+}
+
+struct Parser<'t, 'p> {
+    file: Rc<str>,
+    text: &'t str,
+    tokens: Vec<(Result<Token, ()>, std::ops::Range<usize>)>,
+    at: usize,
+    problems: &'p mut Vec<Problem>,
+}
+
+impl<'t, 'p> Parser<'t, 'p> {
+    fn new(file: Rc<str>, text: &'t str, problems: &'p mut Vec<Problem>) -> Self {
+        let tokens = Token::lexer(text).spanned().collect();
+        Parser { file, text, tokens, at: 0, problems }
+    }
+
+    fn place(&self, at: usize) -> Place {
+        place(&self.file, self.text, at)
+    }
+
+    fn problem(&mut self, at: usize, what: impl Into<String>) {
+        let place = self.place(at);
+        self.problems.push(Problem { place, what: what.into() });
+    }
+
+    fn lines(mut self) -> Vec<Directive> {
+        let mut all = self.block(0);
+        // What is left begins with a brace that closes nothing.
+        while let Some((_, span)) = self.tokens.get(self.at).cloned() {
+            self.problem(span.start, "`}` closes no block, expected a directive");
+            self.at += 1;
+            all.extend(self.block(0));
+        }
+        all
+    }
+
+    /// Lines up to a closing brace, which stays, or the end.
+    fn block(&mut self, depth: usize) -> Vec<Directive> {
+        let mut lines = Vec::new();
+        while let Some((token, span)) = self.tokens.get(self.at).cloned() {
+            match token {
+                Ok(Token::Newline) => self.at += 1,
+                Ok(Token::Close) => break,
+                Ok(Token::Open) => {
+                    self.problem(span.start, "`{` opens a block of nothing, expected a directive before it");
+                    self.at += 1;
+                }
+                Ok(Token::Word) | Err(()) => lines.extend(self.line(depth)),
+            }
+        }
+        lines
+    }
+
+    /// One line, and its block where it opens one.
+    fn line(&mut self, depth: usize) -> Option<Directive> {
+        let mut words = Vec::new();
+        let (mut opened, mut broken) = (None, false);
+        while let Some((token, span)) = self.tokens.get(self.at).cloned() {
+            match token {
+                Ok(Token::Newline | Token::Close) => break,
+                Ok(Token::Open) => {
+                    self.at += 1;
+                    opened = Some(span.start);
+                    break;
+                }
+                Ok(Token::Word) => {
+                    let place = self.place(span.start);
+                    // One word by the lexer's rule; the library takes its quotes and escapes away.
+                    match shlex::split(&self.text[span.clone()]).as_deref() {
+                        Some([text]) => words.push(Word { text: text.clone(), place }),
+                        _ => self.problem(span.start, "quotes that make no word"),
+                    }
+                }
+                Err(()) => {
+                    broken = true;
+                    self.problem(
+                        span.start,
+                        "a quote or an escape without its end, expected a closing quote",
+                    );
+                    // What follows an open quote cannot be told; the next line can.
+                    while self.tokens.get(self.at).is_some_and(|t| t.0 != Ok(Token::Newline)) {
+                        self.at += 1;
+                    }
+                    break;
+                }
+            }
+            self.at += 1;
+        }
+        let block = opened.map(|at| self.body(at, depth));
+        // A line of which a part is not known would only bring mistakes that are none.
+        if broken {
+            return None;
+        }
+        let mut words = words.into_iter();
+        let name = words.next()?;
+        Some(Directive { name, args: words.collect(), block })
+    }
+
+    fn body(&mut self, opened: usize, depth: usize) -> Vec<Directive> {
+        match self.tokens.get(self.at).cloned() {
+            None | Some((Ok(Token::Newline | Token::Close), _)) => {}
+            Some((_, span)) => self.problem(span.start, "words after `{`, expected the end of the line"),
+        }
+        if depth >= MOST_DEPTH {
+            self.problem(opened, format!("blocks nested too deep, expected at most {MOST_DEPTH}"));
+            self.at = self.tokens.len();
+            return Vec::new();
+        }
+        let lines = self.block(depth + 1);
+        match self.tokens.get(self.at) {
+            Some(_) => self.at += 1,
+            None => self.problem(opened, "the block is not closed, expected `}`"),
+        }
+        match self.tokens.get(self.at).cloned() {
+            None | Some((Ok(Token::Newline | Token::Close), _)) => {}
+            Some((_, span)) => self.problem(span.start, "words after `}`, expected the end of the line"),
+        }
+        lines
+    }
+}
--- /dev/null
+++ b/crates/config/src/values.rs
@@ -0,0 +1,59 @@
+//! Arguments and their units.
+
+use crate::problem::Problem;
+use crate::syntax::Word;
+
+/// What went wrong with a value: what was expected.
+type Read<T> = Result<T, &'static str>;
+
+/// A number of 0 or more without sign or exponent.
+fn number(text: &str) -> Option<f64> {
+    let plain = !text.is_empty() && text.len() <= 30 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    text.parse::<f64>().ok().filter(|value| plain && value.is_finite())
+}
+
+/// Set-ups a time, as `5/s` or `0.5/min`, in set-ups a second.
+pub(crate) fn rate(text: &str) -> Read<f64> {
+    const EXPECTED: &str = "expected a rate above 0 and up to 1000000/s, as 5/s or 30/min";
+    let (value, unit) = text.split_once('/').ok_or(EXPECTED)?;
+    let seconds = match unit {
+        "s" => 1.0,
+        "min" => 60.0,
+        "h" => 3600.0,
+        _ => return Err(EXPECTED),
+    };
+    let rate = number(value).ok_or(EXPECTED)? / seconds;
+    (rate > 0.0 && rate <= 1e6).then_some(rate).ok_or(EXPECTED)
+}
+
+/// A part of a whole, as `10%`, from 0 to 1.
+pub(crate) fn percent(text: &str) -> Read<f64> {
+    const EXPECTED: &str = "expected a share from 0% to 100%";
+    let value = number(text.strip_suffix('%').ok_or(EXPECTED)?).ok_or(EXPECTED)?;
+    (value <= 100.0).then_some(value / 100.0).ok_or(EXPECTED)
+}
+
+/// A time, as `250ms` or `1min`, in seconds.
+pub(crate) fn window(text: &str) -> Read<f64> {
+    const EXPECTED: &str = "expected a time from 1s to 1h, as 10s or 5min";
+    let seconds = humantime::parse_duration(text).map_err(|_| EXPECTED)?.as_secs_f64();
+    (1.0..=3600.0).contains(&seconds).then_some(seconds).ok_or(EXPECTED)
+}
+
+/// A whole number.
+pub(crate) fn count(text: &str) -> Read<f64> {
+    const EXPECTED: &str = "expected a whole number from 0 to 1000000";
+    let whole = text.len() <= 7 && text.bytes().all(|b| b.is_ascii_digit());
+    let value: f64 = text.parse().map_err(|_| EXPECTED)?;
+    (whole && value <= 1e6).then_some(value).ok_or(EXPECTED)
+}
+
+/// Reads a word with one of the above; a mistake is noted and nothing is there.
+pub(crate) fn take<T>(word: &Word, read: impl Fn(&str) -> Read<T>, problems: &mut Vec<Problem>) -> Option<T> {
+    read(&word.text)
+        .map_err(|expected| {
+            let what = format!("{:?} makes no sense here, {expected}", word.text);
+            problems.push(Problem { place: word.place.clone(), what });
+        })
+        .ok()
+}
--- /dev/null
+++ b/crates/config/tests/files.rs
@@ -0,0 +1,231 @@
+//! Whole files, good and bad: what they mean, and that each mistake is told with its place.
+
+use std::path::Path;
+
+use hollypaddle_config::{load, Conf, Names, Platform};
+use hollypaddle_crossing::{BendSettings, District, Scope};
+use proptest::prelude::*;
+
+fn names() -> Names {
+    let list = |names: &[&str]| Some(names.iter().map(|n| n.to_string()).collect());
+    Names {
+        districts: list(&["downtown", "medical-center", "riverside"]),
+        classes: list(&["meter-read", "valve-set"]),
+    }
+}
+
+/// Writes a file into a folder of its own, reads it, and returns the mistakes without the folder's name.
+fn read(files: &[(&str, &[u8])], names: &Names) -> Result<Conf, Vec<String>> {
+    let folder = tempfile::tempdir().unwrap();
+    for (name, text) in files {
+        let path = folder.path().join(name);
+        std::fs::create_dir_all(path.parent().unwrap()).unwrap();
+        std::fs::write(path, text).unwrap();
+    }
+    let path = folder.path().join(files[0].0);
+    let prefix = format!("{}/", folder.path().display());
+    load(&path, names).map_err(|all| all.iter().map(|p| p.to_string().replace(&prefix, "")).collect())
+}
+
+fn wrong(text: &str) -> Vec<String> {
+    read(&[("f", text.as_bytes())], &names()).expect_err(text)
+}
+
+const GOOD: &str = r#"
+# The whole block, each directive once.
+districts downtown medical-center riverside
+classes meter-read valve-set
+control "/run/holly paddle.sock"   # quoted
+crossings {
+    own riverside
+    urgent valve-set
+    log-every 1min
+    bend start 20% end 5% window 10s
+    share-of n3 40%
+    budget all {
+        rate 4/s burst 8 fleet
+        share 20% over 1min
+        standing 40 fleet
+        overdraft 12
+        floor 50%
+    }
+    budget class meter-read { # a comment
+        rate 30/min
+    }
+    include more/*.conf
+}
+"#;
+
+#[test]
+fn a_good_file_means_what_it_says() {
+    let more = b"budget from downtown to riverside class valve-set {\n standing 3\n}\n";
+    let conf = read(&[("f", GOOD.as_bytes()), ("more/a.conf", more)], &names()).unwrap();
+    assert_eq!(conf.control.as_deref(), Some(Path::new("/run/holly paddle.sock")));
+    let crossings = conf.crossings.unwrap();
+    assert_eq!(crossings.bend, BendSettings { window: 10.0, start: 0.2, end: 0.05 });
+    assert_eq!((crossings.log_every, crossings.urgent.len()), (Some(60.0), 1));
+    let mut platform = Platform {
+        name: "n3".into(),
+        districts: names().districts.unwrap(),
+        own: Some(0),
+        classes: names().classes.unwrap().into_iter().map(|c| (c, 1.5)).collect(),
+        fronts: 4,
+    };
+    let settings = crossings.settings(&platform);
+    assert_eq!((settings.own, settings.part), (District(2), 0.4));
+    assert!(settings.classes[1].urgent && !settings.classes[0].urgent);
+    let scopes: Vec<Scope> = settings.rules.iter().map(|r| r.scope).collect();
+    let pair = Some((District(0), District(2)));
+    let class = |class| Some(class);
+    assert_eq!(
+        scopes,
+        [Scope::default(), Scope { pair: None, class: class(0) }, Scope { pair, class: class(1) }]
+    );
+    let all = settings.rules[0];
+    let rate = all.rate.unwrap();
+    assert_eq!((rate.per_s.value, rate.burst.value, rate.per_s.fleet), (4.0, 8.0, true));
+    assert_eq!((all.share.unwrap().part, all.floor, all.overdraft.value), (0.2, 0.5, 12.0));
+    let meter = settings.rules[1];
+    assert_eq!((meter.rate.unwrap().per_s.value, meter.rate.unwrap().burst.value), (0.5, 1.0));
+    platform.name = "n1".into();
+    assert!((crossings.settings(&platform).part - 0.2).abs() < 1e-9, "an even part of what n3 leaves");
+    let off = read(&[("f", b"")], &names()).unwrap();
+    assert_eq!(off, Conf::default(), "what is not named is off");
+}
+
+#[test]
+fn every_mistake_is_told_in_one_run_with_its_place() {
+    let told = wrong(
+        "crosings {\n}\ncrossings {\n  urgent valv-set\n  budget class valve-set {\n    rate -1/s\n  }\n}\ncontrol\n",
+    );
+    assert_eq!(
+        told,
+        [
+            "f:1:1: unknown directive \"crosings\", did you mean \"crossings\"?",
+            "f:4:10: unknown class \"valv-set\", did you mean \"valve-set\"?",
+            "f:6:10: \"-1/s\" makes no sense here, expected a rate above 0 and up to 1000000/s, as 5/s or 30/min",
+            "f:9:1: not the words of this directive, expected: control PATH",
+        ]
+    );
+}
+
+/// Each bad file has exactly this one mistake.
+#[test]
+fn each_kind_of_mistake_has_its_own_words() {
+    let budget = |inner: &str| format!("crossings {{\n budget all {{\n  {inner}\n }}\n}}\n");
+    let block = |inner: &str| format!("crossings {{\n {inner}\n}}\n");
+    let cases: Vec<(String, &str)> = vec![
+        (budget("rate 0/s"), "f:3:8: \"0/s\" makes no sense here, expected a rate above 0"),
+        (budget("rate 1e400/s"), "f:3:8: \"1e400/s\" makes no sense"),
+        (budget("rate nan/s"), "f:3:8: \"nan/s\" makes no sense"),
+        (budget("rate 5/fortnight"), "f:3:8: \"5/fortnight\" makes no sense"),
+        (budget("rate 5"), "f:3:8: \"5\" makes no sense"),
+        (budget("rate 5/s burst 0"), "f:3:18: a burst of 0 lets nothing go"),
+        (budget("rate 5/s burts 3"), "f:3:3: not the words of this directive, expected: rate RATE"),
+        (
+            budget("share 101% over 10s"),
+            "f:3:9: \"101%\" makes no sense here, expected a share from 0% to 100%",
+        ),
+        (budget("share 10% over 10parsecs"), "f:3:18: \"10parsecs\" makes no sense here, expected a time"),
+        (budget("share 10% over 99h"), "f:3:18: \"99h\" makes no sense"),
+        (budget("standing -3"), "f:3:12: \"-3\" makes no sense here, expected a whole number"),
+        (
+            budget("standing 3\n  standing 4"),
+            "f:4:3: a second \"standing\", expected one; the first is at f:3:3",
+        ),
+        (budget("standing 3 {\n }"), "f:3:3: \"standing\" takes no block"),
+        (budget("overdraft 3"), "f:2:2: a budget without a limit"),
+        (budget("stading 3\n  rate 1/s"), "f:3:3: unknown directive \"stading\", did you mean \"standing\"?"),
+        (block("budget {\n  rate 1/s\n }"), "f:2:2: not the words of this directive, expected: budget all"),
+        (block("budget all"), "f:2:2: \"budget\" without its block"),
+        (block("own dwntown"), "f:2:6: unknown district \"dwntown\", did you mean \"downtown\"?"),
+        (block("own xyz"), "f:2:6: unknown district \"xyz\", expected one of: downtown, medical-center"),
+        (
+            block("budget from downtown to downtown {\n  rate 1/s\n }"),
+            "f:2:2: from downtown to downtown crosses nothing",
+        ),
+        (
+            block("budget class valve-set {\n  rate 1/s\n }\n budget class valve-set {\n  rate 2/s\n }"),
+            "f:5:2: a second budget of one scope, expected one; the first is at f:2:2",
+        ),
+        (block("share-of n1 60%\n share-of n2 50%"), "f:3:14: the shares add up to 110%"),
+        (block("bend start 5% end 5%"), "f:2:2: bending ends at or above its start"),
+        (block("bend begin 5%"), "f:2:7: \"begin\" makes no sense here"),
+        ("crossings {\n".into(), "f:1:11: the block is not closed, expected `}`"),
+        ("}\n".into(), "f:1:1: `}` closes no block"),
+        ("{\n}\n".into(), "f:1:1: `{` opens a block of nothing"),
+        ("control \"abc\n".into(), "f:1:9: a quote or an escape without its end"),
+        ("crossings { own downtown\n}\n".into(), "f:1:13: words after `{`"),
+        ("include nowhere.conf\n".into(), "f:1:9: nowhere.conf is not there"),
+        ("include [\n".into(), "f:1:9: \"[\" is no pattern"),
+    ];
+    for (text, expected) in cases {
+        let told = wrong(&text);
+        assert!(told[0].starts_with(expected), "{text}\n{told:?}\n{expected}");
+        // A brace out of place leaves its fellow alone too.
+        let braces = text.starts_with('{') || text.starts_with("crossings { own");
+        assert!(told.len() == 1 || braces, "{text}\n{told:?}");
+    }
+}
+
+/// Guards against endless reading, and against mistakes in an included file told of the wrong one.
+#[test]
+fn includes_are_bounded_and_their_mistakes_have_their_own_place() {
+    let told = read(&[("f", b"include f\n")], &names()).unwrap_err();
+    assert_eq!(told, ["f:1:9: f includes itself, expected another file"]);
+    let told = read(&[("f", b"include a\n"), ("a", b"\ninclude f\nwhat 1\n")], &names()).unwrap_err();
+    assert_eq!(told.len(), 2, "{told:?}");
+    assert!(told[0].starts_with("a:2:9: f includes itself") && told[1].starts_with("a:3:1: unknown"));
+    let told = read(&[("f", b"include d\n"), ("d/x", b"")], &names()).unwrap_err();
+    assert!(told[0].contains("is no file"), "{told:?}");
+    let missing = load(Path::new("/nowhere/at/all"), &names()).unwrap_err();
+    assert!(missing[0].to_string().starts_with("/nowhere/at/all:1:1: /nowhere/at/all cannot be read"));
+    let chain: Vec<(String, Vec<u8>)> =
+        (0..40).map(|n| (format!("c{n}"), format!("include c{}\n", n + 1).into_bytes())).collect();
+    let chain: Vec<(&str, &[u8])> = chain.iter().map(|(n, t)| (n.as_str(), &t[..])).collect();
+    assert!(read(&chain, &names()).unwrap_err()[0].contains("too many files"));
+}
+
+#[test]
+fn what_is_no_text_is_told_with_its_place() {
+    let told = read(&[("f", b"control /x\n# \xc3\xa4 \xff\n")], &names()).unwrap_err();
+    assert_eq!(told, ["f:2:5: a byte that is no UTF-8, expected text"]);
+    // Columns count characters.
+    assert!(wrong("# \u{e4}\n\"\u{e4}\u{f6}\" x\n")[0].starts_with("f:2:1: unknown directive"));
+}
+
+#[test]
+fn without_the_platform_the_declared_names_count() {
+    let text = b"districts north south\nclasses a\ncrossings {\n budget from north to suth class b {\n  standing 1\n }\n}\n";
+    let told = read(&[("f", text)], &Names::default()).unwrap_err();
+    assert_eq!(
+        told,
+        [
+            "f:4:23: unknown district \"suth\", did you mean \"south\"?",
+            "f:4:34: unknown class \"b\", expected one of: a"
+        ]
+    );
+    let told = read(&[("f", &text[..])], &names()).unwrap_err();
+    assert!(
+        told.iter().any(|t| t.contains("unknown district \"north\"")),
+        "the platform's names win: {told:?}"
+    );
+}
+
+proptest! {
+    /// Guards against a panic or an endless read on any file.
+    #[test]
+    fn no_text_panics(words in prop::collection::vec(prop::sample::select(vec![
+        "crossings", "budget", "all", "class", "valve-set", "from", "to", "downtown", "{", "}", "\n", "rate",
+        "5/s", "burst", "3", "share", "10%", "over", "10s", "standing", "fleet", "\"", "'", "\\", "#", "include",
+        "*", "bend", "start", "end", "floor", "\u{e4}", "\t", "1e400",
+    ]), 0..80), joint in prop::sample::select(vec![" ", ""])) {
+        let text = words.join(joint);
+        let _ = read(&[("f", text.as_bytes())], &names());
+    }
+
+    #[test]
+    fn no_bytes_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = read(&[("f", &bytes)], &names());
+    }
+}
