Hold whole gatekeepers to their crossing budgets against stand-in servers

The budgets were tested alone; what counts is what goes out on the sockets.

crates/standin: callers, session servers with a processor, doors as far away as their district is and faults on demand, and a resolver; time is an argument of every turn. Whole gatekeepers run on a clock that stands still. Each hard case ends with every account equal to what the servers saw, by class and district.

The program's ctl and its periodic event equal the servers' counts exactly.

--- a/crates/gatekeeper/src/main.rs
+++ b/crates/gatekeeper/src/main.rs
@@ -130,9 +130,9 @@
     signal_hook::flag::register(signal_hook::consts::SIGHUP, Arc::clone(&signals.reload))?;
     let load = || Config::load(run.config.as_deref());
     let config = load()?;
-    let (name, listen) = (config.name.clone(), config.listen);
+    let name = config.name.clone();
     let mut gatekeeper = Gatekeeper::new(config)?;
-    log::info!(name = name.as_str(), listen:%; "serving");
+    log::info!(name = name.as_str(), listen:% = gatekeeper.address(); "serving");
     gatekeeper.run(&signals, load)?;
     Ok(())
 }
@@ -170,7 +170,7 @@
         (None, None) => return Err("which gatekeeper? expected --socket or --config".into()),
     };
     let (question, json) = match what {
-        What::Status { json } => (Question::Status, *json),
+        What::Status { json } => (Question::Status {}, *json),
         What::Crossings { span, json } => {
             let span = span.to_possible_value().map_or(String::new(), |v| v.get_name().to_string());
             (Question::Crossings { span }, *json)
--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -5,9 +5,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
 use super::config::LinkClass;
-use super::connection::{Connection, Over};
 use super::poller::{Key, Ready, Watch};
 use hollypaddle_core::calls::{Calls, Content, NotTaken, Origin, Reply, Request};
+use hollypaddle_platform::connection::{Connection, Over};
 use hollypaddle_platform::message::{cause, code, kind, Message, MOST};
 
 /// Releases kept for callers while none is connected.
--- a/crates/gatekeeper/src/node/control.rs
+++ b/crates/gatekeeper/src/node/control.rs
@@ -27,7 +27,7 @@
 #[serde(tag = "ask", rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Question {
     /// What the gatekeeper is, and holds.
-    Status,
+    Status {},
     /// The account of what crosses districts.
     Crossings {
         /// `total`, `10s`, `1min` or `10min`.
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -277,7 +277,7 @@
     /// Answers a question of the control socket.
     fn answer(&mut self, now: f64, question: Question) -> Value {
         match question {
-            Question::Status => {
+            Question::Status {} => {
                 let (open, standing) = self.calls.count();
                 let districts = &self.platform.districts;
                 let servers: Vec<Value> = (self.servers.status())
@@ -326,6 +326,9 @@
         let (open, standing) = self.calls.count();
         self.calls.refuse_all();
         self.decide(now);
+        if let Some(control) = self.control.take() {
+            control.close(&self.watch);
+        }
         log::info!(refused = open, standing; "stopped");
         Ok(())
     }
--- a/crates/gatekeeper/src/node/mod.rs
+++ b/crates/gatekeeper/src/node/mod.rs
@@ -4,7 +4,6 @@
 mod clients;
 pub mod clock;
 pub mod config;
-mod connection;
 pub mod control;
 pub mod event_loop;
 pub mod gates;
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -13,10 +13,10 @@
 use socket2::{Domain, Socket, Type};
 
 use super::config::Link;
-use super::connection::{Connection, Over};
 use super::poller::{Key, Ready, Watch};
 use super::resolver::{Listed, Snapshot};
 use hollypaddle_core::calls::{Calls, Content, End, Order};
+use hollypaddle_platform::connection::{Connection, Over};
 use hollypaddle_platform::message::{cause, code, kind, Message};
 
 /// Connections to one server at most; it tells its state on no more than four.
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -12,8 +12,8 @@
 use proptest::prelude::*;
 
 use super::config::Config;
-use super::connection::Connection;
 use super::event_loop::{Gatekeeper, Signals};
+use hollypaddle_platform::connection::Connection;
 use hollypaddle_platform::message::{cause, code, kind, Message};
 
 const TURNS: usize = 400;
--- /dev/null
+++ b/crates/gatekeeper/tests/program.rs
@@ -0,0 +1,282 @@
+//! The program with its own configuration: what `ctl` and the log tell, held against what servers saw.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use hollypaddle_standin::server::What;
+use hollypaddle_standin::world::{classes, Plan, World, DISTRICTS};
+use serde_json::Value;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_hollypaddle");
+
+struct Program {
+    child: Child,
+    lines: Receiver<Value>,
+    log: Vec<Value>,
+}
+
+impl Program {
+    fn start(folder: &Path, world: &World, conf: &str) -> Program {
+        let (platform, own) = (folder.join("config.json"), folder.join("hollypaddle.conf"));
+        std::fs::write(&platform, world.config(0).unwrap()).unwrap();
+        std::fs::write(&own, conf).unwrap();
+        let mut child = Command::new(PROGRAM)
+            .args(["run", "--log-format", "json", "--config"])
+            .arg(&own)
+            .env("PROXY_NAME", "n0")
+            .env("PROXY_LISTEN", "127.0.0.1:0")
+            .env("PROXY_CONFIG", &platform)
+            .env_remove("RUST_LOG")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (send, lines) = channel();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        std::thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                let line = serde_json::from_str(&line).unwrap_or(Value::String(line));
+                if send.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        Program { child, lines, log: Vec::new() }
+    }
+
+    /// Waits for an event of the log.
+    fn event(&mut self, name: &str) -> Value {
+        loop {
+            let line = self.lines.recv_timeout(Duration::from_secs(20)).expect(name);
+            self.log.push(line.clone());
+            if line["event"] == name {
+                return line;
+            }
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn hollypaddle(args: &[&str]) -> Output {
+    let mut command = Command::new(PROGRAM);
+    command.args(args).env_remove("PROXY_CONFIG").env_remove("HOLLYPADDLE_CONFIG").output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).unwrap()
+}
+
+fn unix_time() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64()
+}
+
+/// Turns the stand-ins, in real time, until something has come or too much time has passed.
+fn until(world: &mut World, what: &str, mut done: impl FnMut(&mut World) -> bool) {
+    let begun = Instant::now();
+    while !done(world) {
+        assert!(begun.elapsed() < Duration::from_secs(30), "waited in vain for {what}");
+        world.turn(unix_time());
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// `ctl crossings`, its JSON and the periodic event tell, by class and district, exactly what the servers saw.
+#[test]
+fn ctl_and_the_log_tell_what_the_servers_saw() {
+    let folder = tempfile::tempdir().unwrap();
+    let socket = folder.path().join("control.sock");
+    let mut all = classes();
+    (all[0].share, all[0].hold, all[1].hold) = (0.7, 0.2, 0.1);
+    let plan =
+        Plan { fronts: vec![0], servers: vec![(0, 80.0), (1, 80.0), (2, 80.0)], classes: all, seed: 1 };
+    let mut world = World::open(plan).unwrap();
+    let conf = format!(
+        "control {}\ncrossings {{\n urgent valve-set\n log-every 1s\n budget class meter-read {{\n  rate 20/s\n }}\n}}\n",
+        socket.display()
+    );
+    let mut program = Program::start(folder.path(), &world, &conf);
+    let listen: SocketAddr = program.event("serving")["listen"].as_str().unwrap().parse().unwrap();
+    world.connect(&[listen]);
+    let begun = unix_time();
+    until(&mut world, "the connections", |_| unix_time() > begun + 0.3);
+    world.servers[2].resets = 5;
+    let traffic = unix_time();
+    until(&mut world, "the traffic", |world| {
+        world.traffic(unix_time(), 0, 60.0, |a, _| (a * 3.0) as u32);
+        unix_time() > traffic + 3.0
+    });
+    until(&mut world, "the ends", |world| world.callers[0].unanswered() + world.callers[0].standing() == 0);
+    assert!(world.callers[0].calls.len() > 100);
+
+    let mut seen: BTreeMap<(String, String), BTreeMap<&str, u64>> = BTreeMap::new();
+    for (server, plan) in world.servers.iter().zip(&world.plan.servers) {
+        for s in &server.seen {
+            let what = match s.what {
+                What::SetUp => "sent",
+                What::Stood => "stood",
+                What::Refused => "refused",
+                What::Reset => "reset",
+                What::GivenUp => "given_up",
+                What::Ended | What::Released => "ended",
+                What::Cut => "cut",
+            };
+            *seen.entry((s.class.clone(), DISTRICTS[plan.0].into())).or_default().entry(what).or_default() +=
+                1;
+        }
+    }
+    let compare = |class: &str, to: &str, row: &Value| {
+        let counted = &seen[&(class.to_string(), to.to_string())];
+        for what in ["sent", "stood", "refused", "reset", "given_up", "ended", "cut"] {
+            assert_eq!(row[what], counted.get(what).copied().unwrap_or(0), "{class} to {to}, {what}");
+        }
+    };
+    let path = socket.to_str().unwrap();
+    let asked = hollypaddle(&["ctl", "--socket", path, "crossings", "--json"]);
+    assert!(asked.status.success(), "{}", text(&asked.stderr));
+    let report: Value = serde_json::from_slice(&asked.stdout).unwrap();
+    let mut cells = 0;
+    for row in report["rows"].as_array().unwrap() {
+        let (class, to) = (row["class"].as_str().unwrap(), row["to"].as_str().unwrap());
+        if class != "all" && to != "all" && to != "abroad" {
+            compare(class, to, row);
+            cells += 1;
+        }
+    }
+    assert_eq!(cells, seen.len());
+    assert!(
+        seen.values().any(|c| c.get("reset") == Some(&5))
+            || seen.values().filter_map(|c| c.get("reset")).sum::<u64>() == 5
+    );
+    let table = text(&hollypaddle(&["ctl", "--socket", path, "crossings"]).stdout);
+    for ((class, to), counted) in &seen {
+        let line = table.lines().find(|l| l.contains(class.as_str()) && l.contains(to.as_str())).unwrap();
+        let words: Vec<&str> = line.split_whitespace().collect();
+        assert_eq!(
+            (words[3], words[4]),
+            (counted["sent"].to_string().as_str(), counted["stood"].to_string().as_str())
+        );
+    }
+    assert!(table.contains("class meter-read") && table.contains("urgent class"), "{table}");
+    // The event that is written after all has ended.
+    let since = unix_time();
+    let mut logged = 0;
+    while logged < cells {
+        let event = program.event("crossings");
+        if event["time"].as_f64().unwrap() > since {
+            compare(event["class"].as_str().unwrap(), event["to"].as_str().unwrap(), &event);
+            logged += 1;
+        }
+    }
+    let status = hollypaddle(&["ctl", "--socket", path, "status"]);
+    let status = text(&status.stdout);
+    assert!(status.starts_with("gatekeeper n0") && status.matches("ready").count() == 3, "{status}");
+
+    // A reload that cannot be taken changes nothing; one that can moves the socket.
+    let own = folder.path().join("hollypaddle.conf");
+    std::fs::write(&own, "control\ncrosings {\n}\n").unwrap();
+    program.signal("-HUP");
+    assert_eq!(program.event("configuration-rejected")["problems"], 2);
+    let places: Vec<&Value> = program.log.iter().filter(|l| l["event"] == "configuration-problem").collect();
+    assert!(places[0]["place"].as_str().unwrap().ends_with("hollypaddle.conf:1:1"));
+    let moved = folder.path().join("moved.sock");
+    std::fs::write(&own, format!("control {}\n", moved.display())).unwrap();
+    program.signal("-HUP");
+    let changes = program.event("configuration-read")["changes"].clone();
+    assert_eq!(changes, "control,crossings-off-0-budgets");
+    assert!(!socket.exists());
+    let off = hollypaddle(&["ctl", "--config", own.to_str().unwrap(), "crossings"]);
+    assert_eq!(off.status.code(), Some(1));
+    assert!(text(&off.stderr).contains("not configured"));
+    program.signal("-TERM");
+    program.event("stopped");
+    assert!(program.child.wait().unwrap().success());
+    assert!(!moved.exists(), "it takes its socket away");
+    let gone = hollypaddle(&["ctl", "--socket", moved.to_str().unwrap(), "status"]);
+    assert_eq!(gone.status.code(), Some(3), "{}", text(&gone.stderr));
+}
+
+/// Guards against strangers on the socket, endless questions, and a place taken from another gatekeeper.
+#[test]
+fn the_control_socket_is_its_owners_and_bounded() {
+    let folder = tempfile::tempdir().unwrap();
+    let socket = folder.path().join("control.sock");
+    let plan = Plan { fronts: vec![0], servers: vec![(0, 80.0)], classes: classes(), seed: 1 };
+    let world = World::open(plan).unwrap();
+    let conf = format!("control {}\n", socket.display());
+    // One that nobody listens on any more is replaced.
+    drop(std::os::unix::net::UnixListener::bind(&socket).unwrap());
+    let mut program = Program::start(folder.path(), &world, &conf);
+    program.event("serving");
+    assert_eq!(std::fs::metadata(&socket).unwrap().permissions().mode() & 0o777, 0o600);
+    let say = |bytes: &[u8]| {
+        let mut stream = UnixStream::connect(&socket).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let _ = stream.write_all(bytes);
+        let mut told = String::new();
+        let _ = stream.read_to_string(&mut told);
+        told
+    };
+    assert!(say(b"what?\n").contains("no question"));
+    assert!(say(b"{\"ask\":\"crossings\",\"span\":\"7s\"}\n").contains("no span"));
+    assert!(say(b"{\"ask\":\"status\",\"more\":1}\n").contains("no question"));
+    assert!(say(&[b'x'; 5000]).contains("4096"));
+    // Four that say nothing hold all places, and lose them.
+    let mute: Vec<UnixStream> = (0..4).map(|_| UnixStream::connect(&socket).unwrap()).collect();
+    assert!(say(b"{\"ask\":\"status\"}\n").contains("\"ok\""));
+    drop(mute);
+    let mut second = Program::start(folder.path(), &world, &conf);
+    let line = second.lines.recv_timeout(Duration::from_secs(10)).unwrap();
+    assert!(line.as_str().is_some_and(|l| l.contains("another gatekeeper listens there")), "{line}");
+    assert_eq!(second.child.wait().unwrap().code(), Some(1));
+    assert!(say(b"{\"ask\":\"status\"}\n").contains("\"ok\""), "the first one still answers");
+    let plain = folder.path().join("plain");
+    std::fs::write(&plain, "x").unwrap();
+    let mut third = Program::start(folder.path(), &world, &format!("control {}\n", plain.display()));
+    assert_eq!(third.child.wait().unwrap().code(), Some(1));
+    assert_eq!(std::fs::read_to_string(&plain).unwrap(), "x");
+}
+
+#[test]
+fn check_tells_every_mistake_and_its_exit_code() {
+    let folder = tempfile::tempdir().unwrap();
+    let write = |name: &str, text: &[u8]| -> PathBuf {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    };
+    let plan = Plan { fronts: vec![0], servers: vec![(0, 80.0)], classes: classes(), seed: 1 };
+    let settings = write("config.json", World::open(plan).unwrap().config(0).unwrap().as_bytes());
+    let good = write("good", b"crossings {\n urgent valve-set\n own riverside\n}\n");
+    let bad = write("bad", b"crossings {\n urgent valve\n own river\n budget all {\n  rate 1e400/s\n }\n");
+    let settings = settings.to_str().unwrap();
+    let checked = hollypaddle(&["check", "--settings", settings, good.to_str().unwrap()]);
+    assert!(checked.status.success() && text(&checked.stdout).contains("sound"));
+    let checked =
+        hollypaddle(&["check", "--settings", settings, good.to_str().unwrap(), bad.to_str().unwrap()]);
+    assert_eq!(checked.status.code(), Some(1));
+    let told = text(&checked.stderr);
+    for place in ["bad:1:11:", "bad:2:9:", "bad:3:6:", "bad:5:8:"] {
+        assert!(told.contains(place), "{place} in {told}");
+    }
+    assert_eq!(told.lines().count(), 4, "{told}");
+    assert_eq!(hollypaddle(&["check", "/nowhere"]).status.code(), Some(1));
+    assert_eq!(hollypaddle(&["chekc"]).status.code(), Some(2));
+    let deployed = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/hollypaddle.conf");
+    assert!(hollypaddle(&["check", deployed]).status.success(), "the file that is deployed is sound");
+}
--- a/crates/gatekeeper/src/node/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::io::{self, ErrorKind, Read, Write};
 
-use hollypaddle_platform::message::{Message, Unreadable};
+use crate::message::{Message, Unreadable};
 
 /// Bytes read in one turn, so that one busy peer does not keep the others waiting.
 const CHUNK: usize = 16 * 1024;
@@ -168,7 +168,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use hollypaddle_platform::message::kind;
+    use crate::message::kind;
     use proptest::prelude::*;
     use std::collections::VecDeque;
 
--- /dev/null
+++ b/crates/standin/src/callers.rs
@@ -0,0 +1,110 @@
+//! The callers of one gatekeeper.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpStream};
+
+use hollypaddle_platform::message::{cause, code, kind};
+
+use crate::{peer, set_up, Peer};
+
+/// What became of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    /// Refused, and asked to stay away for so many seconds.
+    Refused(f64),
+    /// Failed.
+    Failed,
+    /// It stood, and came to its end.
+    Ended,
+    /// It stood, and was cut.
+    Cut,
+}
+
+/// One call as its caller sees it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its class.
+    pub class: String,
+    /// When it was offered.
+    pub offered: f64,
+    /// When it stood.
+    pub stood: Option<f64>,
+    /// When and how it ended.
+    pub end: Option<(f64, End)>,
+    /// Final answers heard; one is owed.
+    pub answers: u32,
+}
+
+/// The callers of one gatekeeper, on one connection that is opened anew when it has gone.
+pub struct Callers {
+    gatekeeper: SocketAddr,
+    peer: Option<Peer>,
+    /// All calls so far, by id.
+    pub calls: BTreeMap<u64, Call>,
+    next: u64,
+}
+
+impl Callers {
+    /// Callers of a gatekeeper; `name` keeps their ids apart from those of others.
+    pub fn new(gatekeeper: SocketAddr, name: u16) -> Callers {
+        Callers { gatekeeper, peer: None, calls: BTreeMap::new(), next: u64::from(name) << 48 }
+    }
+
+    /// Offers a call; returns its id. A gatekeeper that cannot be reached has not taken it.
+    pub fn offer(&mut self, now: f64, class: &str, first_choice: u32, wait: f64) -> Option<u64> {
+        if self.peer.is_none() {
+            self.peer = TcpStream::connect(self.gatekeeper).and_then(peer).ok();
+        }
+        self.next += 1;
+        let message = set_up(class, first_choice, self.next, (wait * 1000.0) as u32);
+        if self.peer.as_mut()?.send(&message).is_err() {
+            self.peer = None;
+            return None;
+        }
+        let call = Call { class: class.into(), offered: now, stood: None, end: None, answers: 0 };
+        self.calls.insert(self.next, call);
+        Some(self.next)
+    }
+
+    /// Hears what the gatekeeper says.
+    pub fn turn(&mut self, now: f64) {
+        let Some(peer) = &mut self.peer else { return };
+        let mut heard = Vec::new();
+        let over = peer.read(&mut heard).is_err() || peer.flush().is_err();
+        if over {
+            self.peer = None;
+        }
+        for message in heard {
+            let Some(call) = self.calls.get_mut(&message.call) else { continue };
+            match message.kind {
+                kind::ANSWER => {
+                    call.stood.get_or_insert(now);
+                    call.answers += 1;
+                }
+                kind::RELEASE if call.stood.is_some() => {
+                    let end = if message.cause() == Some(cause::NORMAL) { End::Ended } else { End::Cut };
+                    call.end.get_or_insert((now, end));
+                }
+                kind::RELEASE => {
+                    let after = message.text(code::RETRY_AFTER).and_then(|t| t.parse::<f64>().ok());
+                    let refused =
+                        matches!(message.cause(), Some(cause::FULL | cause::CONGESTION | cause::MOOT));
+                    let end = if refused { End::Refused(after.unwrap_or(0.0) / 1000.0) } else { End::Failed };
+                    call.end.get_or_insert((now, end));
+                    call.answers += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Calls without their final answer.
+    pub fn unanswered(&self) -> usize {
+        self.calls.values().filter(|c| c.answers == 0).count()
+    }
+
+    /// Calls that stand.
+    pub fn standing(&self) -> usize {
+        self.calls.values().filter(|c| c.stood.is_some() && c.end.is_none()).count()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,56 @@
+//! Stand-ins for what a gatekeeper talks to: callers, session servers and the resolver, written from the
+//! platform's protocol, on loopback sockets.
+//!
+//! Nothing here waits, and nothing reads a clock: time is an argument of every turn, so that a test may skip
+//! it. Faults are caused, not described: a server slows down, drains, dies, falls silent, resets or turns
+//! away when it is told to. What happened is counted here, on the far side of the sockets, to be held
+//! against what a gatekeeper says of itself.
+
+pub mod callers;
+pub mod resolver;
+pub mod server;
+pub mod world;
+
+use std::io;
+use std::net::TcpStream;
+
+use hollypaddle_platform::connection::Connection;
+use hollypaddle_platform::message::{cause, code, kind, Message};
+
+/// A connection to or from a gatekeeper.
+pub type Peer = Connection<TcpStream>;
+
+/// Bytes that may wait on a stand-in's connection: tests look at what is said, not at how fast.
+const MOST_WAITING: usize = 1 << 20;
+
+/// Wraps a stream, which does not block from then on.
+pub fn peer(stream: TcpStream) -> io::Result<Peer> {
+    stream.set_nonblocking(true)?;
+    stream.set_nodelay(true)?;
+    Ok(Connection::new(stream, MOST_WAITING))
+}
+
+/// A set-up as a caller sends it.
+pub fn set_up(class: &str, first_choice: u32, id: u64, wait_ms: u32) -> Message {
+    Message::new(kind::SET_UP, id)
+        .with(code::CLASS, class)
+        .with(code::WAIT, wait_ms.to_string())
+        .with(code::NUMBER, format!("{id:016x}"))
+        .with(code::FIGURES, format!("dest:{first_choice};width:1;via:-1"))
+        .with(code::DESCRIPTION, vec![0, 255, 7])
+}
+
+/// A server's answer: the call stands.
+pub fn answer(id: u64) -> Message {
+    Message::new(kind::ANSWER, id).with(code::DESCRIPTION, vec![9, 9])
+}
+
+/// A release with its cause.
+pub fn release(id: u64, why: u8) -> Message {
+    Message::new(kind::RELEASE, id).caused(why)
+}
+
+/// What a server says when it turns a set-up away.
+pub fn full(id: u64, note: &str) -> Message {
+    release(id, cause::FULL).with(code::NOTE, note)
+}
