--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 # One seed for the random steps of the tests, so that the verdict is the same each time.
 SEED ?= 7
 
-.PHONY: check build test lint run
+# How long the demonstration runs, in seconds; 0 is until it is stopped.
+SECONDS ?= 20
+
+.PHONY: check build test lint run demo
 
 check: lint build test
 
@@ -21,3 +24,9 @@
 # Wants PROXY_NAME, PROXY_LISTEN and PROXY_CONFIG in the environment.
 run: build
 	target/release/hollypaddle
+
+# The main job with nothing configured: two gatekeepers between stand-in callers and session servers.
+demo: build
+	cargo build --release --locked -p hollypaddle-standin
+	target/release/hollypaddle-demo --seconds $(SECONDS)
+
--- a/crates/gatekeeper/tests/program.rs
+++ b/crates/gatekeeper/tests/program.rs
@@ -1,76 +1,22 @@
 //! The program with its own configuration: what `ctl` and the log tell, held against what servers saw.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::SocketAddr;
+use std::io::{Read, Write};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
-use std::sync::mpsc::{channel, Receiver};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
 
+use hollypaddle_standin::program::{unix_time, Program};
 use hollypaddle_standin::server::What;
 use hollypaddle_standin::world::{classes, Plan, World, DISTRICTS};
 use serde_json::Value;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_hollypaddle");
 
-struct Program {
-    child: Child,
-    lines: Receiver<Value>,
-    log: Vec<Value>,
-}
-
-impl Program {
-    fn start(folder: &Path, world: &World, conf: &str) -> Program {
-        let (platform, own) = (folder.join("config.json"), folder.join("hollypaddle.conf"));
-        std::fs::write(&platform, world.config(0).unwrap()).unwrap();
-        std::fs::write(&own, conf).unwrap();
-        let mut child = Command::new(PROGRAM)
-            .args(["run", "--log-format", "json", "--config"])
-            .arg(&own)
-            .env("PROXY_NAME", "n0")
-            .env("PROXY_LISTEN", "127.0.0.1:0")
-            .env("PROXY_CONFIG", &platform)
-            .env_remove("RUST_LOG")
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let (send, lines) = channel();
-        let stderr = BufReader::new(child.stderr.take().unwrap());
-        std::thread::spawn(move || {
-            for line in stderr.lines().map_while(Result::ok) {
-                let line = serde_json::from_str(&line).unwrap_or(Value::String(line));
-                if send.send(line).is_err() {
-                    return;
-                }
-            }
-        });
-        Program { child, lines, log: Vec::new() }
-    }
-
-    /// Waits for an event of the log.
-    fn event(&mut self, name: &str) -> Value {
-        loop {
-            let line = self.lines.recv_timeout(Duration::from_secs(20)).expect(name);
-            self.log.push(line.clone());
-            if line["event"] == name {
-                return line;
-            }
-        }
-    }
-
-    fn signal(&self, name: &str) {
-        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+fn start(folder: &Path, world: &World, conf: &str) -> Program {
+    Program::start(Path::new(PROGRAM), folder, world, 0, conf).unwrap()
 }
 
 fn hollypaddle(args: &[&str]) -> Output {
@@ -82,10 +28,6 @@
     String::from_utf8(bytes.to_vec()).unwrap()
 }
 
-fn unix_time() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64()
-}
-
 /// Turns the stand-ins, in real time, until something has come or too much time has passed.
 fn until(world: &mut World, what: &str, mut done: impl FnMut(&mut World) -> bool) {
     let begun = Instant::now();
@@ -110,8 +52,8 @@
         "control {}\ncrossings {{\n urgent valve-set\n log-every 1s\n budget class meter-read {{\n  rate 20/s\n }}\n}}\n",
         socket.display()
     );
-    let mut program = Program::start(folder.path(), &world, &conf);
-    let listen: SocketAddr = program.event("serving")["listen"].as_str().unwrap().parse().unwrap();
+    let mut program = start(folder.path(), &world, &conf);
+    let listen = program.serving().unwrap();
     world.connect(&[listen]);
     let begun = unix_time();
     until(&mut world, "the connections", |_| unix_time() > begun + 0.3);
@@ -177,7 +119,7 @@
     let since = unix_time();
     let mut logged = 0;
     while logged < cells {
-        let event = program.event("crossings");
+        let event = program.event("crossings").unwrap();
         if event["time"].as_f64().unwrap() > since {
             compare(event["class"].as_str().unwrap(), event["to"].as_str().unwrap(), &event);
             logged += 1;
@@ -188,23 +130,23 @@
     assert!(status.starts_with("gatekeeper n0") && status.matches("ready").count() == 3, "{status}");
 
     // A reload that cannot be taken changes nothing; one that can moves the socket.
-    let own = folder.path().join("hollypaddle.conf");
+    let own = folder.path().join("n0.conf");
     std::fs::write(&own, "control\ncrosings {\n}\n").unwrap();
-    program.signal("-HUP");
-    assert_eq!(program.event("configuration-rejected")["problems"], 2);
+    program.signal("-HUP").unwrap();
+    assert_eq!(program.event("configuration-rejected").unwrap()["problems"], 2);
     let places: Vec<&Value> = program.log.iter().filter(|l| l["event"] == "configuration-problem").collect();
-    assert!(places[0]["place"].as_str().unwrap().ends_with("hollypaddle.conf:1:1"));
+    assert!(places[0]["place"].as_str().unwrap().ends_with("n0.conf:1:1"));
     let moved = folder.path().join("moved.sock");
     std::fs::write(&own, format!("control {}\n", moved.display())).unwrap();
-    program.signal("-HUP");
-    let changes = program.event("configuration-read")["changes"].clone();
+    program.signal("-HUP").unwrap();
+    let changes = program.event("configuration-read").unwrap()["changes"].clone();
     assert_eq!(changes, "control,crossings-off-0-budgets");
     assert!(!socket.exists());
     let off = hollypaddle(&["ctl", "--config", own.to_str().unwrap(), "crossings"]);
     assert_eq!(off.status.code(), Some(1));
     assert!(text(&off.stderr).contains("not configured"));
-    program.signal("-TERM");
-    program.event("stopped");
+    program.signal("-TERM").unwrap();
+    program.event("stopped").unwrap();
     assert!(program.child.wait().unwrap().success());
     assert!(!moved.exists(), "it takes its socket away");
     let gone = hollypaddle(&["ctl", "--socket", moved.to_str().unwrap(), "status"]);
@@ -221,8 +163,8 @@
     let conf = format!("control {}\n", socket.display());
     // One that nobody listens on any more is replaced.
     drop(std::os::unix::net::UnixListener::bind(&socket).unwrap());
-    let mut program = Program::start(folder.path(), &world, &conf);
-    program.event("serving");
+    let mut program = start(folder.path(), &world, &conf);
+    program.serving().unwrap();
     assert_eq!(std::fs::metadata(&socket).unwrap().permissions().mode() & 0o777, 0o600);
     let say = |bytes: &[u8]| {
         let mut stream = UnixStream::connect(&socket).unwrap();
@@ -240,14 +182,14 @@
     let mute: Vec<UnixStream> = (0..4).map(|_| UnixStream::connect(&socket).unwrap()).collect();
     assert!(say(b"{\"ask\":\"status\"}\n").contains("\"ok\""));
     drop(mute);
-    let mut second = Program::start(folder.path(), &world, &conf);
+    let mut second = start(folder.path(), &world, &conf);
     let line = second.lines.recv_timeout(Duration::from_secs(10)).unwrap();
     assert!(line.as_str().is_some_and(|l| l.contains("another gatekeeper listens there")), "{line}");
     assert_eq!(second.child.wait().unwrap().code(), Some(1));
     assert!(say(b"{\"ask\":\"status\"}\n").contains("\"ok\""), "the first one still answers");
     let plain = folder.path().join("plain");
     std::fs::write(&plain, "x").unwrap();
-    let mut third = Program::start(folder.path(), &world, &format!("control {}\n", plain.display()));
+    let mut third = start(folder.path(), &world, &format!("control {}\n", plain.display()));
     assert_eq!(third.child.wait().unwrap().code(), Some(1));
     assert_eq!(std::fs::read_to_string(&plain).unwrap(), "x");
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 //! against what a gatekeeper says of itself.
 
 pub mod callers;
+pub mod program;
 pub mod resolver;
 pub mod server;
 pub mod world;
--- /dev/null
+++ b/crates/standin/src/program.rs
@@ -0,0 +1,104 @@
+//! A gatekeeper as a process of its own, whose log is read.
+
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{sync_channel, Receiver};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde_json::Value;
+
+use crate::world::World;
+
+/// How long an event of the log is waited for.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Lines that wait to be read; beyond it the program waits to write.
+const LINES: usize = 10_000;
+
+/// The system's time, in Unix seconds.
+pub fn unix_time() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
+}
+
+/// A gatekeeper's process. It is ended when this is dropped.
+pub struct Program {
+    /// The process.
+    pub child: Child,
+    /// Its log, line by line; what is no JSON comes as a string.
+    pub lines: Receiver<Value>,
+    /// The lines read so far.
+    pub log: Vec<Value>,
+}
+
+impl Program {
+    /// Starts `program` as a gatekeeper of the world, with its own configuration; both files are written into
+    /// `folder`.
+    pub fn start(
+        program: &Path,
+        folder: &Path,
+        world: &World,
+        front: usize,
+        conf: &str,
+    ) -> io::Result<Program> {
+        let name = format!("n{front}");
+        let (platform, own) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.conf")));
+        std::fs::write(&platform, world.config(front)?)?;
+        std::fs::write(&own, conf)?;
+        let mut child = Command::new(program)
+            .args(["run", "--log-format", "json", "--config"])
+            .arg(&own)
+            .env("PROXY_NAME", name)
+            .env("PROXY_LISTEN", "127.0.0.1:0")
+            .env("PROXY_CONFIG", &platform)
+            .env_remove("RUST_LOG")
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let (send, lines) = sync_channel(LINES);
+        let stderr = child.stderr.take().ok_or_else(|| io::Error::other("no standard error"))?;
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                let line = serde_json::from_str(&line).unwrap_or(Value::String(line));
+                if send.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(Program { child, lines, log: Vec::new() })
+    }
+
+    /// Waits for an event of the log.
+    pub fn event(&mut self, name: &str) -> io::Result<Value> {
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE);
+            let line = line.map_err(|_| io::Error::other(format!("no event {name:?} in {:?}", self.log)))?;
+            self.log.push(line.clone());
+            if line["event"] == name {
+                return Ok(line);
+            }
+        }
+    }
+
+    /// Waits until it serves; returns where.
+    pub fn serving(&mut self) -> io::Result<SocketAddr> {
+        let event = self.event("serving")?;
+        let listen = event["listen"].as_str().and_then(|text| text.parse().ok());
+        listen.ok_or_else(|| io::Error::other(format!("no address in {event}")))
+    }
+
+    /// Sends it a signal, as `-TERM`.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        match Command::new("kill").args([name, &self.child.id().to_string()]).status()?.success() {
+            true => Ok(()),
+            false => Err(io::Error::other("the process has gone")),
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -182,7 +182,7 @@
 
     /// Wait at the processor, in seconds.
     pub fn wait(&self, now: f64) -> f64 {
-        let work: f64 = self.line.iter().map(|job| self.work(job)).sum();
+        let work = self.line.iter().fold(0.0, |sum, job| sum + self.work(job));
         work / self.speed(now)
     }
 
