Find open calls by place, and let the tests share the stand-ins

Of the gate's time two thirds were hashing. Calls are numbered one after the other, so the low bits of a number are a place; servers are looked up in a sorted list; and what was let pass is not asked again as it is sent.

The gatekeeper's own tests use the stand-ins' messages and resolver in place of copies of their own.

--- a/crates/crossing/src/gate.rs
+++ b/crates/crossing/src/gate.rs
@@ -2,11 +2,10 @@
 
 use hollypaddle_policy::{CallId, Candidate, Denial, Event, Gate, ListKind, Outcome, PoolId, Readiness};
 
-use rustc_hash::FxHashMap;
-
 use crate::account::Account;
 use crate::bending::{BendSettings, Bending};
 use crate::budget::{crosses, never_ran, Budgets, Debit, Rule, Setting};
+use crate::table::Table;
 use crate::District;
 
 /// The reason that a denial carries.
@@ -72,14 +71,13 @@
     pub(crate) budgets: Budgets,
     /// By class; only urgent ones bend.
     pub(crate) bending: Vec<Option<Bending>>,
-    /// Where the listed servers stand.
-    places: FxHashMap<PoolId, District>,
-    /// No more than the calls that the front holds. Its keys are the front's own numbers, so nobody outside
-    /// can make them collide.
-    open: FxHashMap<CallId, Open>,
-    /// The last answer: to whom, when, and whether it was to overdraw. What was let pass is sent at once, and
-    /// need not be asked again.
-    answered: Option<(Candidate, f64, bool)>,
+    /// Where the listed servers stand, in the order of their ids.
+    places: Vec<(PoolId, District)>,
+    /// No more than the calls that the front holds.
+    open: Table<Open>,
+    /// The last answer: to which attempt, where and when, and whether it was to overdraw. What was let pass
+    /// is sent at once, and need not be asked again.
+    answered: Option<(CallId, PoolId, District, f64, bool)>,
     /// The attempt whose want of an open pool was last noted, so that it is noted once.
     noted: Option<(CallId, u32)>,
     pub(crate) started: f64,
@@ -93,8 +91,8 @@
             account: Account::new(settings.classes.len(), settings.districts.len()),
             budgets: Budgets::default(),
             bending: Vec::new(),
-            places: FxHashMap::default(),
-            open: FxHashMap::default(),
+            places: Vec::new(),
+            open: Table::default(),
             answered: None,
             noted: None,
             started: now,
@@ -154,12 +152,13 @@
     }
 
     fn place(&self, pool: PoolId) -> District {
-        self.places.get(&pool).copied().unwrap_or(District::UNKNOWN)
+        let at = self.places.binary_search_by_key(&pool, |place| place.0);
+        at.map_or(District::UNKNOWN, |at| self.places[at].1)
     }
 
     /// Whether a crossing fits its budget, or may overdraw it; else when to come back.
-    fn allowed(&mut self, now: f64, candidate: &Candidate) -> Result<bool, f64> {
-        let (own, to) = (self.settings.own, self.place(candidate.pool));
+    fn allowed(&mut self, now: f64, candidate: &Candidate, to: District) -> Result<bool, f64> {
+        let own = self.settings.own;
         if !crosses(own, to) {
             return Ok(false);
         }
@@ -187,15 +186,18 @@
         for entry in entries {
             let known = entry.district.filter(|d| usize::from(*d) < self.settings.districts.len());
             let district = known.map_or(District::UNKNOWN, District);
-            match entry.readiness {
-                Readiness::Gone => drop(self.places.remove(&entry.pool)),
-                _ => drop(self.places.insert(entry.pool, district)),
+            let at = self.places.binary_search_by_key(&entry.pool, |place| place.0);
+            match (at, entry.readiness) {
+                (Ok(at), Readiness::Gone) => drop(self.places.remove(at)),
+                (Err(_), Readiness::Gone) => {}
+                (Ok(at), _) => self.places[at].1 = district,
+                (Err(at), _) => self.places.insert(at, (entry.pool, district)),
             }
         }
     }
 
     fn stood(&mut self, now: f64, call: CallId, lag: f64) {
-        let Some(open) = self.open.get_mut(&call).filter(|o| !o.stood) else { return };
+        let Some(open) = self.open.get_mut(call).filter(|o| !o.stood) else { return };
         open.stood = true;
         let Debit { class, to, .. } = open.debit;
         let goal = self.settings.classes.get(class).map_or(f64::INFINITY, |c| c.goal_time);
@@ -204,7 +206,7 @@
     }
 
     fn over(&mut self, now: f64, call: CallId, outcome: Outcome) {
-        if let Some(open) = self.open.remove(&call) {
+        if let Some(open) = self.open.remove(call) {
             self.closed(now, open, outcome);
         }
     }
@@ -239,9 +241,10 @@
             self.noted = Some(attempt);
             self.note(now, candidate.class, true);
         }
-        match self.allowed(now, candidate) {
+        let to = self.place(candidate.pool);
+        match self.allowed(now, candidate, to) {
             Ok(overdraws) => {
-                self.answered = Some((*candidate, now, overdraws));
+                self.answered = Some((candidate.call, candidate.pool, to, now, overdraws));
                 Ok(())
             }
             Err(retry_after) => Err(Denial { reason: REASON, retry_after }),
@@ -249,11 +252,17 @@
     }
 
     fn sent(&mut self, now: f64, candidate: &Candidate) {
-        let (from, to) = (self.settings.own, self.place(candidate.pool));
-        let class = candidate.class;
-        let overdraws = match self.answered.take() {
-            Some((asked, at, overdraws)) if asked == *candidate && at == now => overdraws,
-            _ => self.allowed(now, candidate) == Ok(true),
+        let (from, class) = (self.settings.own, candidate.class);
+        let (to, overdraws) = match self.answered.take() {
+            Some((call, pool, to, at, overdraws))
+                if (call, pool, at) == (candidate.call, candidate.pool, now) =>
+            {
+                (to, overdraws)
+            }
+            _ => {
+                let to = self.place(candidate.pool);
+                (to, self.allowed(now, candidate, to) == Ok(true))
+            }
         };
         let place = self.account.place(class, to);
         let bent = match overdraws {
--- a/crates/crossing/src/lib.rs
+++ b/crates/crossing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod budget;
 pub mod gate;
 pub mod report;
+pub mod table;
 pub mod window;
 
 use serde::Serialize;
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -6,20 +6,16 @@
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::Ordering;
 
-use hickory_proto::op;
-use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
-use hickory_proto::rr::{Name, RData, Record};
+use hollypaddle_standin::resolver::{self, Listed};
+use hollypaddle_standin::{answer, release, Peer};
 use proptest::prelude::*;
 
 use super::config::Config;
 use super::event_loop::{Gatekeeper, Signals};
-use hollypaddle_platform::connection::Connection;
 use hollypaddle_platform::message::{cause, code, kind, Message};
 
 const TURNS: usize = 400;
 
-type Peer = Connection<TcpStream>;
-
 struct World {
     node: Gatekeeper,
     listeners: Vec<TcpListener>,
@@ -34,29 +30,28 @@
 }
 
 fn peer(stream: TcpStream) -> Peer {
-    stream.set_nonblocking(true).unwrap();
-    stream.set_nodelay(true).unwrap();
-    Connection::new(stream, 1 << 20)
+    hollypaddle_standin::peer(stream).unwrap()
 }
 
 fn config(listeners: &[TcpListener], dns: &UdpSocket) -> Config {
-    let instance = |(n, l): (usize, &TcpListener)| {
-        let address = l.local_addr().unwrap();
-        format!(
-            r#"{{"instanceId":"s-{n}","hostPort":"{address}","cell":{n},"lifecycle":"ready","startedAtMs":0}}"#
-        )
+    let listed = |(n, l): (usize, &TcpListener)| Listed {
+        id: format!("s-{n}"),
+        district: "downtown".into(),
+        address: l.local_addr().unwrap(),
+        number: n as u32,
+        draining: false,
+        started_ms: 0,
     };
-    let instances: Vec<String> = listeners.iter().enumerate().map(instance).collect();
+    let listed: Vec<Listed> = listeners.iter().enumerate().map(listed).collect();
     let text = format!(
-        r#"{{"seed":"8c1f","dns":"{}","limits":{{"sockets":64}},"known":{{"pos":1,"entries":[
-            {{"pos":1,"hosts":{{"reset":true,"instances":[{}]}}}}]}},
+        r#"{{"seed":"8c1f","dns":"{}","limits":{{"sockets":64}},"known":{},
           "settings":{{"peersTotal":4,"period":0.005,"telemetry":{{"names":["free","size","hold_back"]}},
             "familyInfo":{{"release":0.3,"retransmit":0.4,"poolsByClass":[[0,1]]}},
             "limits":{{"tryLimit":6,"mayCancel":true,"retryAfter":true,"maxRetryAfter":2.0,"connectTimeout":0.5}},
             "requestClasses":[{{"name":"meter-read","effect":"read_like","goalTime":1.5,"hardLimit":9.0,"value":1.0}}],
             "safety":{{"cold":14.0,"coldFrom":0.3,"overloadFactor":3.0}}}}}}"#,
         dns.local_addr().unwrap(),
-        instances.join(",")
+        resolver::known(1, &listed)
     );
     Config::read("n0".into(), "127.0.0.1:0", &text).unwrap()
 }
@@ -66,20 +61,7 @@
 }
 
 fn set_up_to(pool: u32, id: u64, wait: u32) -> Message {
-    Message::new(kind::SET_UP, id)
-        .with(code::CLASS, "meter-read")
-        .with(code::WAIT, wait.to_string())
-        .with(code::NUMBER, "7f3a9c21e0b4d655")
-        .with(code::FIGURES, format!("dest:{pool};width:1;via:-1"))
-        .with(code::DESCRIPTION, vec![0, 255, 7])
-}
-
-fn answer(id: u64) -> Message {
-    Message::new(kind::ANSWER, id).with(code::DESCRIPTION, vec![9, 9])
-}
-
-fn release(id: u64, why: u8) -> Message {
-    Message::new(kind::RELEASE, id).caused(why)
+    hollypaddle_standin::set_up("meter-read", pool, id, wait)
 }
 
 impl World {
@@ -172,24 +154,19 @@
                 break got;
             }
         };
-        let question = op::Message::from_vec(&data[..n]).unwrap();
-        let name = |text: &str| Name::from_ascii(text).unwrap();
-        let mut answer = op::Message::response(question.metadata.id, op::OpCode::Query);
-        let soa = SOA::new(name("fleet.local."), name("fleet.local."), position, 1, 1, 1, 1);
-        answer.authorities.push(Record::from_rdata(name("fleet.local."), 0, RData::SOA(soa)));
-        let mut wrong = [answer.clone(), answer.clone()];
+        let listed = servers.iter().map(|&(n, priority, started_ms)| Listed {
+            id: format!("s-{n}"),
+            district: "downtown".into(),
+            address: self.listeners[n].local_addr().unwrap(),
+            number: n as u32,
+            draining: priority > 0,
+            started_ms,
+        });
+        let listed: Vec<Listed> = listed.collect();
+        let answer = resolver::reply(&data[..n], position, &listed).unwrap();
+        let mut wrong = [resolver::reply(&data[..n], position, &[]).unwrap(), answer.clone()];
         wrong[0].metadata.id = wrong[0].metadata.id.wrapping_add(1);
         wrong[1].metadata.truncation = true;
-        for (n, priority, started) in servers {
-            let port = self.listeners[*n].local_addr().unwrap().port();
-            let target = name(&format!("s-{n}.downtown.hosts."));
-            let srv = SRV::new(*priority, 40, port, target.clone());
-            answer.answers.push(Record::from_rdata(question.queries[0].name().clone(), 0, RData::SRV(srv)));
-            let here = RData::A(A(std::net::Ipv4Addr::LOCALHOST));
-            answer.additionals.push(Record::from_rdata(target.clone(), 0, here));
-            let texts = vec![format!("cell={n}"), format!("started={started}")];
-            answer.additionals.push(Record::from_rdata(target, 0, RData::TXT(TXT::new(texts))));
-        }
         self.dns.send_to(&[7; 40], from).unwrap();
         for message in wrong.iter().chain([&answer]) {
             self.dns.send_to(&message.to_vec().unwrap(), from).unwrap();
--- /dev/null
+++ b/crates/measure/src/fleet.rs
@@ -0,0 +1,59 @@
+//! Whole gatekeepers in this process against stand-ins, on a clock that is moved in steps.
+
+use std::error::Error;
+use std::path::Path;
+
+use hollypaddle::node::clock::Clock;
+use hollypaddle::node::config::Config;
+use hollypaddle::node::event_loop::Gatekeeper;
+use hollypaddle_standin::world::{Plan, World};
+
+/// A step of time, and when runs begin, in Unix seconds.
+const STEP: f64 = 0.005;
+const BEGIN: f64 = 1_800_000_000.0;
+
+/// Gatekeepers and what they talk to.
+pub struct Fleet {
+    /// What they talk to.
+    pub world: World,
+    /// The gatekeepers.
+    pub nodes: Vec<Gatekeeper>,
+    /// The time.
+    pub now: f64,
+}
+
+impl Fleet {
+    /// Opens all of it, with the own configuration in the file.
+    pub fn open(plan: Plan, conf: &Path) -> Result<Fleet, Box<dyn Error>> {
+        let mut world = World::open(plan)?;
+        let mut nodes = Vec::new();
+        for front in 0..world.plan.fronts.len() {
+            let config = Config::read(format!("n{front}"), "127.0.0.1:0", &world.config(front)?)?;
+            nodes.push(Gatekeeper::on_clock(config.with_own(conf)?, Clock::still(BEGIN))?);
+        }
+        let addresses: Vec<_> = nodes.iter().map(Gatekeeper::address).collect();
+        world.connect(&addresses);
+        Ok(Fleet { world, nodes, now: BEGIN })
+    }
+
+    /// Lets time pass with traffic: each front its rate and, by two draws, its first choice.
+    pub fn run(
+        &mut self,
+        seconds: f64,
+        rate: f64,
+        choice: impl Fn(usize, f64, f64) -> u32,
+    ) -> Result<(), Box<dyn Error>> {
+        for _ in 0..(seconds / STEP) as usize {
+            self.now += STEP;
+            for front in 0..self.nodes.len() {
+                self.world.traffic(self.now, front, rate, |a, b| choice(front, a, b));
+            }
+            self.world.turn(self.now);
+            for node in &mut self.nodes {
+                node.skip(STEP);
+                node.turn()?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,43 @@
+//! `hollypaddle-measure NAME`: one measurement for each subject. It writes `docs/measurements/NAME.md` and its
+//! chart, and ends with 1 if what must hold did not.
+
+mod crossings;
+mod decisions;
+mod fleet;
+mod stats;
+
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, ValueEnum};
+
+/// Measures one subject.
+#[derive(Parser)]
+struct Args {
+    /// Which.
+    name: Name,
+    /// Runs of each case.
+    #[arg(long, default_value_t = 5)]
+    runs: u64,
+    /// Where the page and the chart are written.
+    #[arg(long, default_value = "docs/measurements")]
+    out: PathBuf,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Name {
+    /// Budgets for what crosses districts: service, shares, and the cost of decisions.
+    Crossings,
+}
+
+fn main() -> Result<ExitCode, Box<dyn Error>> {
+    let args = Args::parse();
+    let failures = match args.name {
+        Name::Crossings => crossings::measure(args.runs.max(1), &args.out)?,
+    };
+    for failure in &failures {
+        eprintln!("does not hold: {failure}");
+    }
+    Ok(if failures.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
