Warn of a gatekeeper whose own district nobody tells

With budgets set and the own district unknown nothing crosses and nothing is limited, which looks as if the budgets were kept. It is an event now, and a file that names districts which the platform does not have is refused also where the platform has none.

--- a/crates/gatekeeper/src/node/config.rs
+++ b/crates/gatekeeper/src/node/config.rs
@@ -202,19 +202,18 @@
         Ok(self)
     }
 
-    /// The names of districts and classes; a platform without districts leaves them to the own file.
+    /// The names of districts and classes. A platform without districts has none that a file could name:
+    /// its servers stand in none.
     pub fn names(&self) -> Names {
-        let districts = self.platform.districts.clone();
         let classes = self.platform.classes.iter().map(|c| c.0.clone()).collect();
-        Names { districts: (!districts.is_empty()).then_some(districts), classes: Some(classes) }
+        Names { districts: Some(self.platform.districts.clone()), classes: Some(classes) }
     }
 
     /// The names in the settings of a file's text, which need not be whole otherwise.
     pub fn names_in(text: &str) -> Result<Names, ConfigError> {
         let file: NamesFile = serde_json::from_str(text)?;
         let classes = file.settings.request_classes.into_iter().map(|c| c.name).collect();
-        let districts = file.settings.zones;
-        Ok(Names { districts: (!districts.is_empty()).then_some(districts), classes: Some(classes) })
+        Ok(Names { districts: Some(file.settings.zones), classes: Some(classes) })
     }
 
     /// Reads the file's text.
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use hollypaddle_config::{Conf, Platform};
-use hollypaddle_crossing::{Crossing, Report, Span};
+use hollypaddle_crossing::{Crossing, District, Report, Span};
 use hollypaddle_policy::{Action, CallId, Controller, Event, Gate, ListKind, Settings};
 use serde_json::{json, Value};
 
@@ -267,6 +267,10 @@
                     "off"
                 }
             };
+            // Without it nothing crosses, and budgets that never bite look as if they were kept.
+            if gate.as_ref().is_some_and(|g| g.settings().own == District::UNKNOWN) {
+                log::warn!("own-district-unknown");
+            }
             let budgets = new.crossings.as_ref().map_or(0, |c| c.budgets.len());
             changes.push(format!("crossings-{word}-{budgets}-budgets"));
         }
