Move the resolver's records beside the messages, and pay for an overdraft once

A budget by rate alone counted overdrawn calls as owed for as long as they stood, so the overdraft stayed in use after it was paid back; and a rate set anew handed tokens back for set-ups that had never paid. Both have a test that fails without the change. The list and its DNS form are pure and now stand in crates/platform.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # How long the demonstration runs, in seconds; 0 is until it is stopped.
 SECONDS ?= 20
 
-.PHONY: check build test lint run demo measure
+.PHONY: check build test lint run demo measure soak
 
 check: lint build test
 
@@ -35,3 +35,12 @@
 # hold does not.
 measure:
 	cargo run --release --locked -p hollypaddle-measure -- crossings
+
+# The random tests at length, with a seed of the day: SEED=N repeats one. Takes some minutes.
+soak: SEED = $(shell date +%s)
+soak:
+	@echo seed $(SEED)
+	PROPTEST_RNG_SEED=$(SEED) PROPTEST_CASES=$(CASES) cargo test --locked --release \
+		-p hollypaddle-core -p hollypaddle-crossing -p hollypaddle-config -p hollypaddle-platform
+
+CASES ?= 20000
--- a/crates/crossing/src/budget.rs
+++ b/crates/crossing/src/budget.rs
@@ -211,8 +211,9 @@
         (self.rule, self.part) = (rule, part);
         match self.rate() {
             Some((_, burst)) if had_rate => self.tokens = self.tokens.clamp(-burst, burst),
-            // A limit that was not there before starts empty, as at a start.
-            Some(_) => (self.tokens, self.debt) = (0.0, 0.0),
+            // A limit that was not there before starts empty, as at a start, and owes nothing for what was sent
+            // before it.
+            Some(_) => (self.tokens, self.debt, self.born) = (0.0, 0.0, generation),
             None => (self.tokens, self.debt) = (0.0, 0.0),
         }
         self.debt = self.debt.min(self.overdraft());
@@ -308,11 +309,11 @@
         wait.map_or(Ok(()), Err)
     }
 
-    /// What is overdrawn now, in set-ups: the most that any limit has to be paid back.
+    /// What is overdrawn now, in set-ups: the most that any of its limits has to be paid back.
     pub fn overdrawn(&mut self, now: f64) -> f64 {
         self.refill(now);
-        let bent = self.shares(now).bent.max(self.bent);
-        self.debt.max(f64::from(bent))
+        let standing = if self.rule.standing.is_some() { self.bent } else { 0 };
+        self.debt.max(f64::from(self.shares(now).bent.max(standing)))
     }
 
     /// Whether one more set-up may overdraw it.
--- a/crates/crossing/tests/model.rs
+++ b/crates/crossing/tests/model.rs
@@ -469,6 +469,28 @@
     assert!((9..=10).contains(&through), "{through}: paid back, the rate is whole again");
 }
 
+/// Guards against an overdraft of a rate that calls which stand keep in use after it is paid back, and against
+/// tokens for set-ups that were sent before there was a rate.
+#[test]
+fn what_is_paid_back_may_be_overdrawn_again_and_a_new_limit_owes_nothing_for_old_set_ups() {
+    let mut rule = all(4.0, 4.0);
+    rule.overdraft = here(2.0);
+    let mut bench = Bench::new(vec![rule]);
+    bench.now = 1.0;
+    assert_eq!(went(&mut bench, 1, 1, 20), 6);
+    bench.now += 60.0;
+    assert_eq!(went(&mut bench, 1, 1, 20), 6, "all of it again, though the first still stand");
+    let places = Rule { standing: Some(here(100.0)), rate: None, ..rule };
+    bench.crossing.change(settings(vec![places]), bench.now);
+    assert!(bench.offer(0, 1, false));
+    let call = bench.next;
+    bench.crossing.change(settings(vec![rule]), bench.now);
+    bench.end(call, Outcome::Full);
+    assert!(!bench.offer(0, 1, false), "it never paid for what it is handed back");
+    bench.now += 0.25;
+    assert!(bench.offer(0, 1, false));
+}
+
 /// An ordinary class does not bend, nor an urgent one that has the own district open.
 #[test]
 fn only_urgent_classes_bend_and_only_as_a_last_resort() {
--- a/crates/gatekeeper/src/node/config.rs
+++ b/crates/gatekeeper/src/node/config.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::resolver::{Snapshot, Update};
+use hollypaddle_platform::list::{Snapshot, Update};
 
 /// Descriptors and memory that a gatekeeper keeps to where the file gives no figure.
 const SOCKETS: usize = 1024;
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -9,14 +9,14 @@
 use std::net::{SocketAddr, TcpStream};
 
 use hollypaddle_policy::settings::Telemetry;
-use hollypaddle_policy::{Cause, Event, ListKind, Outcome, PoolEntry, PoolId, Readiness, Report};
+use hollypaddle_policy::{Cause, Event, ListKind, Outcome, PoolEntry, PoolId, Report};
 use socket2::{Domain, Socket, Type};
 
 use super::config::Link;
 use super::poller::{Key, Ready, Watch};
-use super::resolver::{Listed, Snapshot};
 use hollypaddle_core::calls::{Calls, Content, End, Order};
 use hollypaddle_platform::connection::{Connection, Over};
+use hollypaddle_platform::list::{Listed, Readiness, Snapshot};
 use hollypaddle_platform::message::{cause, code, kind, Message};
 
 /// Connections to one server at most; it tells its state on no more than four.
@@ -121,11 +121,9 @@
                 self.last_pool += 1;
                 PoolId(self.last_pool)
             });
-            let (number, readiness, ready_at) = (listed.number, listed.readiness, listed.started);
-            let district = listed.district;
-            entries.push(PoolEntry { pool, number, readiness, ready_at, district });
+            entries.push(entry(pool, listed));
             let server = self.servers.entry(pool).or_insert_with(|| {
-                log::info!(server = name.as_str(), state:? = readiness, address:% = listed.address; "server-listed");
+                log::info!(server = name.as_str(), state:? = listed.readiness, address:% = listed.address; "server-listed");
                 Server::new(name.clone(), listed.clone(), turn.now)
             });
             server.relisted(pool, listed.clone(), turn);
@@ -146,11 +144,7 @@
 
     /// The list in force, as the decision module takes it.
     pub fn entries(&self) -> Vec<PoolEntry> {
-        let entry = |(&pool, server): (&PoolId, &Server)| {
-            let Listed { number, readiness, started: ready_at, district, .. } = server.listed;
-            PoolEntry { pool, number, readiness, ready_at, district }
-        };
-        self.servers.iter().map(entry).collect()
+        self.servers.iter().map(|(pool, server)| entry(*pool, &server.listed)).collect()
     }
 
     /// What is to be told of each server: its name, state, district and connections that are up.
@@ -579,6 +573,16 @@
     }
 }
 
+/// A line of the list, as the decision module takes it.
+fn entry(pool: PoolId, listed: &Listed) -> PoolEntry {
+    let readiness = match listed.readiness {
+        Readiness::Ready => hollypaddle_policy::Readiness::Ready,
+        Readiness::Draining => hollypaddle_policy::Readiness::Draining,
+    };
+    let Listed { number, started: ready_at, district, .. } = *listed;
+    PoolEntry { pool, number, readiness, ready_at, district }
+}
+
 /// The connection for what is to be sent: the one last heard.
 fn best(channels: &mut BTreeMap<Key, Channel>) -> Option<(Key, &mut Channel)> {
     let up = channels.iter_mut().filter(|(_, c)| c.up);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,5 +1,6 @@
-//! The platform's binary protocol: pure encoding and decoding, and one stream's bounded buffers over whatever
-//! reads and writes.
+//! The platform's protocols, pure: the binary messages, one stream's bounded buffers over whatever reads and
+//! writes, and the resolver's records.
 
 pub mod connection;
+pub mod list;
 pub mod message;
