Decide for several workers: who owns a call, what a death fences, when one is replaced

One core does not keep up as load rises. Before anything is built the ways are weighed and measured, and what decides stands alone, without processes, clock or chance.

--- a/Makefile
+++ b/Makefile
@@ -33,14 +33,16 @@
 
 # All measurements, written to docs/measurements/. Wants the machine to itself; ends with an error if what must
 # hold does not.
-measure:
+measure: build
 	cargo run --release --locked -p hollypaddle-measure -- crossings
+	cargo run --release --locked -p hollypaddle-measure -- cores
 
 # The random tests at length, with a seed of the day: SEED=N repeats one. Takes some minutes.
 soak: SEED = $(shell date +%s)
 soak:
 	@echo seed $(SEED)
 	PROPTEST_RNG_SEED=$(SEED) PROPTEST_CASES=$(CASES) cargo test --locked --release \
-		-p hollypaddle-core -p hollypaddle-crossing -p hollypaddle-config -p hollypaddle-platform
+		-p hollypaddle-core -p hollypaddle-crossing -p hollypaddle-config -p hollypaddle-platform \
+		-p hollypaddle-cores
 
 CASES ?= 20000
--- a/crates/measure/src/crossings.rs
+++ b/crates/measure/src/crossings.rs
@@ -285,13 +285,15 @@
 {% endfor -%}
 "#;
 
-fn percent(value: &minijinja::Value) -> Result<String, minijinja::Error> {
+/// A share with its spread, in percent.
+pub fn percent(value: &minijinja::Value) -> Result<String, minijinja::Error> {
     let at = |name: &str| -> Result<f64, minijinja::Error> { f64::try_from(value.get_attr(name)?) };
     let (median, least, most) = (at("median")? * 100.0, at("least")? * 100.0, at("most")? * 100.0);
     Ok(format!("{median:.1}% ({least:.1} to {most:.1})"))
 }
 
-fn number(value: &minijinja::Value) -> Result<String, minijinja::Error> {
+/// A figure with its spread.
+pub fn number(value: &minijinja::Value) -> Result<String, minijinja::Error> {
     let at = |name: &str| -> Result<f64, minijinja::Error> { f64::try_from(value.get_attr(name)?) };
     Ok(format!("{:.1} ({:.1} to {:.1})", at("median")?, at("least")?, at("most")?))
 }
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,6 +1,7 @@
 //! `hollypaddle-measure NAME`: one measurement for each subject. It writes `docs/measurements/NAME.md` and its
 //! chart, and ends with 1 if what must hold did not.
 
+mod cores;
 mod crossings;
 mod decisions;
 mod fleet;
@@ -20,6 +21,9 @@
     /// Runs of each case.
     #[arg(long, default_value_t = 5)]
     runs: u64,
+    /// The gatekeeper's program, where one is measured as a process.
+    #[arg(long, default_value = "target/release/hollypaddle")]
+    program: PathBuf,
     /// Where the page and the chart are written.
     #[arg(long, default_value = "docs/measurements")]
     out: PathBuf,
@@ -29,11 +33,14 @@
 enum Name {
     /// Budgets for what crosses districts: service, shares, and the cost of decisions.
     Crossings,
+    /// Several workers: what the ways to them cost.
+    Cores,
 }
 
 fn main() -> Result<ExitCode, Box<dyn Error>> {
     let args = Args::parse();
     let failures = match args.name {
+        Name::Cores => cores::measure(args.runs.max(1), &args.program, &args.out)?,
         Name::Crossings => crossings::measure(args.runs.max(1), &args.out)?,
     };
     for failure in &failures {
