Reject a reload whose names the running gatekeeper does not know, and close gaps of tests

Read once more as a whole, the change had these faults. The own file is checked against the platform's file as it is then, but resolved by the names of the start: a budget of a district or class that came with a newer file was dropped without a word. It is rejected now, and other names alone are told as settings-changed. The measurement of several workers could not fail; it does where what the choice rests on no longer holds. One assertion of the program's test held too easily. The bounds on budgets and nesting, and the case of tables dropped before their calls are over, had no test.

--- a/crates/config/src/crossings.rs
+++ b/crates/config/src/crossings.rs
@@ -68,6 +68,15 @@
         (1.0 - told).max(0.0) / others.max(1.0)
     }
 
+    /// Names of districts and classes that the block uses and the platform does not have.
+    pub fn missing(&self, platform: &Platform) -> Vec<String> {
+        let districts = self.budgets.iter().filter_map(|b| b.pair.as_ref()).flat_map(|(a, b)| [a, b]);
+        let districts = districts.chain(&self.own).filter(|d| !platform.districts.contains(d));
+        let classes = self.budgets.iter().filter_map(|b| b.class.as_ref()).chain(&self.urgent);
+        let classes = classes.filter(|c| !platform.classes.iter().any(|known| known.0 == **c));
+        districts.chain(classes).cloned().collect()
+    }
+
     /// The settings of the gate, with all names resolved. A rule of a district or class that the platform
     /// does not have covers nothing and is left out; checks refuse such a file before.
     pub fn settings(&self, platform: &Platform) -> Settings {
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -186,6 +186,14 @@
     assert!(read(&chain, &names()).unwrap_err()[0].contains("too many files"));
 }
 
+#[test]
+fn budgets_and_nesting_are_bounded() {
+    let many = "budget all {\nrate 1/s\n}\n".repeat(257);
+    assert!(wrong(&format!("crossings {{\n{many}}}\n")).iter().any(|t| t.contains("too many budgets")));
+    let deep = "crossings {\n".repeat(40);
+    assert!(wrong(&deep).iter().any(|t| t.contains("nested too deep")));
+}
+
 #[test]
 fn what_is_no_text_is_told_with_its_place() {
     let told = read(&[("f", b"control /x\n# \xc3\xa4 \xff\n")], &names()).unwrap_err();
--- a/crates/cores/src/view.rs
+++ b/crates/cores/src/view.rs
@@ -1,6 +1,6 @@
 //! What one worker believes of the table, and what it may do with a set-up.
 //!
-//! Two workers must never have two attempts out for one call. Three things could bring that about, and each
+//! Two workers must never have two attempts out for one call. Four things could bring that about, and each
 //! has its guard:
 //!
 //! 1. *Two tables at once.* A worker that was paused, or has not heard yet, goes by an old table while another
@@ -13,6 +13,8 @@
 //! 3. *An id that comes again after its owner changed.* The owner before may hold the call. Until all calls of
 //!    that time are over, the new owner asks the one before, which alone knows, and takes the call only when it
 //!    says that it has none.
+//! 4. *A worker that is paused past a call's time.* Nobody gives its calls up. The supervisor ends a worker that is
+//!    silent, and what it may hold counts for that much longer.
 
 use std::collections::VecDeque;
 
--- a/crates/cores/tests/worlds.rs
+++ b/crates/cores/tests/worlds.rs
@@ -225,6 +225,27 @@
     assert!(!view.fresh(5.3));
 }
 
+/// Guards against a worker that takes a call because the table that gave it to another was dropped.
+#[test]
+fn where_tables_were_dropped_too_early_every_worker_may_hold_a_call() {
+    let table = (0..SEATS).fold(Table::new(SEATS), |table, seat| table.with(Worker(seat), true));
+    let mut history = History::new(TIMES.change(0.0, table), TIMES);
+    let mut now = 10.0;
+    for n in 0..60 {
+        now += 0.01;
+        history.change(now, Worker(2), n % 2 == 1);
+    }
+    now = history.newest().unwrap().from + 0.01;
+    for seat in 0..2 {
+        let mut view = View::new(Worker(seat), TIMES);
+        view.told(now, &history);
+        let others: Vec<Worker> = (0..SEATS).map(Worker).filter(|w| *w != Worker(seat)).collect();
+        assert!((0..50).all(|call| view.before(now, call) == others));
+        view.told(now + 20.0, &history);
+        assert!((0..50).all(|call| view.before(now + 20.0, call).is_empty()), "they are over");
+    }
+}
+
 #[test]
 fn a_worker_that_dies_again_and_again_is_left_out_and_reported() {
     let patience = Patience::default();
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -225,7 +225,7 @@
         self.resolver.ask();
         self.decide(now);
         log::info!(resolver:% = new.dns, changes:% = changes; "configuration-read");
-        if new.settings != self.settings {
+        if new.settings != self.settings || new.platform != self.platform {
             // They count from the next start on.
             log::warn!("settings-changed");
         }
@@ -233,6 +233,13 @@
 
     /// Takes what the own configuration file says now; returns what has changed in a word.
     fn take_own(&mut self, now: f64, new: Conf) -> io::Result<String> {
+        // The platform's names are those of the start, and a file read since may have others. Guards against
+        // budgets that are dropped without a word.
+        let missing = new.crossings.as_ref().map_or(Vec::new(), |c| c.missing(&self.platform));
+        if !missing.is_empty() {
+            let what = format!("not known before the next start: {}", missing.join(", "));
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, what));
+        }
         let mut changes = Vec::new();
         if new.control != self.own.control {
             let fresh = match &new.control {
--- a/crates/gatekeeper/tests/crossing.rs
+++ b/crates/gatekeeper/tests/crossing.rs
@@ -431,6 +431,14 @@
     assert!(bad.is_err());
     fleet.nodes[0].reload(bad);
     assert_eq!(fleet.report(0).budgets.len(), before);
+    // Nor does one that is sound by a platform's file read since, whose names are those of the next start.
+    std::fs::write(&path, "crossings {\n budget class gauge-read {\n  rate 1/s\n }\n}\n").unwrap();
+    let renamed = text.replace("meter-read", "gauge-read");
+    let other = Config::read("n0".into(), "127.0.0.1:0", &renamed).unwrap().with_own(&path);
+    assert!(other.is_ok());
+    fleet.nodes[0].reload(other);
+    assert_eq!(fleet.report(0).budgets.len(), before);
+    assert_eq!(fleet.report(0).budgets[0].scope, "all");
     fleet.run(3.0, &[10.0, 10.0], choice);
     fleet.check();
     // Under its new label the server is at home, and free of budgets.
--- a/crates/gatekeeper/tests/program.rs
+++ b/crates/gatekeeper/tests/program.rs
@@ -101,10 +101,7 @@
         }
     }
     assert_eq!(cells, seen.len());
-    assert!(
-        seen.values().any(|c| c.get("reset") == Some(&5))
-            || seen.values().filter_map(|c| c.get("reset")).sum::<u64>() == 5
-    );
+    assert_eq!(seen.values().filter_map(|c| c.get("reset")).sum::<u64>(), 5);
     let table = text(&hollypaddle(&["ctl", "--socket", path, "crossings"]).stdout);
     for ((class, to), counted) in &seen {
         let line = table.lines().find(|l| l.contains(class.as_str()) && l.contains(to.as_str())).unwrap();
--- a/crates/measure/src/cores.rs
+++ b/crates/measure/src/cores.rs
@@ -146,7 +146,31 @@
 of the same program.
 "#;
 
-/// Measures and writes the page; nothing of it can fail yet.
+/// What the choice in docs/CORES.md rests on, where it does not hold.
+fn against(lines: &[Line], channel: &Spread, sockets: &Spread, own: f64) -> Vec<String> {
+    let mut against = Vec::new();
+    for load in [0.72, 1.15] {
+        let of =
+            |workers| lines.iter().find(|l| l.load == load && l.workers == workers).map(|l| l.service.median);
+        if let (Some(one), Some(two)) = (of(1), of(2)) {
+            if two < one - 0.03 {
+                against.push(format!("at {load}, two modules keep what one keeps: {two:.3} of {one:.3}"));
+            }
+        }
+    }
+    if sockets.median > 3.0 * channel.median {
+        against.push(format!(
+            "sockets are as fast as channels: {:.1}, {:.1} us",
+            sockets.median, channel.median
+        ));
+    }
+    if own.is_nan() || own > 6.0 * 1024.0 {
+        against.push(format!("four processes fit 32 MB: {own:.0} kB each"));
+    }
+    against
+}
+
+/// Measures and writes the page; returns what the choice rests on and does not hold.
 pub fn measure(runs: u64, program: &Path, out: &Path) -> Result<Vec<String>, Box<dyn Error>> {
     let mut lines = Vec::new();
     for load in [0.72, 1.15] {
@@ -176,5 +200,5 @@
     })?;
     std::fs::create_dir_all(out)?;
     std::fs::write(out.join("cores.md"), page)?;
-    Ok(Vec::new())
+    Ok(against(&lines, &channel, &sockets, own))
 }
