Serve a control address with readiness, lameduck and figures; listen with SO_REUSEPORT

Change: crates/service (pure): lifecycle (serving, lameduck, stopping; which quiet client connections a drained gatekeeper closes), figures (per class succeeded, declined, aborted; forwards; gauges; sighup counts), http (a head read with httparse routed to a call or a 400, 404, 405, 431). node/http.rs carries it out on the event loop: 32 connections at most, each ended 1 s after its accept, the oldest dropped first. core::calls gives each caller's answer its class. The clients' listener sets SO_REUSEPORT and takes what waits in its queue before it closes at SIGTERM. Tests: each call and each refusal; 40 peers that trickle heads do not delay an answer; figures against the test's own counts, a caller that left included; lameduck closes the idle connection within 4 s and answers requests on open and new connections; a second gatekeeper binds the same address.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -28,6 +28,8 @@
 const STRAYS_PER_S: f64 = 50.0;
 /// The origin of a call that came before a restart: any connection will do.
 pub const NO_ORIGIN: Origin = 0;
+/// The class of a call of an earlier life, which is not known.
+pub const NO_CLASS: usize = usize::MAX;
 
 /// The connection on which a call came; means something to its front alone.
 pub type Origin = usize;
@@ -112,8 +114,9 @@
 #[derive(Clone, Debug, PartialEq)]
 #[expect(missing_docs, reason = "the variants tell what their fields are")]
 pub enum Effect {
-    /// Tell a caller.
-    Caller { origin: Origin, id: u64, reply: Reply },
+    /// Tell a caller. The class is the call's, for the figures; [`NO_CLASS`] where the call is of an
+    /// earlier life.
+    Caller { origin: Origin, id: u64, class: usize, reply: Reply },
     /// Tell a server.
     Server { pool: PoolId, id: u64, order: Order },
     /// Release a call at whichever server it stands.
@@ -209,6 +212,8 @@
     pub events: Vec<Event>,
     /// What the fronts have yet to do.
     pub effects: Vec<Effect>,
+    /// Attempts written whole to servers, as the fronts count them.
+    pub forwards: u64,
 }
 
 impl Calls {
@@ -227,6 +232,7 @@
             offered_order: VecDeque::new(),
             events: Vec::new(),
             effects: Vec::new(),
+            forwards: 0,
         }
     }
 
@@ -376,7 +382,7 @@
         }
         let Some(gone) = self.remove(call) else { return };
         self.forsake(call, &gone);
-        self.effects.push(Effect::Caller { origin: gone.origin, id: gone.id, reply });
+        self.effects.push(Effect::Caller { origin: gone.origin, id: gone.id, class: gone.class, reply });
     }
 
     /// Gives up the attempt of a call that is over, unless its give-up is on its way already. The module
@@ -484,14 +490,14 @@
         if let Some((call, c)) = known.and_then(|call| Some((call, self.calls.get_mut(&call)?))) {
             match c.state {
                 State::Out(Attempt { pool: at, sent_at, leaving: None }) if at == pool => {
-                    let (origin, bytes) = (c.origin, c.bytes());
+                    let (origin, bytes, class) = (c.origin, c.bytes(), c.class);
                     c.content = Rc::default();
                     c.state = State::Standing { pool, since: now };
                     let attempt = c.attempts.saturating_sub(1);
                     self.events.push(Event::Stood { call, pool, lag: now - sent_at, attempt });
                     self.settled(origin, bytes);
                     let reply = Reply::Stands(description);
-                    self.effects.push(Effect::Caller { origin, id, reply });
+                    self.effects.push(Effect::Caller { origin, id, class, reply });
                     return;
                 }
                 // A second copy.
@@ -530,7 +536,7 @@
         // then. Ends of calls of this life that crossed their give-up are no news to anyone.
         if self.earlier(now, id) && matches!(end.outcome, Outcome::Done | Outcome::Reset) {
             let reply = Reply::Over { cut: end.outcome != Outcome::Done };
-            self.effects.push(Effect::Caller { origin: NO_ORIGIN, id, reply });
+            self.effects.push(Effect::Caller { origin: NO_ORIGIN, id, class: NO_CLASS, reply });
         }
         self.events.push(Event::Load { pool, report: end.report });
     }
@@ -539,7 +545,7 @@
         let Some(gone) = self.remove(call) else { return };
         self.events.push(gone.ended(call, pool, true, end));
         let reply = Reply::Over { cut: end.outcome != Outcome::Done };
-        self.effects.push(Effect::Caller { origin: gone.origin, id: gone.id, reply });
+        self.effects.push(Effect::Caller { origin: gone.origin, id: gone.id, class: gone.class, reply });
     }
 
     /// The give-up of an attempt is written, or was not needed.
@@ -751,7 +757,7 @@
         let mut calls = Calls::new(0.0, 0);
         calls.ended(1.0, PoolId(1), 7, End::of(Outcome::Done));
         let reply = Reply::Over { cut: false };
-        assert_eq!(calls.effects, [Effect::Caller { origin: NO_ORIGIN, id: 7, reply }]);
+        assert_eq!(calls.effects, [Effect::Caller { origin: NO_ORIGIN, id: 7, class: NO_CLASS, reply }]);
         calls.effects.clear();
         calls.caller_release(1.0, 8);
         assert_eq!(calls.effects, [Effect::Stray { id: 8 }]);
--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -4,6 +4,9 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
+use hollypaddle_service::lifecycle::{self, Lifecycle};
+use socket2::{Domain, Protocol, Socket, Type};
+
 use super::config::LinkClass;
 use super::poller::{Key, Ready, Watch};
 use hollypaddle_core::calls::{Calls, Content, NotTaken, Origin, Reply, Request};
@@ -68,6 +71,8 @@
     connections: BTreeMap<Key, Client>,
     /// Releases of calls that stood, for which there was no connection.
     owed: VecDeque<(f64, Message)>,
+    /// Classes of set-ups turned away here, for lack of room, until the figures take them.
+    pub turned_away: Vec<usize>,
 }
 
 impl Clients {
@@ -79,14 +84,30 @@
         classes: Vec<LinkClass>,
         watch: &mut Watch,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
-        socket2::SockRef::from(&listener).listen(BACKLOG)?;
+        // SO_REUSEPORT: at an upgrade the new process listens beside the old one at the same address.
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_reuse_port(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        let listener: TcpListener = socket.into();
         listener.set_nonblocking(true)?;
         let listener_key = watch.add(&listener, false)?;
         let (listener, connections) = (Some(listener), BTreeMap::new());
         let (paused, owed) = (false, VecDeque::new());
         let most_waiting = (memory / most).clamp(2 * MOST, 8 * MOST);
-        Ok(Clients { classes, listener, listener_key, paused, most, most_waiting, connections, owed })
+        let turned_away = Vec::new();
+        Ok(Clients {
+            classes,
+            listener,
+            listener_key,
+            paused,
+            most,
+            most_waiting,
+            connections,
+            owed,
+            turned_away,
+        })
     }
 
     /// Where it listens.
@@ -94,8 +115,10 @@
         self.listener.as_ref()?.local_addr().ok()
     }
 
-    /// Takes no further connections.
-    pub fn stop_listening(&mut self, watch: &Watch) {
+    /// Takes no further connections. What waits in the listener's queue is taken first: closing a listener
+    /// resets the connections queued to it, and at an upgrade they were meant for this process.
+    pub fn stop_listening(&mut self, now: f64, watch: &mut Watch, calls: &mut Calls) {
+        self.accept(now, watch, calls);
         if let Some(listener) = self.listener.take() {
             watch.remove(&listener);
         }
@@ -125,6 +148,25 @@
         }
     }
 
+    /// While drained, closes the connections that the lifecycle lets go: those that wait for nothing and
+    /// have been quiet a while.
+    pub fn drain(&mut self, now: f64, life: &Lifecycle, watch: &Watch, calls: &mut Calls) {
+        let quiet = |(key, c): (&Key, &Client)| {
+            let state = lifecycle::Connection {
+                since: c.since,
+                used_at: c.used_at,
+                told: c.told != Told::Nothing,
+                open: calls.open_from(*key),
+                writing: c.connection.blocked(),
+            };
+            life.closes(now, &state).then_some(*key)
+        };
+        let closing: Vec<Key> = self.connections.iter().filter_map(quiet).collect();
+        for key in closing {
+            self.settle(now, key, Err(Over::Idle), watch, calls);
+        }
+    }
+
     /// Takes what is ready, if it is a caller's.
     pub fn ready(&mut self, now: f64, ready: Ready, watch: &mut Watch, calls: &mut Calls) {
         if ready.key == self.listener_key {
@@ -228,6 +270,7 @@
                     Ok(request) => match calls.offer(now, key, request) {
                         Ok(()) => return Ok(()),
                         Err(NotTaken::Crowded) => {
+                            self.turned_away.push(request_class(message, &self.classes));
                             let refusal = encode(message.call, Reply::Refused(CROWDED_WAIT));
                             self.say(now, key, &refusal, Told::Answer, watch);
                             return Ok(());
@@ -355,6 +398,12 @@
     parsed().ok_or(cause::INVALID_PARAMETER)
 }
 
+/// The number of a set-up's class, for the figures; one past the last where it names none.
+fn request_class(message: &Message, classes: &[LinkClass]) -> usize {
+    let class = message.bytes(code::CLASS).unwrap_or_default();
+    classes.iter().position(|c| c.name.as_bytes() == class).unwrap_or(classes.len())
+}
+
 /// Digits and nothing else, so that a sign, an exponent or "nan" is none.
 fn plain_number(text: &[u8]) -> Option<f64> {
     let digits = !text.is_empty() && text.len() <= 9 && text.iter().all(u8::is_ascii_digit);
--- a/crates/gatekeeper/src/node/config.rs
+++ b/crates/gatekeeper/src/node/config.rs
@@ -22,6 +22,8 @@
     pub name: String,
     /// Where callers connect.
     pub listen: SocketAddr,
+    /// The control address, where the operators' front asks over HTTP; none where not given.
+    pub control: Option<SocketAddr>,
     /// The resolver.
     pub dns: SocketAddr,
     /// Descriptors that it may hold.
@@ -120,6 +122,8 @@
     dns: String,
     seed: String,
     #[serde(default)]
+    control: Option<String>,
+    #[serde(default)]
     limits: Limits,
     #[serde(default)]
     known: Known,
@@ -189,7 +193,12 @@
         let (name, listen) = (variable("PROXY_NAME")?, variable("PROXY_LISTEN")?);
         let path = PathBuf::from(variable("PROXY_CONFIG")?);
         let text = std::fs::read_to_string(&path).map_err(|error| ConfigError::File(path, error))?;
-        let config = Config::read(name, &listen, &text)?;
+        let mut config = Config::read(name, &listen, &text)?;
+        // The variable wins over the file, as the platform gives both.
+        if let Some(control) = std::env::var("PROXY_CONTROL").ok().filter(|c| !c.trim().is_empty()) {
+            let parsed = control.trim().parse().map_err(|_| ConfigError::Field("PROXY_CONTROL", control));
+            config.control = Some(parsed?);
+        }
         match own {
             Some(own) => config.with_own(own),
             None => Ok(config),
@@ -245,6 +254,7 @@
             platform,
             own: Conf::default(),
             listen: address("PROXY_LISTEN", listen)?,
+            control: file.control.as_deref().map(|c| address("control", c)).transpose()?,
             dns: address("dns", &file.dns)?,
             memory: (file.limits.memory_mb.unwrap_or(MEMORY_MB).max(1.0) * 1048576.0) as usize,
             sockets: file.limits.sockets.unwrap_or(SOCKETS),
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -15,11 +15,16 @@
 use super::config::{Config, ConfigError};
 use super::control::{Control, Question};
 use super::gates::Gates;
+use super::http::Http;
 use super::poller::{Key, Watch};
 use super::resolver::{self, Resolver};
 use super::servers::{Servers, Turn};
+use hollypaddle_core::calls::Reply;
 use hollypaddle_core::calls::{Calls, Effect};
 use hollypaddle_core::wheel::Wheel;
+use hollypaddle_service::figures::{Figures, Gauges, Outcome, OTHER};
+use hollypaddle_service::http::{self as control_http, Call};
+use hollypaddle_service::lifecycle::{Lifecycle, Phase};
 
 /// A tick of the timer wheel, in seconds.
 const TICK: f64 = 0.005;
@@ -80,6 +85,12 @@
     own: Conf,
     logged_at: f64,
     control: Option<Control>,
+    /// The control address, readiness and lameduck, and the figures that it reports.
+    http: Option<Http>,
+    life: Lifecycle,
+    figures: Figures,
+    /// The names of the classes, by number.
+    class_names: Vec<String>,
     started: f64,
     /// The longest time after SIGTERM.
     last: f64,
@@ -106,6 +117,12 @@
             config.link.classes.clone(),
             &mut watch,
         )?;
+        let http = match config.control {
+            Some(address) => Some(Http::listen(address, &mut watch)?),
+            None => None,
+        };
+        let class_names: Vec<String> = config.link.classes.iter().map(|c| c.name.clone()).collect();
+        let figures = Figures::new(class_names.iter().map(String::as_str));
         let given = config.settings;
         let mut settings = given.clone();
         settings.release += SOCKET_SLACK;
@@ -125,6 +142,10 @@
             own: Conf::default(),
             logged_at: now,
             control: None,
+            http,
+            life: Lifecycle::new(now),
+            figures,
+            class_names,
             started: now,
             last,
         };
@@ -143,6 +164,11 @@
         self.clients.address().unwrap_or_else(|| (std::net::Ipv4Addr::UNSPECIFIED, 0).into())
     }
 
+    /// Where the control address listens, where configured.
+    pub fn control_address(&self) -> Option<std::net::SocketAddr> {
+        self.http.as_ref().and_then(|h| h.address().ok())
+    }
+
     /// Account and budgets of what crosses districts, where configured.
     pub fn crossing(&mut self) -> Option<&mut Crossing> {
         self.controller.gate().crossing.as_mut()
@@ -174,11 +200,12 @@
             if stopping.is_none() && signals.stop.load(Ordering::Relaxed) {
                 let (open, standing) = self.calls.count();
                 log::info!(open, standing; "stopping");
+                self.life.stop(now);
                 stopping = Some(now);
             }
             if let Some(since) = stopping {
                 if now - since >= LAST_REQUESTS {
-                    self.clients.stop_listening(&self.watch);
+                    self.clients.stop_listening(now, &mut self.watch, &mut self.calls);
                     if self.calls.count() == (0, 0) || now - since >= self.last {
                         return self.finish(now);
                     }
@@ -195,24 +222,32 @@
         let new = match read {
             Ok(new) => new,
             Err(ConfigError::Own(problems)) => {
+                self.figures.reloaded(false);
                 for problem in &problems {
                     let (place, what) = (problem.place.to_string(), problem.what.as_str());
                     log::warn!(place = place.as_str(), what; "configuration-problem");
                 }
                 return log::warn!(problems = problems.len(); "configuration-rejected");
             }
-            Err(error) => return log::warn!(error:%; "configuration-rejected"),
+            Err(error) => {
+                self.figures.reloaded(false);
+                return log::warn!(error:%; "configuration-rejected");
+            }
         };
         // What can fail comes first, so that all of the new configuration counts or nothing.
         let opened = resolver::open(new.dns).and_then(|socket| Ok((self.watch.add(&socket, false)?, socket)));
         let (key, socket) = match opened {
             Ok(opened) => opened,
-            Err(error) => return log::error!(resolver:% = new.dns, error:%; "resolver-failed"),
+            Err(error) => {
+                self.figures.reloaded(false);
+                return log::error!(resolver:% = new.dns, error:%; "resolver-failed");
+            }
         };
         let changes = match self.take_own(now, new.own) {
             Ok(changes) => changes,
             Err(error) => {
                 self.watch.remove(&socket);
+                self.figures.reloaded(false);
                 return log::warn!(error:%; "configuration-rejected");
             }
         };
@@ -224,6 +259,7 @@
         }
         self.resolver.ask();
         self.decide(now);
+        self.figures.reloaded(true);
         log::info!(resolver:% = new.dns, changes:% = changes; "configuration-read");
         if new.settings != self.settings || new.platform != self.platform {
             // They count from the next start on.
@@ -309,6 +345,46 @@
         }
     }
 
+    /// Carries out a call of the control address; returns the answer's bytes.
+    fn call(&mut self, now: f64, call: Call) -> Vec<u8> {
+        let changed = match call {
+            Call::Ready => {
+                return match self.life.phase() {
+                    Phase::Serving => control_http::answer(200, "text/plain", "ready\n"),
+                    Phase::Lameduck => control_http::answer(503, "text/plain", "lameduck\n"),
+                    Phase::Stopping => control_http::answer(503, "text/plain", "stopping\n"),
+                };
+            }
+            Call::Vars => {
+                let json = serde_json::to_string(&self.figures_now()).unwrap_or_else(|_| "{}".into());
+                return control_http::answer(200, "application/json", &json);
+            }
+            Call::LameduckOn => self.life.lameduck_on(now),
+            Call::LameduckOff => self.life.lameduck_off(now),
+        };
+        let phase = format!("{:?}", self.life.phase()).to_lowercase();
+        if changed {
+            log::info!(phase = phase.as_str(); "lameduck");
+        }
+        control_http::answer(200, "text/plain", &format!("{phase}\n"))
+    }
+
+    /// The figures, with the gauges of this moment.
+    pub fn figures_now(&self) -> hollypaddle_service::figures::Report {
+        let (open, standing) = self.calls.count();
+        let (discovered, ejected) = self.servers.counts();
+        let outstanding = (open + standing) as u64;
+        let mut report = self.figures.report(Gauges { outstanding, discovered, ejected });
+        // Written where the servers' sockets are, and counted there.
+        report.forwards += self.calls.forwards;
+        report
+    }
+
+    /// Whether it says that it takes clients.
+    pub fn ready(&self) -> bool {
+        self.life.ready()
+    }
+
     /// The report of what crosses districts, where configured.
     pub fn report(&mut self, span: Span) -> Option<Report> {
         let now = self.clock.now();
@@ -340,6 +416,9 @@
         if let Some(control) = self.control.take() {
             control.close(&self.watch);
         }
+        if let Some(http) = self.http.take() {
+            http.close(&self.watch);
+        }
         log::info!(refused = open, standing; "stopped");
         Ok(())
     }
@@ -361,6 +440,16 @@
             } else {
                 self.servers.ready(ready, &mut turn);
                 self.clients.ready(now, ready, &mut self.watch, &mut self.calls);
+                for class in std::mem::take(&mut self.clients.turned_away) {
+                    self.count(class, Outcome::Declined);
+                }
+                let called = self.http.as_mut().and_then(|h| h.ready(now, ready, &mut self.watch));
+                if let Some((key, call)) = called {
+                    let bytes = self.call(now, call);
+                    if let Some(http) = &mut self.http {
+                        http.reply(key, bytes, &self.watch);
+                    }
+                }
                 let asked = self.control.as_mut().and_then(|c| c.ready(now, ready, &mut self.watch));
                 if let Some((key, question)) = asked {
                     let told = self.answer(now, question);
@@ -382,6 +471,12 @@
                     if let Some(control) = &mut self.control {
                         control.beat(now, &self.watch);
                     }
+                    if let Some(http) = &mut self.http {
+                        http.beat(now, &self.watch);
+                    }
+                    if self.life.phase() == Phase::Lameduck {
+                        self.clients.drain(now, &self.life, &self.watch, &mut self.calls);
+                    }
                     self.log_account(now);
                     self.wheel.set(now + BEAT, Timer::Beat);
                 }
@@ -424,7 +519,16 @@
 
     fn effect(&mut self, now: f64, effect: Effect) {
         match effect {
-            Effect::Caller { origin, id, reply } => self.clients.reply(now, origin, id, reply, &self.watch),
+            Effect::Caller { origin, id, class, reply } => {
+                match reply {
+                    Reply::Stands(_) => self.count(class, Outcome::Succeeded),
+                    Reply::Refused(_) => self.count(class, Outcome::Declined),
+                    Reply::Failed => self.count(class, Outcome::Aborted),
+                    // The end of a call that stood, which had its final answer then.
+                    Reply::Over { .. } => {}
+                }
+                self.clients.reply(now, origin, id, reply, &self.watch)
+            }
             Effect::Server { pool, id, order } => {
                 let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
                 self.servers.order(pool, id, order, &mut turn);
@@ -435,3 +539,10 @@
         }
     }
 }
+
+impl Gatekeeper {
+    fn count(&mut self, class: usize, outcome: Outcome) {
+        let name = self.class_names.get(class).map_or(OTHER, String::as_str);
+        self.figures.answered(name, outcome);
+    }
+}
--- a/crates/gatekeeper/src/node/mod.rs
+++ b/crates/gatekeeper/src/node/mod.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod event_loop;
 pub mod gates;
+pub mod http;
 mod poller;
 mod resolver;
 mod servers;
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -147,6 +147,17 @@
         self.servers.iter().map(|(pool, server)| entry(*pool, &server.listed)).collect()
     }
 
+    /// Servers in the list, and those of them that are avoided now: drained, or not reached since a
+    /// connection was tried in vain.
+    pub fn counts(&self) -> (u64, u64) {
+        let (mut discovered, mut ejected) = (0, 0);
+        for server in self.servers.values() {
+            discovered += 1;
+            ejected += u64::from(server.listed.readiness == Readiness::Draining || server.unreachable);
+        }
+        (discovered, ejected)
+    }
+
     /// What is to be told of each server: its name, state, district and connections that are up.
     pub fn status(&self) -> impl Iterator<Item = (&str, Readiness, Option<u16>, usize)> {
         self.servers.values().map(|s| {
@@ -473,7 +484,9 @@
                 message = message.with(code::DESCRIPTION, &description[..]);
             }
             channel.open.insert(id, turn.now);
-            channel.say(key, &message, turn.watch);
+            if channel.say(key, &message, turn.watch).is_some() {
+                turn.calls.forwards += 1;
+            }
         }
     }
 
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -66,12 +66,23 @@
 
 impl World {
     fn new(servers: usize) -> World {
+        World::with(servers, |_| {})
+    }
+
+    /// With a control address.
+    fn controlled(servers: usize) -> World {
+        World::with(servers, |c| c.control = Some("127.0.0.1:0".parse().unwrap()))
+    }
+
+    fn with(servers: usize, change: impl FnOnce(&mut Config)) -> World {
         let listeners: Vec<TcpListener> =
             (0..servers).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
         listeners.iter().for_each(|l| l.set_nonblocking(true).unwrap());
         let dns = UdpSocket::bind("127.0.0.1:0").unwrap();
         dns.set_nonblocking(true).unwrap();
-        let node = Gatekeeper::new(config(&listeners, &dns)).unwrap();
+        let mut config = config(&listeners, &dns);
+        change(&mut config);
+        let node = Gatekeeper::new(config).unwrap();
         let caller = peer(TcpStream::connect(node.address()).unwrap());
         let (heard, at_servers) = (Vec::new(), Vec::new());
         let mut world = World {
@@ -621,3 +632,185 @@
         }
     }
 }
+
+// ---- In service: the control address, the figures, lameduck
+
+impl World {
+    /// Sends bytes to the control address and turns until the answer is whole: its status and body.
+    fn ask_control(&mut self, request: &[u8]) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.node.control_address().unwrap()).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        stream.write_all(request).unwrap();
+        self.read_answer(&mut stream)
+    }
+
+    fn read_answer(&mut self, stream: &mut TcpStream) -> (u16, String) {
+        use std::io::Read;
+        let mut got = Vec::new();
+        for _ in 0..TURNS {
+            self.turn();
+            let mut chunk = [0; 4096];
+            match stream.read(&mut chunk) {
+                Ok(0) => break,
+                Ok(n) => got.extend(&chunk[..n]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) => panic!("the control address broke: {e}"),
+            }
+        }
+        let text = String::from_utf8(got).unwrap();
+        let status = text.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0);
+        let body = text.split_once("\r\n\r\n").map_or("", |(_, b)| b).to_string();
+        (status, body)
+    }
+
+    fn get(&mut self, path: &str) -> (u16, String) {
+        self.ask_control(format!("GET {path} HTTP/1.1\r\nHost: gk\r\n\r\n").as_bytes())
+    }
+
+    fn post(&mut self, path: &str) -> (u16, String) {
+        self.ask_control(format!("POST {path} HTTP/1.1\r\nContent-Length: 0\r\n\r\n").as_bytes())
+    }
+
+    fn vars(&mut self) -> serde_json::Value {
+        let (status, body) = self.get("/_vars");
+        assert_eq!(status, 200);
+        serde_json::from_str(&body).unwrap()
+    }
+}
+
+#[test]
+fn the_control_address_answers_each_call_and_refuses_what_is_wrong() {
+    let mut w = World::controlled(1);
+    assert_eq!(w.get("/_ready").0, 200);
+    assert_eq!(w.post("/_lameduck/on").0, 200);
+    assert_eq!(w.post("/_lameduck/on").0, 200, "twice is fine");
+    assert_eq!(w.get("/_ready").0, 503);
+    assert_eq!(w.post("/_lameduck/off").0, 200);
+    assert_eq!(w.get("/_ready").0, 200);
+    assert_eq!(w.post("/_lameduck/off").0, 200, "off while not on is fine");
+    assert_eq!(w.get("/_ready").0, 200);
+    assert_eq!(w.get("/nowhere").0, 404);
+    assert_eq!(w.post("/_ready").0, 405);
+    assert_eq!(w.get("/_lameduck/on").0, 405);
+    assert_eq!(w.get("/_ready").0, 200, "a GET on the lameduck call changed nothing");
+    let (status, _) = w.ask_control(b"POST /_lameduck/on HTTP/1.1\r\nContent-Length: 4\r\n\r\nabcd");
+    assert_eq!(status, 400);
+    assert_eq!(w.get("/_ready").0, 200, "a refused call changed nothing");
+    assert_eq!(w.ask_control(b"\x16\x03\x01 not http\r\n\r\n").0, 400);
+    let huge = [b"GET /_ready HTTP/1.1\r\nX: ".as_slice(), &[b'a'; 9000], b"\r\n\r\n"].concat();
+    assert_eq!(w.ask_control(&huge).0, 431);
+}
+
+/// Guards against peers that take every place of the control address with heads they never finish.
+#[test]
+fn trickling_peers_do_not_lock_the_front_out() {
+    let mut w = World::controlled(1);
+    let address = w.node.control_address().unwrap();
+    let mut slow: Vec<TcpStream> = (0..super::http::MOST_CONNECTIONS + 8)
+        .map(|_| {
+            let mut s = TcpStream::connect(address).unwrap();
+            s.write_all(b"GET /_rea").unwrap();
+            s
+        })
+        .collect();
+    for _ in 0..5 {
+        w.turn();
+    }
+    // A byte more now and then, as a peer that trickles its head.
+    for s in &mut slow {
+        let _ = s.write_all(b"d");
+    }
+    let asked = w.node.now();
+    assert_eq!(w.get("/_ready").0, 200);
+    assert!(w.node.now() - asked < 1.0);
+    // Those who never finish are let go once their time is up.
+    w.pass(1.2);
+    let mut fresh = TcpStream::connect(address).unwrap();
+    fresh.write_all(b"GET /_ready HTTP/1.1\r\n\r\n").unwrap();
+    fresh.set_nonblocking(true).unwrap();
+    assert_eq!(w.read_answer(&mut fresh).0, 200);
+}
+
+#[test]
+fn the_figures_hold_what_the_test_counted_and_start_at_zero() {
+    let mut w = World::controlled(2);
+    let v = w.vars();
+    assert_eq!(v["succeeded"]["meter-read"], 0);
+    assert_eq!(v["forwards"], 0);
+    assert_eq!(v["discovered"], 2);
+    assert_eq!(v["ejected"], 0);
+    for id in 1..=3 {
+        w.stand(id);
+    }
+    // One whose server ends it before it stood: failed.
+    w.caller.send(&set_up(10, 3000)).unwrap();
+    w.at_servers(10, kind::SET_UP);
+    w.servers_say(&release(10, cause::NORMAL));
+    w.heard(10, kind::RELEASE, Some(cause::TEMPORARY_FAILURE));
+    // One whose caller leaves while it is out: any count will do for it, but it is no longer outstanding.
+    let mut leaving = peer(TcpStream::connect(w.node.address()).unwrap());
+    leaving.send(&set_up(20, 3000)).unwrap();
+    w.at_servers(20, kind::SET_UP);
+    drop(leaving);
+    w.pass(0.5);
+    let v = w.vars();
+    assert_eq!(v["succeeded"]["meter-read"], 3);
+    assert!(v["aborted"]["meter-read"].as_u64().unwrap_or(0) >= 1);
+    assert_eq!(v["declined"]["meter-read"], 0);
+    assert_eq!(v["forwards"], 5);
+    assert_eq!(v["outstanding"], 3, "three stand; the others are over");
+    assert_eq!(v["sighup_applied"], 0);
+    assert_eq!(v["sighup_rejected"], 0);
+}
+
+/// Guards against a drained gatekeeper that keeps idle connections, or drops a request of the last moment.
+#[test]
+fn lameduck_lets_quiet_connections_go_and_answers_the_last_requests() {
+    let mut w = World::controlled(1);
+    let mut idle = peer(TcpStream::connect(w.node.address()).unwrap());
+    w.stand(1);
+    assert_eq!(w.post("/_lameduck/on").0, 200);
+    let drained = w.node.now();
+    // A request on an open connection after the drain is still served.
+    w.caller.send(&set_up(2, 3000)).unwrap();
+    w.at_servers(2, kind::SET_UP);
+    w.servers_say(&answer(2));
+    w.heard(2, kind::ANSWER, None);
+    // A new connection within the front's 0.2 s is served too.
+    let mut late = peer(TcpStream::connect(w.node.address()).unwrap());
+    late.send(&set_up(3, 3000)).unwrap();
+    w.at_servers(3, kind::SET_UP);
+    w.servers_say(&answer(3));
+    let mut heard = Vec::new();
+    for _ in 0..TURNS {
+        w.turn();
+        let _ = late.read(&mut heard);
+        if heard.iter().any(|m| m.call == 3 && m.kind == kind::ANSWER) {
+            break;
+        }
+    }
+    assert!(heard.iter().any(|m| m.call == 3 && m.kind == kind::ANSWER));
+    // Within 4 s of the drain every connection that waits for nothing is closed; the process goes on.
+    w.pass(3.0);
+    assert!(w.node.now() - drained < 4.0);
+    let closed = |p: &mut Peer| p.read(&mut Vec::new()).is_err();
+    assert!(closed(&mut idle), "the idle connection is closed");
+    assert_eq!(w.get("/_ready").0, 503);
+    assert_eq!(w.post("/_lameduck/off").0, 200);
+    assert_eq!(w.get("/_ready").0, 200);
+    let mut again = peer(TcpStream::connect(w.node.address()).unwrap());
+    again.send(&set_up(4, 3000)).unwrap();
+    w.at_servers(4, kind::SET_UP);
+}
+
+/// Guards against an upgrade in which the new process cannot listen beside the old one.
+#[test]
+fn a_second_gatekeeper_listens_at_the_same_address() {
+    let w = World::controlled(1);
+    let listeners = [TcpListener::bind("127.0.0.1:0").unwrap()];
+    let dns = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let mut second = config(&listeners, &dns);
+    second.listen = w.node.address();
+    let node = Gatekeeper::new(second).expect("SO_REUSEPORT lets the second bind");
+    assert_eq!(node.address(), w.node.address());
+}
--- /dev/null
+++ b/crates/service/src/figures.rs
@@ -0,0 +1,177 @@
+//! The figures: counts of what became of the requests, and gauges read when asked. One model, which the
+//! control address gives as JSON and which later fronts (an SNMP agent) read too.
+//!
+//! Counts start at 0 in each process. A class that the settings drop keeps its counts, as they are still
+//! true of the time before, and a class that comes back goes on from them.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+/// Classes counted at most; a name beyond them is counted under [`OTHER`]. Bounds the map against settings
+/// that bring new names at every reload.
+pub const MOST_CLASSES: usize = 256;
+/// Where the requests of classes beyond the bound are counted.
+pub const OTHER: &str = "other";
+
+/// What became of a request: its final answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Succeeded,
+    /// Refused.
+    Declined,
+    /// Failed.
+    Aborted,
+}
+
+/// What is read at the moment it is asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Gauges {
+    /// Requests taken that have not ended.
+    pub outstanding: u64,
+    /// Session servers in the list.
+    pub discovered: u64,
+    /// Listed session servers that are avoided now.
+    pub ejected: u64,
+}
+
+/// The figures as told: per class, and the rest.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Report {
+    /// Requests served, by class.
+    pub succeeded: BTreeMap<String, u64>,
+    /// Requests refused, by class.
+    pub declined: BTreeMap<String, u64>,
+    /// Requests failed, by class.
+    pub aborted: BTreeMap<String, u64>,
+    /// Attempts written whole to session servers.
+    pub forwards: u64,
+    /// What is read at the moment.
+    #[serde(flatten)]
+    pub gauges: Gauges,
+    /// Files taken at SIGHUP.
+    pub sighup_applied: u64,
+    /// Files turned down at SIGHUP.
+    pub sighup_rejected: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    succeeded: u64,
+    declined: u64,
+    aborted: u64,
+}
+
+/// The counts of this process.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    classes: BTreeMap<String, Counts>,
+    forwards: u64,
+    sighup_applied: u64,
+    sighup_rejected: u64,
+}
+
+impl Figures {
+    /// Counts from 0, with the classes named so far shown at 0.
+    pub fn new<'a>(classes: impl IntoIterator<Item = &'a str>) -> Self {
+        let mut figures = Figures::default();
+        figures.name(classes);
+        figures
+    }
+
+    /// Shows classes of new settings at 0 from now on.
+    pub fn name<'a>(&mut self, classes: impl IntoIterator<Item = &'a str>) {
+        for class in classes {
+            self.counts(class);
+        }
+    }
+
+    fn counts(&mut self, class: &str) -> &mut Counts {
+        let name = match self.classes.contains_key(class) || self.classes.len() < MOST_CLASSES {
+            true => class,
+            false => OTHER,
+        };
+        self.classes.entry(name.to_string()).or_default()
+    }
+
+    /// A request of a class has its final answer.
+    pub fn answered(&mut self, class: &str, outcome: Outcome) {
+        let counts = self.counts(class);
+        let count = match outcome {
+            Outcome::Succeeded => &mut counts.succeeded,
+            Outcome::Declined => &mut counts.declined,
+            Outcome::Aborted => &mut counts.aborted,
+        };
+        *count += 1;
+    }
+
+    /// An attempt was written whole to a session server.
+    pub fn forwarded(&mut self) {
+        self.forwards += 1;
+    }
+
+    /// A file read at SIGHUP was taken, or turned down.
+    pub fn reloaded(&mut self, taken: bool) {
+        match taken {
+            true => self.sighup_applied += 1,
+            false => self.sighup_rejected += 1,
+        }
+    }
+
+    /// The figures with the gauges of the moment.
+    pub fn report(&self, gauges: Gauges) -> Report {
+        let by = |pick: fn(&Counts) -> u64| self.classes.iter().map(|(k, c)| (k.clone(), pick(c))).collect();
+        Report {
+            succeeded: by(|c| c.succeeded),
+            declined: by(|c| c.declined),
+            aborted: by(|c| c.aborted),
+            forwards: self.forwards,
+            gauges,
+            sighup_applied: self.sighup_applied,
+            sighup_rejected: self.sighup_rejected,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_report_has_every_figure_the_front_reads() {
+        let mut figures = Figures::new(["valve-set", "meter-read"]);
+        figures.answered("valve-set", Outcome::Succeeded);
+        figures.answered("valve-set", Outcome::Succeeded);
+        figures.answered("meter-read", Outcome::Declined);
+        figures.answered("valve-set", Outcome::Aborted);
+        figures.forwarded();
+        figures.reloaded(true);
+        figures.reloaded(false);
+        figures.reloaded(false);
+        let gauges = Gauges { outstanding: 14, discovered: 6, ejected: 1 };
+        let json = serde_json::to_value(figures.report(gauges)).unwrap();
+        assert_eq!(json["succeeded"]["valve-set"], 2);
+        assert_eq!(json["succeeded"]["meter-read"], 0);
+        assert_eq!(json["declined"]["meter-read"], 1);
+        assert_eq!(json["aborted"]["valve-set"], 1);
+        assert_eq!(json["forwards"], 1);
+        assert_eq!(json["outstanding"], 14);
+        assert_eq!(json["discovered"], 6);
+        assert_eq!(json["ejected"], 1);
+        assert_eq!(json["sighup_applied"], 1);
+        assert_eq!(json["sighup_rejected"], 2);
+    }
+
+    #[test]
+    fn names_beyond_the_bound_are_counted_together() {
+        let mut figures = Figures::default();
+        for n in 0..MOST_CLASSES + 10 {
+            figures.answered(&format!("c{n}"), Outcome::Succeeded);
+        }
+        let report = figures.report(Gauges::default());
+        assert_eq!(report.succeeded.len(), MOST_CLASSES + 1);
+        assert_eq!(report.succeeded[OTHER], 10);
+        assert_eq!(report.succeeded.values().sum::<u64>(), (MOST_CLASSES + 10) as u64);
+    }
+}
--- /dev/null
+++ b/crates/service/src/http.rs
@@ -0,0 +1,171 @@
+//! The calls of the control address: a head read with httparse, what it asks for or what is wrong with it,
+//! and the answer's bytes. One call a connection, so every answer ends its connection.
+
+/// A head may have so many bytes and headers; beyond them it is refused with 431.
+pub const MOST_HEAD: usize = 8192;
+/// Headers at most.
+pub const MOST_HEADERS: usize = 32;
+
+/// What may be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// `GET /_ready`: whether it takes clients.
+    Ready,
+    /// `GET /_vars`: the figures.
+    Vars,
+    /// `POST /_lameduck/on`: drain.
+    LameduckOn,
+    /// `POST /_lameduck/off`: take clients again.
+    LameduckOff,
+}
+
+/// A refusal: its status and a short reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The HTTP status.
+    pub status: u16,
+    /// A few words.
+    pub reason: &'static str,
+}
+
+/// What the bytes so far come to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// The head is not whole yet.
+    Partial,
+    /// A call.
+    Call(Call),
+    /// Something wrong, to be answered so.
+    Wrong(Refusal),
+}
+
+const fn wrong(status: u16, reason: &'static str) -> Asked {
+    Asked::Wrong(Refusal { status, reason })
+}
+
+/// Reads what a connection sent so far.
+pub fn read(bytes: &[u8]) -> Asked {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(bytes) {
+        Ok(httparse::Status::Partial) if bytes.len() >= MOST_HEAD => wrong(431, "head too large"),
+        Ok(httparse::Status::Partial) => Asked::Partial,
+        Ok(httparse::Status::Complete(length)) if length > MOST_HEAD => wrong(431, "head too large"),
+        Ok(httparse::Status::Complete(length)) => route(&request, bytes.len() > length),
+        Err(httparse::Error::TooManyHeaders) => wrong(431, "too many headers"),
+        Err(_) => wrong(400, "malformed request"),
+    }
+}
+
+fn route(request: &httparse::Request, more: bool) -> Asked {
+    let (Some(method), Some(path)) = (request.method, request.path) else {
+        return wrong(400, "malformed request");
+    };
+    if request.version != Some(1) && request.version != Some(0) {
+        return wrong(400, "not HTTP/1");
+    }
+    let path = path.split_once('?').map_or(path, |(path, _)| path);
+    let (want, call) = match path {
+        "/_ready" => ("GET", Call::Ready),
+        "/_vars" => ("GET", Call::Vars),
+        "/_lameduck/on" => ("POST", Call::LameduckOn),
+        "/_lameduck/off" => ("POST", Call::LameduckOff),
+        _ => return wrong(404, "no such call"),
+    };
+    let head_too = want == "GET" && method == "HEAD";
+    if method != want && !head_too {
+        return match want {
+            "GET" => wrong(405, "use GET"),
+            _ => wrong(405, "use POST"),
+        };
+    }
+    let body = request.headers.iter().any(|h| {
+        let value = std::str::from_utf8(h.value).unwrap_or("?").trim();
+        (h.name.eq_ignore_ascii_case("content-length") && value != "0")
+            || h.name.eq_ignore_ascii_case("transfer-encoding")
+    });
+    if body || more {
+        return wrong(400, "no body belongs to this call");
+    }
+    Asked::Call(call)
+}
+
+/// An answer's bytes, with the end of the connection announced.
+pub fn answer(status: u16, content_type: &str, body: &str) -> Vec<u8> {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        _ => "Error",
+    };
+    format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\n\
+         Cache-Control: no-store\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// A refusal's bytes.
+pub fn refusal(refusal: Refusal) -> Vec<u8> {
+    answer(refusal.status, "text/plain", &format!("{}\n", refusal.reason))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn status(bytes: &[u8]) -> Option<u16> {
+        match read(bytes) {
+            Asked::Wrong(r) => Some(r.status),
+            _ => None,
+        }
+    }
+
+    #[test]
+    fn each_call_is_read_from_its_head() {
+        assert_eq!(read(b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n"), Asked::Call(Call::Ready));
+        assert_eq!(read(b"GET /_vars HTTP/1.0\r\n\r\n"), Asked::Call(Call::Vars));
+        let on = b"POST /_lameduck/on HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+        assert_eq!(read(on), Asked::Call(Call::LameduckOn));
+        assert_eq!(read(b"POST /_lameduck/off HTTP/1.1\r\n\r\n"), Asked::Call(Call::LameduckOff));
+        assert_eq!(read(b"GET /_ready?x=1 HTTP/1.1\r\n\r\n"), Asked::Call(Call::Ready));
+    }
+
+    #[test]
+    fn a_head_in_pieces_is_partial_until_whole() {
+        let whole = b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n";
+        for cut in 0..whole.len() {
+            assert_eq!(read(&whole[..cut]), Asked::Partial, "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn bad_input_gets_its_status() {
+        assert_eq!(status(b"GET /nothing HTTP/1.1\r\n\r\n"), Some(404));
+        assert_eq!(status(b"POST /_ready HTTP/1.1\r\n\r\n"), Some(405));
+        assert_eq!(status(b"GET /_lameduck/on HTTP/1.1\r\n\r\n"), Some(405));
+        assert_eq!(status(b"GET /_vars HTTP/1.1\r\n\r\ntrailing"), Some(400));
+        assert_eq!(status(b"POST /_lameduck/on HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"), Some(400));
+        let chunked = b"POST /_lameduck/on HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        assert_eq!(status(chunked), Some(400));
+        assert_eq!(status(b"\x00\x01\x02 garbage\r\n\r\n"), Some(400));
+        let long = [b"GET /_ready HTTP/1.1\r\nX: ".as_slice(), &[b'a'; MOST_HEAD]].concat();
+        assert_eq!(status(&long), Some(431));
+        let many: String = (0..=MOST_HEADERS).map(|n| format!("X{n}: y\r\n")).collect();
+        assert_eq!(status(format!("GET /_ready HTTP/1.1\r\n{many}\r\n").as_bytes()), Some(431));
+    }
+
+    #[test]
+    fn an_answer_says_its_length_and_the_end_of_the_connection() {
+        let text = String::from_utf8(answer(200, "application/json", "{}")).unwrap();
+        assert!(text.starts_with("HTTP/1.1 200 OK\r\n"));
+        assert!(text.contains("Content-Length: 2\r\n"));
+        assert!(text.contains("Connection: close\r\n"));
+        assert!(text.ends_with("\r\n\r\n{}"));
+    }
+}
