--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -263,6 +263,15 @@
         }
     }
 
+    /// Calls that stand, by the origin whose caller is to hear of their end.
+    pub fn standing_by_origin(&self) -> HashMap<Origin, usize> {
+        let mut by = HashMap::new();
+        for call in self.calls.values().filter(|c| matches!(c.state, State::Standing { .. })) {
+            *by.entry(call.origin).or_insert(0) += 1;
+        }
+        by
+    }
+
     /// Calls that still need their final answer, and calls that stand.
     pub fn count(&self) -> (usize, usize) {
         let standing = self.calls.values().filter(|c| matches!(c.state, State::Standing { .. })).count();
--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -60,6 +60,8 @@
 
 /// All callers.
 pub struct Clients {
+    /// Where it listens, or listened before a drain.
+    address: SocketAddr,
     classes: Vec<LinkClass>,
     listener: Option<TcpListener>,
     listener_key: Key,
@@ -84,20 +86,15 @@
         classes: Vec<LinkClass>,
         watch: &mut Watch,
     ) -> io::Result<Self> {
-        // SO_REUSEPORT: at an upgrade the new process listens beside the old one at the same address.
-        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_reuse_address(true)?;
-        socket.set_reuse_port(true)?;
-        socket.bind(&address.into())?;
-        socket.listen(BACKLOG)?;
-        let listener: TcpListener = socket.into();
-        listener.set_nonblocking(true)?;
+        let listener = bind(address)?;
+        let address = listener.local_addr()?;
         let listener_key = watch.add(&listener, false)?;
         let (listener, connections) = (Some(listener), BTreeMap::new());
         let (paused, owed) = (false, VecDeque::new());
         let most_waiting = (memory / most).clamp(2 * MOST, 8 * MOST);
         let turned_away = Vec::new();
         Ok(Clients {
+            address,
             classes,
             listener,
             listener_key,
@@ -148,15 +145,32 @@
         }
     }
 
+    /// Whether it listens.
+    pub fn listening(&self) -> bool {
+        self.listener.is_some()
+    }
+
+    /// Listens again at its address, after a drain.
+    pub fn listen_again(&mut self, watch: &mut Watch) -> io::Result<()> {
+        if self.listener.is_none() {
+            let listener = bind(self.address)?;
+            self.listener_key = watch.add(&listener, false)?;
+            (self.listener, self.paused) = (Some(listener), false);
+        }
+        Ok(())
+    }
+
     /// While drained, closes the connections that the lifecycle lets go: those that wait for nothing and
     /// have been quiet a while.
     pub fn drain(&mut self, now: f64, life: &Lifecycle, watch: &Watch, calls: &mut Calls) {
+        let standing = calls.standing_by_origin();
         let quiet = |(key, c): (&Key, &Client)| {
             let state = lifecycle::Connection {
                 since: c.since,
                 used_at: c.used_at,
                 told: c.told != Told::Nothing,
                 open: calls.open_from(*key),
+                standing: standing.get(key).copied().unwrap_or(0),
                 writing: c.connection.blocked(),
             };
             life.closes(now, &state).then_some(*key)
@@ -398,6 +412,19 @@
     parsed().ok_or(cause::INVALID_PARAMETER)
 }
 
+/// A listener, with SO_REUSEPORT: at an upgrade the new process listens beside the old one at the same
+/// address, and after a drain this one listens again where it was.
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    let listener: TcpListener = socket.into();
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 /// The number of a set-up's class, for the figures; one past the last where it names none.
 fn request_class(message: &Message, classes: &[LinkClass]) -> usize {
     let class = message.bytes(code::CLASS).unwrap_or_default();
--- a/crates/gatekeeper/src/node/config.rs
+++ b/crates/gatekeeper/src/node/config.rs
@@ -232,6 +232,21 @@
             text.parse::<SocketAddr>().map_err(|_| ConfigError::Field(field, text.to_string()))
         };
         let (settings, telemetry) = settings::read(file.settings.to_string().as_bytes())?;
+        // A file with a deadline or attempts that are no positive number is broken: nothing of it is taken.
+        if settings.try_limit == 0 {
+            return Err(ConfigError::Field("settings.limits.tryLimit", settings.try_limit.to_string()));
+        }
+        let positive = |v: f64| v.is_finite() && v > 0.0;
+        for (n, class) in settings.classes.iter().enumerate() {
+            if !positive(class.hard_limit) {
+                let field = "settings.requestClasses[].hardLimit";
+                return Err(ConfigError::Field(field, format!("{} (class {n})", class.hard_limit)));
+            }
+            if !positive(class.goal_time) {
+                let field = "settings.requestClasses[].goalTime";
+                return Err(ConfigError::Field(field, format!("{} (class {n})", class.goal_time)));
+            }
+        }
         let link: LinkSettings = serde_json::from_value(file.settings)?;
         let family = link.family_info;
         let class = |(n, class): (usize, Class)| LinkClass {
@@ -295,5 +310,15 @@
         assert_eq!(read(listen, &file("there", "ab")), Some(r#"dns cannot be "there""#.into()));
         assert_eq!(read(listen, &file("127.0.0.1:53", "?")), Some(r#"seed cannot be "?""#.into()));
         assert!(read(listen, "{}").is_some_and(|e| e.contains("missing field")));
+        assert!(read(listen, "").is_some_and(|e| e.contains("EOF")));
+        let whole = file("127.0.0.1:53", "ab");
+        assert!(read(listen, &whole[..whole.len() / 2]).is_some_and(|e| e.contains("EOF")));
+        let none = whole.replace(r#""tryLimit":6"#, r#""tryLimit":0"#);
+        assert_eq!(read(listen, &none), Some(r#"settings.limits.tryLimit cannot be "0""#.into()));
+        let negative = whole.replace(r#""tryLimit":6"#, r#""tryLimit":-2"#);
+        assert!(read(listen, &negative).is_some_and(|e| e.contains("invalid value")));
+        let class = r#""requestClasses":[{"name":"a","goalTime":1.0,"hardLimit":-3,"value":1}]"#;
+        let deadline = whole.replace(r#""requestClasses":[]"#, class);
+        assert!(read(listen, &deadline).is_some_and(|e| e.contains("hardLimit cannot be \"-3 (class 0)\"")));
     }
 }
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -477,6 +477,7 @@
                     if self.life.phase() == Phase::Lameduck {
                         self.clients.drain(now, &self.life, &self.watch, &mut self.calls);
                     }
+                    self.listen_as_told(now);
                     self.log_account(now);
                     self.wheel.set(now + BEAT, Timer::Beat);
                 }
@@ -541,6 +542,24 @@
 }
 
 impl Gatekeeper {
+    /// Closes or opens the clients' listener as the lifecycle says.
+    fn listen_as_told(&mut self, now: f64) {
+        match (self.life.listens(now), self.clients.listening()) {
+            (false, true) => {
+                self.clients.stop_listening(now, &mut self.watch, &mut self.calls);
+                log::info!("listener-closed");
+            }
+            (true, false) if self.life.phase() == Phase::Serving => {
+                match self.clients.listen_again(&mut self.watch) {
+                    Ok(()) => log::info!("listener-open"),
+                    // Tried again at the next beat.
+                    Err(error) => log::warn!(error:%; "listener-failed"),
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn count(&mut self, class: usize, outcome: Outcome) {
         let name = self.class_names.get(class).map_or(OTHER, String::as_str);
         self.figures.answered(name, outcome);
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -796,13 +796,22 @@
     let closed = |p: &mut Peer| p.read(&mut Vec::new()).is_err();
     assert!(closed(&mut idle), "the idle connection is closed");
     assert_eq!(w.get("/_ready").0, 503);
+    assert!(TcpStream::connect(w.node.address()).is_err(), "a drained listener takes no connection");
+    assert!(!control_gone(&mut w), "the process goes on");
     assert_eq!(w.post("/_lameduck/off").0, 200);
     assert_eq!(w.get("/_ready").0, 200);
+    // The listener is open again at the next beat.
+    w.pass(0.2);
     let mut again = peer(TcpStream::connect(w.node.address()).unwrap());
     again.send(&set_up(4, 3000)).unwrap();
     w.at_servers(4, kind::SET_UP);
 }
 
+fn control_gone(w: &mut World) -> bool {
+    w.turn();
+    w.node.control_address().is_none()
+}
+
 /// Guards against an upgrade in which the new process cannot listen beside the old one.
 #[test]
 fn a_second_gatekeeper_listens_at_the_same_address() {
