Keep the connection that owed ends go to while drained

Ruled out: ends for callers still connected (all went to their own connection). Change: Clients::drain keeps the newest connection while ends are owed, and the connection that reply picks while a call stands whose caller's connection is gone (one place, Clients::heir).

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -164,7 +164,20 @@
     /// have been quiet a while.
     pub fn drain(&mut self, now: f64, life: &Lifecycle, watch: &Watch, calls: &mut Calls) {
         let standing = calls.standing_by_origin();
+        // Calls that stand for callers whose own connection is gone have their end told on the connection
+        // that `reply` picks; while drained no new one comes, so that one stays.
+        // Ends that are owed go to the newest connection, so that one stays too.
+        let orphans = standing.keys().any(|origin| !self.connections.contains_key(origin));
+        let newest = self.connections.keys().next_back().copied();
+        let heir = match (orphans, self.owed.is_empty()) {
+            (_, false) => newest,
+            (true, true) => self.heir().or(newest),
+            (false, true) => None,
+        };
         let quiet = |(key, c): (&Key, &Client)| {
+            if Some(*key) == heir {
+                return None;
+            }
             let state = lifecycle::Connection {
                 since: c.since,
                 used_at: c.used_at,
@@ -334,8 +347,7 @@
         // the end goes to one that was told of a call that stands, the newest of them as the least
         // likely to be closing. Before that, a caller whose connection is gone has given its call up.
         if over {
-            let known = self.connections.iter().filter(|(_, c)| c.told >= Told::Answer);
-            match known.max_by_key(|(&key, c)| (c.told, key)).map(|(key, _)| *key) {
+            match self.heir() {
                 Some(key) => self.say(now, key, &message, told, watch),
                 None if self.owed.len() < MOST_OWED => self.owed.push_back((now, message)),
                 None => log::debug!(call:% = format_args!("{id:016x}"); "end-dropped"),
@@ -343,6 +355,13 @@
         }
     }
 
+    /// The connection on which the end of a call is told whose caller's own connection is gone: one that was
+    /// told of a call that stands, the newest of them as the least likely to be closing.
+    fn heir(&self) -> Option<Key> {
+        let known = self.connections.iter().filter(|(_, c)| c.told >= Told::Answer);
+        known.max_by_key(|(&key, c)| (c.told, key)).map(|(key, _)| *key)
+    }
+
     fn say(&mut self, now: f64, key: Key, message: &Message, told: Told, watch: &Watch) {
         let Some(client) = self.connections.get_mut(&key) else { return };
         (client.used_at, client.told) = (now, client.told.max(told));
