--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Takes the classes of settings read anew, by number.
+    pub fn set_classes(&mut self, classes: Vec<LinkClass>) {
+        self.classes = classes;
+    }
+
     /// Whether it listens.
     pub fn listening(&self) -> bool {
         self.listener.is_some()
@@ -419,7 +424,9 @@
     let (number, figures) = (field(code::NUMBER)?, field(code::FIGURES)?);
     let description = Some(field(code::DESCRIPTION)?.to_vec());
     let parsed = || {
-        let (index, class) = classes.iter().enumerate().find(|(_, c)| c.name.as_bytes() == class)?;
+        // The newest number of a name that takes new calls: see `hollypaddle_service::classes`.
+        let named = |(_, c): &(usize, &LinkClass)| c.live && c.name.as_bytes() == class;
+        let (index, class) = classes.iter().enumerate().rev().find(named)?;
         let wait = plain_number(wait)? / 1000.0;
         let dialled = hexadecimal(number)?;
         let first = first_choice(std::str::from_utf8(figures).ok()?, class)?;
@@ -447,7 +454,7 @@
 /// The number of a set-up's class, for the figures; one past the last where it names none.
 fn request_class(message: &Message, classes: &[LinkClass]) -> usize {
     let class = message.bytes(code::CLASS).unwrap_or_default();
-    classes.iter().position(|c| c.name.as_bytes() == class).unwrap_or(classes.len())
+    classes.iter().rposition(|c| c.live && c.name.as_bytes() == class).unwrap_or(classes.len())
 }
 
 /// Digits and nothing else, so that a sign, an exponent or "nan" is none.
--- a/crates/gatekeeper/src/node/config.rs
+++ b/crates/gatekeeper/src/node/config.rs
@@ -58,7 +58,7 @@
 }
 
 /// What a set-up of a class may say.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct LinkClass {
     /// The class's name.
     pub name: String,
@@ -68,6 +68,8 @@
     pub pools: Vec<u32>,
     /// How many circuits a call takes, if told.
     pub width: Option<f64>,
+    /// Whether new calls may take it: a class dropped at a reload keeps its number for the calls open.
+    pub live: bool,
 }
 
 impl Link {
@@ -254,6 +256,7 @@
             longest: class.hard_limit,
             pools: family.pools_by_class.get(n).cloned().unwrap_or_default(),
             width: family.widths.get(n).copied(),
+            live: true,
         };
         let seed = u64::from_str_radix(&file.seed, 16);
         let names = link.request_classes.iter().map(|c| c.name.clone());
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -12,7 +12,7 @@
 
 use super::clients::Clients;
 use super::clock::Clock;
-use super::config::{Config, ConfigError};
+use super::config::{Config, ConfigError, LinkClass};
 use super::control::{Control, Question};
 use super::gates::Gates;
 use super::http::Http;
@@ -22,6 +22,8 @@
 use hollypaddle_core::calls::Reply;
 use hollypaddle_core::calls::{Calls, Effect};
 use hollypaddle_core::wheel::Wheel;
+use hollypaddle_policy::ClassSettings;
+use hollypaddle_service::classes::Table;
 use hollypaddle_service::figures::{Figures, Gauges, Outcome, OTHER};
 use hollypaddle_service::http::{self as control_http, Call};
 use hollypaddle_service::lifecycle::{Lifecycle, Phase};
@@ -91,6 +93,8 @@
     figures: Figures,
     /// The names of the classes, by number.
     class_names: Vec<String>,
+    /// The classes by number, since the start.
+    classes: Table<(ClassSettings, LinkClass)>,
     started: f64,
     /// The longest time after SIGTERM.
     last: f64,
@@ -122,6 +126,8 @@
             None => None,
         };
         let class_names: Vec<String> = config.link.classes.iter().map(|c| c.name.clone()).collect();
+        let both = config.settings.classes.iter().cloned().zip(config.link.classes.iter().cloned());
+        let classes = Table::new(class_names.iter().cloned().zip(both));
         let figures = Figures::new(class_names.iter().map(String::as_str));
         let given = config.settings;
         let mut settings = given.clone();
@@ -146,6 +152,7 @@
             life: Lifecycle::new(now),
             figures,
             class_names,
+            classes,
             started: now,
             last,
         };
@@ -243,6 +250,15 @@
                 return log::error!(resolver:% = new.dns, error:%; "resolver-failed");
             }
         };
+        let both = new.settings.classes.iter().cloned().zip(new.link.classes.iter().cloned());
+        let table = match self.classes.retuned(new.link.classes.iter().map(|c| c.name.clone()).zip(both)) {
+            Ok(table) => table,
+            Err(full) => {
+                self.watch.remove(&socket);
+                self.figures.reloaded(false);
+                return log::warn!(error:% = full; "configuration-rejected");
+            }
+        };
         let changes = match self.take_own(now, new.own) {
             Ok(changes) => changes,
             Err(error) => {
@@ -257,13 +273,16 @@
             let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
             self.servers.list(&new.known, ListKind::Full, &mut turn);
         }
+        let classes = table.changes(&self.classes);
+        self.retune(new.settings.clone(), table);
         self.resolver.ask();
         self.decide(now);
         self.figures.reloaded(true);
-        log::info!(resolver:% = new.dns, changes:% = changes; "configuration-read");
-        if new.settings != self.settings || new.platform != self.platform {
-            // They count from the next start on.
-            log::warn!("settings-changed");
+        log::info!(resolver:% = new.dns, changes:% = changes, classes:% = classes; "configuration-read");
+        self.settings = new.settings;
+        if new.platform != self.platform {
+            // The districts and the classes that budgets name count from the next start on.
+            log::warn!("platform-changed");
         }
     }
 
@@ -542,6 +561,25 @@
 }
 
 impl Gatekeeper {
+    /// Takes settings read anew: the module gets them with every class number since the start, so that open
+    /// calls keep the rules they came with; the sockets and the figures get the names.
+    fn retune(&mut self, mut settings: Settings, table: Table<(ClassSettings, LinkClass)>) {
+        let entries = table.entries();
+        settings.classes = entries.iter().map(|e| e.settings.0.clone()).collect();
+        settings.release += SOCKET_SLACK;
+        self.controller.retune(settings);
+        let link = |e: &hollypaddle_service::classes::Entry<(ClassSettings, LinkClass)>| LinkClass {
+            live: e.live,
+            ..e.settings.1.clone()
+        };
+        let links: Vec<LinkClass> = entries.iter().map(link).collect();
+        self.clients.set_classes(links.clone());
+        self.servers.set_classes(links);
+        self.class_names = entries.iter().map(|e| e.name.clone()).collect();
+        self.figures.name(entries.iter().filter(|e| e.live).map(|e| e.name.as_str()));
+        self.classes = table;
+    }
+
     /// Closes or opens the clients' listener as the lifecycle says.
     fn listen_as_told(&mut self, now: f64) {
         match (self.life.listens(now), self.clients.listening()) {
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -111,6 +111,11 @@
         Servers { link, telemetry, pools: BTreeMap::new(), last_pool: 0, servers: BTreeMap::new() }
     }
 
+    /// Takes the classes of settings read anew, by number, for the names in set-ups.
+    pub fn set_classes(&mut self, classes: Vec<super::config::LinkClass>) {
+        self.link.classes = classes;
+    }
+
     // ---- The list
 
     /// Takes a whole list. A server missing from it is gone.
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -34,6 +34,10 @@
 }
 
 fn config(listeners: &[TcpListener], dns: &UdpSocket) -> Config {
+    Config::read("n0".into(), "127.0.0.1:0", &config_text(listeners, dns)).unwrap()
+}
+
+fn config_text(listeners: &[TcpListener], dns: &UdpSocket) -> String {
     let listed = |(n, l): (usize, &TcpListener)| Listed {
         id: format!("s-{n}"),
         district: "downtown".into(),
@@ -43,7 +47,7 @@
         started_ms: 0,
     };
     let listed: Vec<Listed> = listeners.iter().enumerate().map(listed).collect();
-    let text = format!(
+    format!(
         r#"{{"seed":"8c1f","dns":"{}","limits":{{"sockets":64}},"known":{},
           "settings":{{"peersTotal":4,"period":0.005,"telemetry":{{"names":["free","size","hold_back"]}},
             "familyInfo":{{"release":0.3,"retransmit":0.4,"poolsByClass":[[0,1]]}},
@@ -52,8 +56,7 @@
             "safety":{{"cold":14.0,"coldFrom":0.3,"overloadFactor":3.0}}}}}}"#,
         dns.local_addr().unwrap(),
         resolver::known(1, &listed)
-    );
-    Config::read("n0".into(), "127.0.0.1:0", &text).unwrap()
+    )
 }
 
 fn set_up(id: u64, wait: u32) -> Message {
@@ -823,3 +826,45 @@
     let node = Gatekeeper::new(second).expect("SO_REUSEPORT lets the second bind");
     assert_eq!(node.address(), w.node.address());
 }
+
+/// Guards against a reload whose new classes are refused as unknown, whose dropped classes still take calls,
+/// and against a broken file that changes anything.
+#[test]
+fn a_reload_adds_and_drops_classes_and_a_broken_file_changes_nothing() {
+    let mut w = World::controlled(1);
+    w.stand(1);
+    let dns = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let text = config_text(&w.listeners, &dns);
+    let old = r#"{"name":"meter-read","effect":"read_like","goalTime":1.5,"hardLimit":9.0,"value":1.0}"#;
+    let new = r#"{"name":"valve-set-r2","effect":"write_like","goalTime":1.0,"hardLimit":4.0,"value":2.0}"#;
+    let read = |text: &str| Config::read("n0".into(), "127.0.0.1:0", text);
+    // Broken files: each is turned down and counted.
+    w.node.reload(read(""));
+    w.node.reload(read(&text.replace(r#""tryLimit":6"#, r#""tryLimit":0"#)));
+    w.node.reload(read(&text.replace(r#""hardLimit":9.0"#, r#""hardLimit":-1"#)));
+    let v = w.vars();
+    assert_eq!((v["sighup_applied"].as_u64(), v["sighup_rejected"].as_u64()), (Some(0), Some(3)));
+    w.caller.send(&set_up(2, 3000)).unwrap();
+    w.at_servers(2, kind::SET_UP);
+    // meter-read is dropped, valve-set-r2 comes, attempts are fewer.
+    let next = text.replace(old, new).replace(r#""tryLimit":6"#, r#""tryLimit":2"#);
+    w.node.reload(read(&next));
+    let v = w.vars();
+    assert_eq!((v["sighup_applied"].as_u64(), v["sighup_rejected"].as_u64()), (Some(1), Some(3)));
+    assert_eq!(v["succeeded"]["valve-set-r2"], 0, "a new class is shown from the reload on");
+    // The call open from before keeps its class, and is counted under it.
+    w.servers_say(&answer(2));
+    w.heard(2, kind::ANSWER, None);
+    // A new call of the new class goes to a server with its name.
+    w.caller.send(&hollypaddle_standin::set_up("valve-set-r2", 0, 3, 3000)).unwrap();
+    let sent = w.at_servers(3, kind::SET_UP);
+    assert_eq!(sent.bytes(code::CLASS), Some(&b"valve-set-r2"[..]));
+    // A new call of the dropped class is refused as one that makes no sense.
+    w.caller.send(&set_up(4, 3000)).unwrap();
+    w.heard(4, kind::RELEASE, Some(cause::INVALID_PARAMETER));
+    w.servers_say(&answer(3));
+    w.heard(3, kind::ANSWER, None);
+    let v = w.vars();
+    assert_eq!(v["succeeded"]["meter-read"], 2);
+    assert_eq!(v["succeeded"]["valve-set-r2"], 1);
+}
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -1,6 +1,5 @@
 //! The decision module: hysteretic overload control for one front. Its interface, all types, events
 //! and actions, is the file `interface.rs`.
-//!
 //! Each front keeps a state for every pool, after Abaev et al.: *normal* sends every new set-up,
 //! *overload* refuses each with probability q, *discard* sends none. docs/DESIGN.md tells what was
 //! kept, what was changed, and when each departure acts.
@@ -299,6 +298,11 @@
         &mut self.gate
     }
 
+    /// Settings read anew; a call's class keeps its number, so numbers are never given twice.
+    pub fn retune(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         self.gate.hear(now, &event);
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -2,6 +2,7 @@
 //! reports (the figures), and what the control address is asked. No I/O, no clock, no threads: the time
 //! is an argument, and the program carries out what is decided here.
 
+pub mod classes;
 pub mod figures;
 pub mod http;
 pub mod lifecycle;
