Test an upgrade with two real processes under load: no request turned back

Need: the issue asks for a handover under load in which every request is counted. Change: tests/handover.rs starts a gatekeeper, loads it with one request a connection, starts a second at the same address with its own control address, sends SIGTERM to the first once the second says ready, and counts every request: each must be answered, none refused or cut. The old process must end with 0.

--- /dev/null
+++ b/crates/gatekeeper/tests/handover.rs
@@ -0,0 +1,154 @@
+//! An upgrade with real processes: a second gatekeeper starts beside the first at the same address, says that
+//! it is ready, and the first is told SIGTERM, all under load. Every request sent has to be heard and
+//! answered; none may be turned back by a refused or closed connection.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use hollypaddle_platform::message::{cause, kind, Message};
+use hollypaddle_standin::resolver::{self, Listed};
+use hollypaddle_standin::{answer, peer, release, set_up, Peer};
+
+/// How long the load runs in all, and how many requests are out at once.
+const LOAD: Duration = Duration::from_secs(6);
+const AT_ONCE: usize = 8;
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn start(config: &std::path::Path, listen: SocketAddr, control: SocketAddr) -> Child {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hollypaddle"))
+        .env("PROXY_NAME", "n0")
+        .env("PROXY_LISTEN", listen.to_string())
+        .env("PROXY_CONFIG", config)
+        .env("PROXY_CONTROL", control.to_string())
+        .env_remove("RUST_LOG")
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    assert!(lines.by_ref().any(|l| l.unwrap().contains("serving")), "it did not start");
+    // The rest of its log is read away, so that it never blocks on a full pipe.
+    std::thread::spawn(move || lines.for_each(drop));
+    child
+}
+
+fn ready(control: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(control) else { return false };
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+    let _ = stream.write_all(b"GET /_ready HTTP/1.1\r\n\r\n");
+    let mut text = String::new();
+    let _ = stream.read_to_string(&mut text);
+    text.starts_with("HTTP/1.1 200")
+}
+
+struct Request {
+    id: u64,
+    caller: Peer,
+    since: Instant,
+}
+
+#[test]
+fn an_upgrade_under_load_turns_no_request_back() {
+    let server = TcpListener::bind("127.0.0.1:0").unwrap();
+    server.set_nonblocking(true).unwrap();
+    let dns = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let listed = Listed {
+        id: "s-0".into(),
+        district: "downtown".into(),
+        address: server.local_addr().unwrap(),
+        number: 0,
+        draining: false,
+        started_ms: 0,
+    };
+    let text = format!(
+        r#"{{"seed":"8c1f","dns":"{}","known":{},
+          "settings":{{"peersTotal":1,"period":0.005,"familyInfo":{{"release":0.3,"poolsByClass":[[0]]}},
+            "limits":{{"tryLimit":3,"connectTimeout":0.5}},
+            "requestClasses":[{{"name":"meter-read","effect":"read_like","goalTime":1.5,"hardLimit":3.0,"value":1.0}}],
+            "safety":{{"cold":14.0,"coldFrom":0.3,"overloadFactor":3.0}}}}}}"#,
+        dns.local_addr().unwrap(),
+        resolver::known(1, &[listed])
+    );
+    let path = std::env::temp_dir().join(format!("hollypaddle-handover-{}.json", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    let listen = free_address();
+    let (old_control, new_control) = (free_address(), free_address());
+    let mut old = start(&path, listen, old_control);
+    let mut new: Option<Child> = None;
+    let mut servers: Vec<Peer> = Vec::new();
+    let (mut out, mut next, mut answered, mut turned_back) = (Vec::<Request>::new(), 1u64, 0u64, Vec::new());
+    let began = Instant::now();
+    let mut termed = false;
+    while began.elapsed() < LOAD || !out.is_empty() {
+        assert!(
+            began.elapsed() < LOAD * 3,
+            "requests still out: {:?}",
+            out.iter().map(|r| r.id).collect::<Vec<_>>()
+        );
+        // The upgrade: the new process after 1 s, SIGTERM to the old one once the new one is ready.
+        if new.is_none() && began.elapsed() > Duration::from_secs(1) {
+            new = Some(start(&path, listen, new_control));
+        }
+        if new.is_some() && !termed && ready(new_control) {
+            let pid = old.id().to_string();
+            assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+            termed = true;
+        }
+        // Callers: one request a connection, as many at once as the bound.
+        while began.elapsed() < LOAD && out.len() < AT_ONCE {
+            match TcpStream::connect(listen) {
+                Ok(stream) => {
+                    let mut caller = peer(stream).unwrap();
+                    caller.send(&set_up("meter-read", 0, next, 2000)).unwrap();
+                    out.push(Request { id: next, caller, since: Instant::now() });
+                }
+                Err(error) => turned_back.push(format!("{next}: connect: {error}")),
+            }
+            next += 1;
+        }
+        // The server: every set-up stands, and ends at once.
+        while let Ok((stream, _)) = server.accept() {
+            servers.push(peer(stream).unwrap());
+        }
+        for s in &mut servers {
+            let mut heard = Vec::new();
+            let _ = s.read(&mut heard);
+            for m in heard.iter().filter(|m| m.kind == kind::SET_UP) {
+                let _ = s.send(&answer(m.call));
+                let _ = s.send(&release(m.call, cause::NORMAL));
+            }
+        }
+        out.retain_mut(|r| {
+            let mut heard: Vec<Message> = Vec::new();
+            let read = r.caller.read(&mut heard);
+            if heard.iter().any(|m| m.call == r.id && matches!(m.kind, kind::ANSWER | kind::RELEASE)) {
+                answered += 1;
+                return false;
+            }
+            if let Err(error) = read {
+                turned_back.push(format!("{}: {error}", r.id));
+                return false;
+            }
+            if r.since.elapsed() > Duration::from_secs(4) {
+                turned_back.push(format!("{}: no answer", r.id));
+                return false;
+            }
+            true
+        });
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert!(termed, "the new process never said that it is ready");
+    let status = old.wait().unwrap();
+    assert!(status.success(), "the old process ended badly: {status}");
+    let mut new = new.unwrap();
+    assert!(ready(new_control), "the new process serves on");
+    let _ = new.kill();
+    let _ = new.wait();
+    std::fs::remove_file(&path).unwrap();
+    assert!(answered > 100, "too little load to tell: {answered}");
+    assert!(turned_back.is_empty(), "{} of {} turned back: {turned_back:?}", turned_back.len(), next - 1);
+}
