Test pieces at both sides, a caller silent mid-message, and one that leaves

Change: a set-up written one byte a turn and an answer written one byte a turn make one call that stands; half a set-up and then silence is closed within 3 s; a caller that leaves with a call out harms no other.

--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -868,3 +868,40 @@
     assert_eq!(v["succeeded"]["meter-read"], 2);
     assert_eq!(v["succeeded"]["valve-set-r2"], 1);
 }
+
+/// Guards against peers that write in pieces of any size, at both sides: a set-up one byte at a time from the
+/// caller and an answer one byte at a time from the server make one call that stands; a caller that stops in
+/// the middle of a message is let go; a caller that leaves loses nobody else's call.
+#[test]
+fn pieces_at_both_sides_make_whole_messages_and_a_half_message_is_let_go() {
+    let mut w = World::new(1);
+    let mut bytes = Vec::new();
+    set_up(1, 3000).encode(&mut bytes);
+    for byte in &bytes {
+        w.caller.stream().write_all(&[*byte]).unwrap();
+        w.turn();
+    }
+    w.at_servers(1, kind::SET_UP);
+    let mut told = Vec::new();
+    answer(1).encode(&mut told);
+    for byte in &told {
+        w.servers[0].stream().write_all(&[*byte]).unwrap();
+        w.turn();
+    }
+    w.heard(1, kind::ANSWER, None);
+    // Half a set-up, then silence with the connection open.
+    let mut half = peer(TcpStream::connect(w.node.address()).unwrap());
+    let mut bytes = Vec::new();
+    set_up(2, 3000).encode(&mut bytes);
+    half.stream().write_all(&bytes[..bytes.len() / 2]).unwrap();
+    w.pass(3.0);
+    assert!(half.read(&mut Vec::new()).is_err(), "a caller silent in the middle of a message is closed");
+    // Another caller leaves with its call out: the first caller's call stands on.
+    let mut leaving = peer(TcpStream::connect(w.node.address()).unwrap());
+    leaving.send(&set_up(3, 3000)).unwrap();
+    w.at_servers(3, kind::SET_UP);
+    drop(leaving);
+    w.pass(0.5);
+    w.servers_say(&release(1, cause::NORMAL));
+    w.heard(1, kind::RELEASE, Some(cause::NORMAL));
+}
