--- a/crates/service/src/http.rs
+++ b/crates/service/src/http.rs
@@ -72,8 +72,8 @@
         "/_lameduck/off" => ("POST", Call::LameduckOff),
         _ => return wrong(404, "no such call"),
     };
-    let head_too = want == "GET" && method == "HEAD";
-    if method != want && !head_too {
+    // HEAD is refused too: its answer would have to leave the body out.
+    if method != want {
         return match want {
             "GET" => wrong(405, "use GET"),
             _ => wrong(405, "use POST"),
