Weigh what gatekeepers lose that share nothing, and design replication by it

Need: the operators want the state that matters replicated among gatekeepers. Which state matters was not known.

Change: hollypaddle-measure replication plays whole gatekeepers in skipped time that are killed and come back, under a silent, a cold and a draining server.

--- a/crates/measure/src/crossings.rs
+++ b/crates/measure/src/crossings.rs
@@ -191,7 +191,7 @@
 /// Set-ups sent, those that crossed, and those that overdrew, over all gatekeepers.
 fn sent(fleet: &mut Fleet) -> (u64, u64, u64) {
     let mut sum = (0, 0, 0);
-    for report in fleet.nodes.iter_mut().filter_map(|n| n.report(Span::Total)) {
+    for report in fleet.nodes.iter_mut().flatten().filter_map(|n| n.report(Span::Total)) {
         for row in report.rows.iter().filter(|r| r.class == "all") {
             match row.to.as_str() {
                 "all" => sum.0 += row.counts.sent,
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,6 +5,7 @@
 mod crossings;
 mod decisions;
 mod fleet;
+mod replication;
 mod stats;
 
 use std::error::Error;
@@ -33,6 +34,8 @@
 enum Name {
     /// Budgets for what crosses districts: service, shares, and the cost of decisions.
     Crossings,
+    /// What gatekeepers lose that share nothing, and what replication gives back.
+    Replication,
     /// Several workers: what the ways to them cost.
     Cores,
 }
@@ -41,6 +44,7 @@
     let args = Args::parse();
     let failures = match args.name {
         Name::Cores => cores::measure(args.runs.max(1), &args.program, &args.out)?,
+        Name::Replication => replication::measure(args.runs.max(1), &args.out)?,
         Name::Crossings => crossings::measure(args.runs.max(1), &args.out)?,
     };
     for failure in &failures {
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -38,7 +38,11 @@
 /// The callers of one gatekeeper, on one connection that is opened anew when it has gone.
 pub struct Callers {
     gatekeeper: SocketAddr,
+    /// Where they go for what is said of calls that stand, while their own gatekeeper cannot be reached.
+    pub others: Vec<SocketAddr>,
     peer: Option<Peer>,
+    /// The connection is to their own gatekeeper; set-ups go there alone.
+    at_home: bool,
     /// All calls so far, by id.
     pub calls: BTreeMap<u64, Call>,
     next: u64,
@@ -47,13 +51,25 @@
 impl Callers {
     /// Callers of a gatekeeper; `name` keeps their ids apart from those of others.
     pub fn new(gatekeeper: SocketAddr, name: u16) -> Callers {
-        Callers { gatekeeper, peer: None, calls: BTreeMap::new(), next: u64::from(name) << 48 }
+        Callers {
+            gatekeeper,
+            others: Vec::new(),
+            peer: None,
+            at_home: false,
+            calls: BTreeMap::new(),
+            next: u64::from(name) << 48,
+        }
     }
 
     /// Offers a call; returns its id. A gatekeeper that cannot be reached has not taken it.
     pub fn offer(&mut self, now: f64, class: &str, first_choice: u32, wait: f64) -> Option<u64> {
-        if self.peer.is_none() {
-            self.peer = TcpStream::connect(self.gatekeeper).and_then(peer).ok();
+        if self.peer.is_none() || !self.at_home {
+            if let Ok(home) = TcpStream::connect(self.gatekeeper).and_then(peer) {
+                (self.peer, self.at_home) = (Some(home), true);
+            }
+        }
+        if !self.at_home {
+            return None;
         }
         self.next += 1;
         let message = set_up(class, first_choice, self.next, (wait * 1000.0) as u32);
@@ -70,7 +86,12 @@
     pub fn turn(&mut self, now: f64) {
         // What stands belongs to no connection, but its end needs one to come on.
         if self.peer.is_none() && self.standing() > 0 {
-            self.peer = TcpStream::connect(self.gatekeeper).and_then(peer).ok();
+            let mut all = std::iter::once(&self.gatekeeper).chain(&self.others);
+            self.peer = all.find_map(|address| TcpStream::connect(address).and_then(peer).ok());
+            self.at_home = self
+                .peer
+                .as_ref()
+                .is_some_and(|p| p.stream().peer_addr().is_ok_and(|address| address == self.gatekeeper));
         }
         let Some(peer) = &mut self.peer else { return };
         let mut heard = Vec::new();
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -129,6 +129,8 @@
     pub slow: f64,
     /// Reads and writes nothing while set.
     pub silent: bool,
+    /// Tells the end of a call on another gatekeeper's connection where its own has none.
+    pub ends_anywhere: bool,
     /// Set-ups to be reset as they arrive, of these classes or, with an empty list, of all.
     pub resets: u32,
     /// All that it saw.
@@ -172,6 +174,7 @@
             cold: None,
             slow: 1.0,
             silent: false,
+            ends_anywhere: false,
             resets: 0,
             seen: Vec::new(),
             cold_load: BTreeMap::new(),
@@ -349,8 +352,17 @@
                     }
                     key = None;
                 }
-                if message.kind == kind::RELEASE && owed.len() < MOST_OWED {
-                    owed.push(message);
+                if message.kind != kind::RELEASE {
+                    return;
+                }
+                // It comes again on the next to be opened, and where gatekeepers work together any
+                // other's connection will do meanwhile.
+                if owed.len() < MOST_OWED {
+                    owed.push(message.clone());
+                }
+                if self.ends_anywhere {
+                    let others = self.doors.iter_mut().flat_map(|door| door.peers.values_mut());
+                    others.map(|peer| peer.send(&message)).find(Result::is_ok);
                 }
             }
             Step::HeadDone => self.head_done(at),
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -138,7 +138,12 @@
 
     /// Tells where the gatekeepers listen, in their order.
     pub fn connect(&mut self, gatekeepers: &[SocketAddr]) {
-        let caller = |(n, address): (usize, &SocketAddr)| Callers::new(*address, 1 + n as u16);
+        let caller = |(n, address): (usize, &SocketAddr)| {
+            let mut callers = Callers::new(*address, 1 + n as u16);
+            callers.others =
+                gatekeepers.iter().cycle().skip(n + 1).take(gatekeepers.len() - 1).copied().collect();
+            callers
+        };
         self.callers = gatekeepers.iter().enumerate().map(caller).collect();
     }
 
