--- a/crates/cores/src/table.rs
+++ b/crates/cores/src/table.rs
@@ -1,9 +1,4 @@
-//! Who owns a call: rendezvous hashing over the workers that serve.
-//!
-//! Each worker's weight for an id is a hash of both, and the heaviest owns it. So a worker that goes away moves
-//! its own ids alone, evenly to the others, and takes the same ones back when it returns.
-
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+//! Who owns a call: rendezvous hashing over the workers that serve, see `hollypaddle_ownership`.
 
 use crate::Worker;
 
@@ -49,8 +44,7 @@
     /// Who owns a call; nobody where none serves. Callers choose their ids, so a hash that spreads them evenly is
     /// all that is asked of it: who sends many ids to one worker finds its limits there.
     pub fn owner(&self, call: u64) -> Option<Worker> {
-        let weight = |w: &Worker| (xxh3_64_with_seed(&call.to_le_bytes(), u64::from(w.0)), *w);
-        self.workers().max_by_key(weight)
+        hollypaddle_ownership::owner(call, self.workers().map(|w| (w, u64::from(w.0))))
     }
 }
 
--- a/crates/measure/src/replication.rs
+++ b/crates/measure/src/replication.rs
@@ -148,7 +148,7 @@
             }
         }
         if trouble == Trouble::Drain {
-            fleet.world.resolvers_silent(mark >= LOST_AT && mark < LOST_AT + 6.0);
+            fleet.world.resolvers_silent((LOST_AT..LOST_AT + 6.0).contains(&mark));
         }
         if mark == TROUBLE_AT + 20.0 {
             fleet.world.servers[0].silent = false;
--- /dev/null
+++ b/crates/membership/src/view.rs
@@ -0,0 +1,592 @@
+//! What one member believes of the others, and what changed.
+//!
+//! Evidence of a member's life is a time on the own clock at which it was certainly alive. A beat that was frozen on its
+//! way must not look fresh, so it counts not as of its arrival but as of the echo in it: its speaker had heard an own
+//! beat, sent at a time that is known, and held it for so long before it spoke.
+//!
+//! | trouble | how it looks | what is believed |
+//! | --- | --- | --- |
+//! | a process died | its link closes, the next is refused, nobody hears it | gone after `refused` |
+//! | paused, or its machine vanished | its link is open and silent, nobody hears it | suspected, gone after `gone` |
+//! | cut off from here alone | silent here, others hear it | suspected, not gone |
+//! | one way is cut | its beats come and echo nothing new | alive, and deaf: it does not hear us |
+//! | slow | its beats come unevenly | alive: the detector gives it more time |
+//! | this one was cut off | most are silent at once | all suspected; nobody is gone without a majority that is heard |
+//! | this one was paused | its own turns have a gap | woke: what was believed before counts for nothing |
+//!
+//! Not told apart: a member that is paused and one whose machine vanished, until it comes back.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+
+use crate::detector::Detector;
+use crate::{Beat, Echo, Life, MemberId, Sight};
+
+/// Own beats of which the time is remembered, for their echoes.
+const SENT: usize = 64;
+/// Sights in a beat at most; with more members they take turns.
+const SIGHTS: usize = 16;
+/// Deviations of a member's gaps beyond their mean after which its silence is suspect.
+const DEVIATIONS: f64 = 4.0;
+
+/// The figures of it, in seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Between two beats to a member.
+    pub beat: f64,
+    /// A silence shorter than this is never suspect.
+    pub suspect: f64,
+    /// One that nobody has heard for so long is gone.
+    pub gone: f64,
+    /// One whose address refuses links for so long is gone: its process has ended.
+    pub refused: f64,
+    /// Own turns further apart than this: this member was paused.
+    pub woke: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings { beat: 0.1, suspect: 0.35, gone: 2.0, refused: 0.3, woke: 1.0 }
+    }
+}
+
+/// What is believed of a member.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum State {
+    /// Never heard of, since the own start.
+    Unseen,
+    /// Heard.
+    Alive,
+    /// Silent for longer than it should be, since then.
+    Suspected(f64),
+    /// Nobody hears it, since then.
+    Gone(f64),
+}
+
+/// What changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Change {
+    /// Heard for the first time, or no longer suspected.
+    Alive(MemberId),
+    /// Silent for so long.
+    Suspected(MemberId, f64),
+    /// Gone; whether its address refused links.
+    Gone(MemberId, bool),
+    /// It was gone and is heard again, in the same life.
+    Returned(MemberId),
+    /// Another life of it began: it was started anew.
+    Restarted(MemberId, Life),
+    /// It does not hear us, while we hear it.
+    Deaf(MemberId),
+    /// It hears us again.
+    Hears(MemberId),
+    /// The own incarnation was below one that the fleet knows and was raised to this.
+    Raised(Life),
+    /// Another process has this member's name, in this later life: this one is out of the fleet.
+    Superseded(Life),
+    /// This member was paused for so long.
+    Woke(f64),
+}
+
+/// Why a beat counts for nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passed {
+    /// Nobody of that name is a member.
+    Unknown,
+    /// A later life of the speaker is known: this is an earlier one, or a second process under its name.
+    Outlived(Life),
+}
+
+impl fmt::Display for Passed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Passed::Unknown => write!(f, "no member of that name"),
+            Passed::Outlived(life) => write!(f, "a later life of it is known, {life}"),
+        }
+    }
+}
+
+impl std::error::Error for Passed {}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    state: State,
+    /// The latest life known, from itself or from others.
+    life: Option<Life>,
+    /// When it was alive for certain, by its own beats; and by what others hear.
+    alive_at: f64,
+    sight_at: f64,
+    gaps: Detector,
+    linked: bool,
+    refused_since: Option<f64>,
+    /// Own beats sent to it, and the last one that it told back.
+    sent: VecDeque<(u32, f64)>,
+    next_seq: u32,
+    next_beat: f64,
+    echoed: Option<(u32, f64)>,
+    /// Its last beat, and when it came.
+    heard: Option<(u32, f64)>,
+    deaf: bool,
+    ready: bool,
+}
+
+impl Peer {
+    fn new() -> Peer {
+        let never = f64::NEG_INFINITY;
+        Peer {
+            state: State::Unseen,
+            life: None,
+            alive_at: never,
+            sight_at: never,
+            gaps: Detector::default(),
+            linked: false,
+            refused_since: None,
+            sent: VecDeque::new(),
+            next_seq: 1,
+            next_beat: never,
+            echoed: None,
+            heard: None,
+            deaf: false,
+            ready: false,
+        }
+    }
+}
+
+/// A member as an operator or a test sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Row {
+    /// Who.
+    pub member: MemberId,
+    /// What is believed.
+    pub state: State,
+    /// Its latest life, if one was heard of.
+    pub life: Option<Life>,
+    /// Seconds since it was alive for certain, as heard here; none if never.
+    pub silent: Option<f64>,
+    /// The same, as others hear it.
+    pub others: Option<f64>,
+    /// It does not hear us.
+    pub deaf: bool,
+    /// Its link is up.
+    pub linked: bool,
+    /// It says that it has caught up.
+    pub ready: bool,
+}
+
+/// What one member believes.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: MemberId,
+    life: Life,
+    settings: Settings,
+    peers: BTreeMap<MemberId, Peer>,
+    /// The fleet has heard of the own life: from then on a higher one is another process's.
+    accepted: bool,
+    superseded: bool,
+    ticked: Option<f64>,
+    /// Whose turn it is to be told of.
+    turn: usize,
+    changes: Vec<Change>,
+}
+
+impl Membership {
+    /// A member that has just started, with those that stand in the configuration beside it.
+    pub fn new(
+        own: MemberId,
+        life: Life,
+        settings: Settings,
+        members: impl IntoIterator<Item = MemberId>,
+    ) -> Membership {
+        let peers = members.into_iter().filter(|m| *m != own).map(|m| (m, Peer::new())).collect();
+        let (accepted, superseded, changes) = (false, false, Vec::new());
+        Membership { own, life, settings, peers, accepted, superseded, ticked: None, turn: 0, changes }
+    }
+
+    /// The own id.
+    pub fn own(&self) -> MemberId {
+        self.own
+    }
+
+    /// The own life.
+    pub fn life(&self) -> Life {
+        self.life
+    }
+
+    /// Whether another process took the name.
+    pub fn superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Takes the members of a configuration read anew: those that stay keep what is known of them.
+    pub fn members(&mut self, members: impl IntoIterator<Item = MemberId>) {
+        let mut old = std::mem::take(&mut self.peers);
+        let kept = members.into_iter().filter(|m| *m != self.own);
+        self.peers = kept.map(|m| (m, old.remove(&m).unwrap_or_else(Peer::new))).collect();
+    }
+
+    /// All members but the own.
+    pub fn peers(&self) -> impl Iterator<Item = MemberId> + '_ {
+        self.peers.keys().copied()
+    }
+
+    /// What changed since this was last asked.
+    pub fn changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// The latest life known of a member.
+    pub fn life_of(&self, member: MemberId) -> Option<Life> {
+        match member == self.own {
+            true => Some(self.life),
+            false => self.peers.get(&member)?.life,
+        }
+    }
+
+    /// What is believed of a member; of the own one that it is alive.
+    pub fn state(&self, member: MemberId) -> State {
+        match member == self.own {
+            true => State::Alive,
+            false => self.peers.get(&member).map_or(State::Unseen, |p| p.state),
+        }
+    }
+
+    /// Whether a member says that it has caught up.
+    pub fn ready(&self, member: MemberId) -> bool {
+        self.peers.get(&member).is_some_and(|p| p.ready)
+    }
+
+    /// Those who are held to live: heard and not gone, the own one among them. One that is suspected counts: it is
+    /// not certain that it acts no more.
+    pub fn living(&self) -> impl Iterator<Item = MemberId> + '_ {
+        let living = |p: &Peer| matches!(p.state, State::Alive | State::Suspected(_));
+        let peers = self.peers.iter().filter(move |(_, p)| living(p)).map(|(m, _)| *m);
+        std::iter::once(self.own).chain(peers)
+    }
+
+    /// Whether a majority of the configured members is heard now, the own one counted.
+    pub fn quorum(&self) -> bool {
+        let heard = 1 + self.peers.values().filter(|p| p.state == State::Alive).count();
+        2 * heard > self.peers.len() + 1
+    }
+
+    /// By how much what a member said last may be older than it says, in seconds: as long as its last beat may have
+    /// been on its way. None before anything is known of that.
+    pub fn lag(&self, now: f64, member: MemberId) -> Option<f64> {
+        let peer = self.peers.get(&member)?;
+        peer.echoed.map(|_| (now - peer.alive_at).max(0.0))
+    }
+
+    /// When the latest own beat was sent that a member has told back: what it says now it says later than that.
+    pub fn told_back(&self, member: MemberId) -> Option<f64> {
+        self.peers.get(&member)?.echoed.map(|(_, at)| at)
+    }
+
+    /// Whether a link to a member is up.
+    pub fn is_linked(&self, member: MemberId) -> bool {
+        self.peers.get(&member).is_some_and(|p| p.linked)
+    }
+
+    /// Since when a member's address refuses links.
+    pub fn refuses(&self, member: MemberId) -> bool {
+        self.peers.get(&member).is_some_and(|p| p.refused_since.is_some())
+    }
+
+    /// A member said that it ends.
+    pub fn left(&mut self, now: f64, member: MemberId) {
+        if let Some(peer) = self.peers.get_mut(&member) {
+            if !matches!(peer.state, State::Gone(_)) {
+                (peer.state, peer.alive_at, peer.sight_at) =
+                    (State::Gone(now), f64::NEG_INFINITY, f64::NEG_INFINITY);
+                self.changes.push(Change::Gone(member, true));
+            }
+        }
+    }
+
+    // ---- Links
+
+    /// A link to a member is up, and it said which life it is, and which life of ours it knows.
+    pub fn linked(
+        &mut self,
+        now: f64,
+        member: MemberId,
+        life: Life,
+        known: Option<Life>,
+    ) -> Result<(), Passed> {
+        if let Some(known) = known {
+            self.known(known);
+        }
+        self.lives(now, member, life)?;
+        if let Some(peer) = self.peers.get_mut(&member) {
+            (peer.linked, peer.refused_since) = (true, None);
+            // Beats count anew on each link, and none of an earlier one is told back.
+            (peer.heard, peer.next_beat) = (None, now);
+            peer.gaps.interrupted();
+            peer.alive_at = peer.alive_at.max(now);
+        }
+        self.judge(now);
+        Ok(())
+    }
+
+    /// A link is down.
+    pub fn unlinked(&mut self, member: MemberId) {
+        if let Some(peer) = self.peers.get_mut(&member) {
+            (peer.linked, peer.deaf, peer.heard) = (false, false, None);
+            peer.gaps.interrupted();
+        }
+    }
+
+    /// A member's address refused a link: no process listens there. Anything else that keeps a link from coming up
+    /// tells nothing.
+    pub fn refused(&mut self, now: f64, member: MemberId) {
+        if let Some(peer) = self.peers.get_mut(&member) {
+            peer.refused_since.get_or_insert(now);
+        }
+    }
+
+    /// The fleet knows this life of the own member.
+    fn known(&mut self, known: Life) {
+        if known > self.life && !self.accepted {
+            // A clock that was set back, or the same machine's earlier life: later than all that is known.
+            self.life.incarnation = known.incarnation.saturating_add(1);
+            self.changes.push(Change::Raised(self.life));
+        } else if known > self.life && !self.superseded {
+            self.superseded = true;
+            self.changes.push(Change::Superseded(known));
+        } else if known == self.life {
+            self.accepted = true;
+        }
+    }
+
+    /// Takes another life: what was said in the one before is another process's.
+    pub fn relive(&mut self, life: Life) {
+        self.life = life;
+    }
+
+    /// A member lives in this life.
+    fn lives(&mut self, now: f64, member: MemberId, life: Life) -> Result<(), Passed> {
+        let peer = self.peers.get_mut(&member).ok_or(Passed::Unknown)?;
+        match peer.life {
+            Some(known) if known > life => return Err(Passed::Outlived(known)),
+            Some(known) if known < life => {
+                self.changes.push(Change::Restarted(member, life));
+                let (linked, sent, next_seq) = (peer.linked, std::mem::take(&mut peer.sent), peer.next_seq);
+                *peer = Peer { linked, sent, next_seq, state: peer.state, ..Peer::new() };
+                (peer.alive_at, peer.next_beat) = (now, now);
+            }
+            _ => {}
+        }
+        peer.life = Some(life);
+        Ok(())
+    }
+
+    // ---- Beats
+
+    /// Takes a beat.
+    pub fn hear(&mut self, now: f64, from: MemberId, beat: &Beat) -> Result<(), Passed> {
+        self.lives(now, from, beat.life)?;
+        let Some(peer) = self.peers.get_mut(&from) else { return Err(Passed::Unknown) };
+        // Repeated or overtaken: on one link they come in order.
+        if peer.heard.is_some_and(|(seq, _)| beat.seq <= seq) {
+            return Ok(());
+        }
+        peer.heard = Some((beat.seq, now));
+        peer.ready = beat.ready;
+        peer.gaps.heard(now);
+        if let Some(echo) = beat.echo {
+            if let Some((seq, at)) = peer.sent.iter().find(|(seq, _)| *seq == echo.seq).copied() {
+                peer.echoed = Some((seq, at));
+                peer.sent.retain(|(sent, _)| *sent >= seq);
+            }
+            if let Some((_, at)) = peer.echoed.filter(|(seq, _)| *seq == echo.seq) {
+                self.accepted = true;
+                // Never later than now, however its clock runs.
+                let spoke_at = (at + f64::from(echo.held_ms) / 1000.0).min(now);
+                peer.alive_at = peer.alive_at.max(spoke_at);
+            }
+            let limit = self.settings.gone / 2.0;
+            let deaf = f64::from(echo.held_ms) / 1000.0 > limit;
+            if deaf != peer.deaf {
+                peer.deaf = deaf;
+                self.changes.push(if deaf { Change::Deaf(from) } else { Change::Hears(from) });
+            }
+        }
+        let lag = (now - peer.alive_at).max(0.0);
+        for sight in &beat.sights {
+            self.sighted(now, lag, sight);
+        }
+        self.judge(now);
+        Ok(())
+    }
+
+    /// Takes what another member hears of one, told at most `lag` seconds ago.
+    fn sighted(&mut self, now: f64, lag: f64, sight: &Sight) {
+        if sight.member == self.own {
+            return self.known(sight.life);
+        }
+        let Some(peer) = self.peers.get_mut(&sight.member) else { return };
+        let known = peer.life.unwrap_or_default();
+        if sight.life > known {
+            // The beats of the earlier life tell nothing of this one.
+            let first = peer.life.is_none();
+            (peer.life, peer.alive_at, peer.sight_at) =
+                (Some(sight.life), f64::NEG_INFINITY, f64::NEG_INFINITY);
+            if !first {
+                self.changes.push(Change::Restarted(sight.member, sight.life));
+            }
+        }
+        if sight.life >= known && sight.age_ms != u32::MAX {
+            let at = now - lag - f64::from(sight.age_ms) / 1000.0;
+            peer.sight_at = peer.sight_at.max(at);
+        }
+    }
+
+    /// The beat that is due to a member, if one is.
+    pub fn beat(&mut self, now: f64, to: MemberId, ready: bool) -> Option<Beat> {
+        let due = |p: &Peer| p.linked && now >= p.next_beat;
+        if self.superseded || !self.peers.get(&to).is_some_and(due) {
+            return None;
+        }
+        let sights = self.sights(now, to);
+        let peer = self.peers.get_mut(&to)?;
+        let seq = peer.next_seq;
+        peer.next_seq = peer.next_seq.wrapping_add(1).max(1);
+        // In step where it can, without a burst after a pause.
+        peer.next_beat = (peer.next_beat + self.settings.beat).max(now + self.settings.beat / 2.0);
+        peer.sent.push_back((seq, now));
+        if peer.sent.len() > SENT {
+            peer.sent.pop_front();
+        }
+        let echo = peer.heard.map(|(seq, at)| Echo { seq, held_ms: millis(now - at) });
+        Some(Beat { life: self.life, seq, echo, ready, sights })
+    }
+
+    fn sights(&mut self, now: f64, to: MemberId) -> Vec<Sight> {
+        let others: Vec<(&MemberId, &Peer)> =
+            self.peers.iter().filter(|(m, p)| **m != to && p.life.is_some()).collect();
+        let count = others.len().min(SIGHTS);
+        let from = if others.is_empty() { 0 } else { self.turn % others.len() };
+        let mut sights: Vec<Sight> = (others.iter().cycle().skip(from).take(count))
+            .map(|(member, p)| Sight {
+                member: **member,
+                life: p.life.unwrap_or_default(),
+                // What others hear is not passed on: it would live by going round.
+                age_ms: if p.alive_at.is_finite() { millis(now - p.alive_at) } else { u32::MAX },
+                gone: matches!(p.state, State::Gone(_)),
+            })
+            .collect();
+        self.turn = self.turn.wrapping_add(count);
+        // The one spoken to is told which life of it is known.
+        if let Some(life) = self.peers.get(&to).and_then(|p| p.life) {
+            sights.push(Sight { member: to, life, age_ms: u32::MAX, gone: false });
+        }
+        sights
+    }
+
+    // ---- Time
+
+    /// Looks at the silences. Called at least every few tens of milliseconds.
+    pub fn tick(&mut self, now: f64) {
+        let gap = self.ticked.map_or(0.0, |last| now - last);
+        self.ticked = Some(now);
+        if gap >= self.settings.woke {
+            self.changes.push(Change::Woke(gap));
+            // The others may have spoken all the while: their silence begins now.
+            for peer in self.peers.values_mut() {
+                peer.gaps.interrupted();
+                if !matches!(peer.state, State::Gone(_)) && peer.alive_at.is_finite() {
+                    peer.alive_at = now;
+                }
+                peer.refused_since = None;
+            }
+        }
+        self.judge(now);
+    }
+
+    fn judge(&mut self, now: f64) {
+        let s = self.settings;
+        let quorum = self.quorum();
+        for (&member, peer) in &mut self.peers {
+            let silent = now - peer.alive_at;
+            let others = now - peer.sight_at;
+            let limit = peer.gaps.limit(DEVIATIONS, s.suspect, s.gone / 2.0);
+            let refused = peer.refused_since.is_some_and(|since| now - since >= s.refused);
+            let dead = refused && silent.min(others) >= s.refused;
+            let lost = quorum && silent.min(others) >= s.gone;
+            let next = match peer.state {
+                State::Unseen if peer.life.is_some() && silent <= limit => State::Alive,
+                State::Unseen => State::Unseen,
+                // What others hear of it brings nobody back here, but nobody is gone whom they hear.
+                State::Gone(_) if silent <= limit => State::Alive,
+                State::Gone(since) => State::Gone(since),
+                _ if dead || lost => State::Gone(now),
+                State::Alive if silent > limit => State::Suspected(now),
+                State::Suspected(_) if silent <= limit => State::Alive,
+                same => same,
+            };
+            match (peer.state, next) {
+                (State::Gone(_), State::Alive) => self.changes.push(Change::Returned(member)),
+                (State::Unseen | State::Suspected(_), State::Alive) => {
+                    self.changes.push(Change::Alive(member))
+                }
+                (State::Alive, State::Suspected(_)) => self.changes.push(Change::Suspected(member, silent)),
+                (State::Alive | State::Suspected(_), State::Gone(_)) => {
+                    self.changes.push(Change::Gone(member, dead));
+                }
+                _ => {}
+            }
+            peer.state = next;
+        }
+    }
+
+    /// What is believed of each, to be compared or shown.
+    pub fn snapshot(&self, now: f64) -> Vec<Row> {
+        let since = |at: f64| at.is_finite().then_some((now - at).max(0.0));
+        let row = |(member, p): (&MemberId, &Peer)| Row {
+            member: *member,
+            state: p.state,
+            life: p.life,
+            silent: since(p.alive_at),
+            others: since(p.sight_at),
+            deaf: p.deaf,
+            linked: p.linked,
+            ready: p.ready,
+        };
+        self.peers.iter().map(row).collect()
+    }
+}
+
+impl State {
+    /// In a word.
+    pub fn name(&self) -> &'static str {
+        match self {
+            State::Unseen => "unseen",
+            State::Alive => "alive",
+            State::Suspected(_) => "suspected",
+            State::Gone(_) => "gone",
+        }
+    }
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x} {}", self.member.0, self.state.name())?;
+        if let Some(life) = self.life {
+            write!(f, ", life {life}")?;
+        }
+        match self.silent {
+            Some(silent) => write!(f, ", heard {silent:.1} s ago")?,
+            None => write!(f, ", never heard")?,
+        }
+        if let Some(others) = self.others {
+            write!(f, ", by others {others:.1} s ago")?;
+        }
+        if self.deaf {
+            write!(f, ", does not hear us")?;
+        }
+        Ok(())
+    }
+}
+
+fn millis(seconds: f64) -> u32 {
+    (seconds.max(0.0) * 1000.0).min(f64::from(u32::MAX - 1)) as u32
+}
--- /dev/null
+++ b/crates/replica/src/catch_up.rs
@@ -0,0 +1,485 @@
+//! Who lacks what, and gets it from whom.
+//!
+//! Members tell each other what they hold, by version and hash. Who is behind asks: the origin itself where that is
+//! heard, else whoever has most. The answer is what changed after the asker's version; where the giver's log does not
+//! reach that far, it is the whole stream in the order of versions, which another giver can go on with from where one
+//! stopped, as long as no tombstone was dropped there since the first began. Once a member holds all of a stream, its
+//! origin tells each change as it comes.
+//!
+//! Two copies of one version with different hashes differ though all messages came. The origin's counts, if it lives;
+//! else both take what the other has.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+
+use hollypaddle_membership::MemberId;
+use serde::{Deserialize, Serialize};
+
+use crate::record::{Key, Origin, Record};
+use crate::store::Store;
+use crate::stream::{Conflict, Stream, PIECE};
+
+/// What a member holds of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// Which.
+    pub origin: Origin,
+    /// Up to which version.
+    pub version: u64,
+    /// The hash of its records.
+    pub hash: u64,
+}
+
+/// A question for what is lacking.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Of which stream.
+    pub origin: Origin,
+    /// What came after this version.
+    pub after: u64,
+    /// Set where the whole stream is wanted, or the rest of one: the giver's version as its first piece left.
+    pub base: Option<u64>,
+}
+
+/// A part of a stream: all that changed after one version, up to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    /// Of which stream.
+    pub origin: Origin,
+    /// After this version.
+    pub from: u64,
+    /// Up to this one.
+    pub upto: u64,
+    /// Set in a whole stream: the giver's version as its first piece left.
+    pub base: Option<u64>,
+    /// The giver's horizon.
+    pub horizon: u64,
+    /// Nothing follows.
+    pub last: bool,
+    /// The records, in the order of versions.
+    pub records: Vec<Record>,
+}
+
+/// Why a piece was not taken, and its link is of no use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// Its versions make no sense.
+    Versions,
+    /// A value is not of its key's kind.
+    Kind,
+    /// The stream has more records than may be.
+    TooMany,
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::Versions => write!(f, "a piece whose versions make no sense"),
+            Refused::Kind => write!(f, "a value that is not of its key's kind"),
+            Refused::TooMany => write!(f, "a stream of more records than may be"),
+        }
+    }
+}
+
+impl std::error::Error for Refused {}
+
+impl Piece {
+    fn check(&self) -> Result<(), Refused> {
+        let versions = self.records.iter().map(|r| r.version);
+        let rising = self.records.windows(2).all(|pair| pair[0].version < pair[1].version);
+        let within = versions.clone().all(|v| v > self.from && v <= self.upto);
+        if !rising || !within || self.upto < self.from || self.records.len() > PIECE {
+            return Err(Refused::Versions);
+        }
+        match self.records.iter().all(|r| r.value.is_none_or(|value| value.fits(&r.key))) {
+            true => Ok(()),
+            false => Err(Refused::Kind),
+        }
+    }
+}
+
+/// What is to be said to a member next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Say {
+    /// A question.
+    Ask(Ask),
+    /// A part of a stream.
+    Piece(Piece),
+}
+
+/// What taking a piece came to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Taken {
+    /// The keys that it brought.
+    pub keys: Vec<Key>,
+    /// What contradicted what was held.
+    pub conflicts: Vec<Conflict>,
+    /// Copies that differed are equal again, or will be.
+    pub mended: bool,
+}
+
+/// What a digest came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Compared {
+    /// Its copy of this stream differs from the own one, though both are of one version.
+    Differs(Origin),
+    /// It holds more of the own stream than there is.
+    Ahead(u64),
+}
+
+/// The figures of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// A giver that brings nothing for so long is replaced, in seconds.
+    pub patience: f64,
+    /// Bytes a second for catch-up, to all members together.
+    pub rate: f64,
+    /// Records of one stream at most.
+    pub most: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings { patience: 1.0, rate: 4e6, most: 100_000 }
+    }
+}
+
+struct Serve {
+    origin: Origin,
+    after: u64,
+    base: Option<u64>,
+}
+
+#[derive(Default)]
+struct Peer {
+    /// What it holds, as it said last.
+    held: BTreeMap<Origin, Held>,
+    /// Up to which version the own stream was told on this link, once it was level.
+    level: Option<u64>,
+    serves: VecDeque<Serve>,
+    asks: VecDeque<Ask>,
+}
+
+struct Fetch {
+    from: Option<MemberId>,
+    at: f64,
+    after: u64,
+    base: Option<u64>,
+    /// A whole stream on its way in.
+    incoming: Option<Stream>,
+    /// The copy differs, and neither is known to be right.
+    merge: bool,
+}
+
+/// Bytes that a record takes on the way, about.
+const RECORD_BYTES: f64 = 40.0;
+
+/// All of that, towards all members.
+pub struct CatchUp {
+    settings: Settings,
+    peers: BTreeMap<MemberId, Peer>,
+    fetches: BTreeMap<Origin, Fetch>,
+    /// Bytes that may be given now, as of then.
+    tokens: (f64, f64),
+    /// Records given and taken in catch-up, for reports.
+    pub given: u64,
+    /// The same, taken.
+    pub taken: u64,
+}
+
+impl CatchUp {
+    /// Nobody is linked yet.
+    pub fn new(now: f64, settings: Settings) -> CatchUp {
+        let (peers, fetches) = (BTreeMap::new(), BTreeMap::new());
+        CatchUp { settings, peers, fetches, tokens: (0.0, now), given: 0, taken: 0 }
+    }
+
+    /// Takes settings read anew.
+    pub fn change(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
+    /// A link is up.
+    pub fn linked(&mut self, member: MemberId) {
+        self.peers.insert(member, Peer::default());
+    }
+
+    /// A link is down; whoever else has it goes on with what it gave.
+    pub fn unlinked(&mut self, member: MemberId) {
+        self.peers.remove(&member);
+        for fetch in self.fetches.values_mut().filter(|f| f.from == Some(member)) {
+            fetch.from = None;
+        }
+    }
+
+    /// What a member said last that it holds of a stream.
+    pub fn held_by(&self, member: MemberId, origin: &Origin) -> Option<Held> {
+        self.peers.get(&member)?.held.get(origin).copied()
+    }
+
+    /// Streams on their way in.
+    pub fn fetching(&self) -> usize {
+        self.fetches.len()
+    }
+
+    /// What is held here.
+    pub fn digest(store: &Store) -> Vec<Held> {
+        let held =
+            |(origin, s): (&Origin, &Stream)| Held { origin: *origin, version: s.version(), hash: s.hash() };
+        store.streams().map(held).collect()
+    }
+
+    /// Takes a member's word of what it holds. `heard` tells whether a stream's origin is heard here in that life.
+    pub fn heard_digest(
+        &mut self,
+        now: f64,
+        from: MemberId,
+        held: &[Held],
+        store: &Store,
+        heard: impl Fn(&Origin) -> bool,
+    ) -> Vec<Compared> {
+        let mut compared = Vec::new();
+        let own = store.own();
+        let mut differing = Vec::new();
+        let Some(peer) = self.peers.get_mut(&from) else { return compared };
+        peer.held = held.iter().map(|h| (h.origin, *h)).collect();
+        for h in held {
+            let mine = store.stream(&h.origin);
+            let (version, hash) = mine.map_or((0, 0), |s| (s.version(), s.hash()));
+            if h.origin == own {
+                if h.version > version {
+                    compared.push(Compared::Ahead(h.version));
+                } else if h.version == version && h.hash == hash && peer.level.is_none() {
+                    peer.level = Some(version);
+                }
+                continue;
+            }
+            let differs = mine.is_some() && h.version == version && h.hash != hash;
+            if differs && !self.fetches.contains_key(&h.origin) {
+                let (from_origin, lives) = (h.origin.member == from, heard(&h.origin));
+                // The origin's own copy counts, and it is asked when it says what it holds.
+                if from_origin || !lives {
+                    compared.push(Compared::Differs(h.origin));
+                    differing.push((h.origin, !from_origin));
+                }
+            }
+        }
+        for (origin, merge) in differing {
+            self.fetch(now, from, origin, 0, Some(0), merge);
+        }
+        self.look(now, store, heard);
+        compared
+    }
+
+    fn fetch(
+        &mut self,
+        now: f64,
+        from: MemberId,
+        origin: Origin,
+        after: u64,
+        base: Option<u64>,
+        merge: bool,
+    ) {
+        let Some(peer) = self.peers.get_mut(&from) else { return };
+        peer.asks.retain(|ask| ask.origin != origin);
+        peer.asks.push_back(Ask { origin, after, base });
+        let fetch = self.fetches.entry(origin).or_insert(Fetch {
+            from: None,
+            at: now,
+            after,
+            base,
+            incoming: None,
+            merge,
+        });
+        (fetch.from, fetch.at) = (Some(from), now);
+    }
+
+    /// Asks for what is lacking, and asks others where a giver has stopped. Called now and then.
+    pub fn look(&mut self, now: f64, store: &Store, heard: impl Fn(&Origin) -> bool) {
+        let own = store.own();
+        let mut best: BTreeMap<Origin, (bool, u64, MemberId)> = BTreeMap::new();
+        for (&member, peer) in &self.peers {
+            for held in peer.held.values().filter(|h| h.origin != own && !store.forgotten(&h.origin)) {
+                let is_origin = held.origin.member == member;
+                // An origin that is heard brings its own changes; to ask others for them would double them.
+                if !is_origin && heard(&held.origin) {
+                    continue;
+                }
+                let offer = (is_origin, held.version, member);
+                let known = best.entry(held.origin).or_insert(offer);
+                *known = (*known).max(offer);
+            }
+        }
+        self.fetches.retain(|origin, fetch| {
+            let stalled = fetch.from.is_none() || now - fetch.at >= self.settings.patience;
+            // Nobody has it any more, or it came another way.
+            !stalled || best.contains_key(origin) && !store.forgotten(origin)
+        });
+        for (origin, (_, version, member)) in best {
+            let mine = store.stream(&origin).map_or(0, Stream::version);
+            match self.fetches.get(&origin) {
+                Some(f) if f.from.is_some() && now - f.at < self.settings.patience => {}
+                Some(f) => {
+                    // Goes on from where the last giver stopped.
+                    let (after, base, merge) = (f.after, f.base, f.merge);
+                    self.fetch(now, member, origin, after, base, merge);
+                }
+                None if version > mine || store.stream(&origin).is_none() => {
+                    self.fetch(now, member, origin, mine, None, false);
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Takes a question.
+    pub fn heard_ask(&mut self, from: MemberId, ask: &Ask, store: &Store) {
+        let (Some(peer), Some(stream)) = (self.peers.get_mut(&from), store.stream(&ask.origin)) else {
+            return;
+        };
+        // What it lacks is on its way already: the origin tells its changes from there.
+        let told = ask.origin == store.own() && peer.level == Some(ask.after) && ask.base.is_none();
+        if told && ask.after >= stream.horizon() {
+            return;
+        }
+        let whole = Serve { origin: ask.origin, after: 0, base: Some(stream.version()) };
+        let serve = match ask.base {
+            None if ask.after >= stream.horizon() => {
+                Serve { origin: ask.origin, after: ask.after, base: None }
+            }
+            Some(base) if stream.horizon() <= base => {
+                Serve { origin: ask.origin, after: ask.after, base: Some(base) }
+            }
+            _ => whole,
+        };
+        // One answer for a stream at a time: the last question counts.
+        peer.serves.retain(|s| s.origin != ask.origin);
+        peer.serves.push_back(serve);
+    }
+
+    /// Takes a part of a stream, of which the word may be so much older than it says.
+    pub fn heard_piece(
+        &mut self,
+        now: f64,
+        lag: f64,
+        from: MemberId,
+        piece: &Piece,
+        store: &mut Store,
+    ) -> Result<Taken, Refused> {
+        piece.check()?;
+        let mut taken = Taken::default();
+        let most = self.settings.most;
+        let at = |r: &Record| now - lag - f64::from(r.age_ms) / 1000.0;
+        let Some(copy) = store.copy(piece.origin) else { return Ok(taken) };
+        let fetch = self.fetches.get_mut(&piece.origin).filter(|f| f.from == Some(from));
+        match (piece.base, fetch) {
+            (None, fetch) => {
+                // A gap: what lies in it is asked for when the next digest shows it.
+                if piece.from > copy.version() {
+                    return Ok(taken);
+                }
+                for record in &piece.records {
+                    taken.conflicts.extend(copy.apply(at(record), record));
+                    taken.keys.push(record.key);
+                }
+                copy.reaches(piece.upto, 0);
+                if copy.held() > most + crate::stream::TOMBSTONES {
+                    return Err(Refused::TooMany);
+                }
+                if let Some(fetch) = fetch {
+                    self.taken += piece.records.len() as u64;
+                    (fetch.at, fetch.after) = (now, piece.upto);
+                    if piece.last {
+                        self.fetches.remove(&piece.origin);
+                    }
+                }
+            }
+            // Not asked for any more.
+            (Some(_), None) => {}
+            (Some(base), Some(fetch)) => {
+                if piece.from == 0 {
+                    (fetch.incoming, fetch.base, fetch.after) = (Some(Stream::default()), Some(base), 0);
+                }
+                let Some(incoming) = fetch.incoming.as_mut().filter(|_| fetch.after == piece.from) else {
+                    return Ok(taken);
+                };
+                for record in &piece.records {
+                    taken.conflicts.extend(incoming.apply(at(record), record));
+                }
+                if incoming.held() > most + crate::stream::TOMBSTONES {
+                    self.fetches.remove(&piece.origin);
+                    return Err(Refused::TooMany);
+                }
+                self.taken += piece.records.len() as u64;
+                (fetch.at, fetch.after) = (now, piece.upto);
+                if piece.last {
+                    incoming.reaches(piece.upto.max(base), piece.horizon);
+                    let (whole, merge) = (std::mem::take(incoming), fetch.merge);
+                    taken.keys.extend(whole.range(..).map(|(key, ..)| key));
+                    taken.mended = copy.version() == whole.version() && copy.hash() != whole.hash();
+                    match merge {
+                        true => taken.conflicts.extend(copy.merge(&whole)),
+                        // A change told meanwhile is not lost: what the origin says next starts from here.
+                        false => store.install(piece.origin, whole),
+                    }
+                    self.fetches.remove(&piece.origin);
+                }
+            }
+        }
+        Ok(taken)
+    }
+
+    /// What is to be said to a member, if anything is.
+    pub fn say(&mut self, now: f64, to: MemberId, store: &Store) -> Option<Say> {
+        let (left, then) = self.tokens;
+        let rate = self.settings.rate;
+        // A tenth of a second's worth at once, and at least a piece.
+        let room = (rate / 10.0).max(PIECE as f64 * RECORD_BYTES);
+        self.tokens = ((left + (now - then).max(0.0) * rate).min(room), now);
+        let peer = self.peers.get_mut(&to)?;
+        if let Some(ask) = peer.asks.pop_front() {
+            return Some(Say::Ask(ask));
+        }
+        let own = store.own();
+        if let (Some(level), Some(stream)) = (peer.level, store.stream(&own)) {
+            if level < stream.horizon() {
+                // It is behind what is still known: it asks when it sees that.
+                peer.level = None;
+            } else if stream.version() > level {
+                let (records, upto, last) = stream.piece(now, level);
+                peer.level = Some(upto);
+                let (from, horizon) = (level, stream.horizon());
+                return Some(Say::Piece(Piece {
+                    origin: own,
+                    from,
+                    upto,
+                    base: None,
+                    horizon,
+                    last,
+                    records,
+                }));
+            }
+        }
+        if self.tokens.0 <= 0.0 {
+            return None;
+        }
+        let Serve { origin, after, base } = peer.serves.pop_front()?;
+        let stream = store.stream(&origin)?;
+        // Tombstones were dropped since: what was given so far may hold what is over.
+        let (after, base) = match base {
+            None if after < stream.horizon() => (0, Some(stream.version())),
+            Some(base) if base < stream.horizon() => (0, Some(stream.version())),
+            same => (after, same),
+        };
+        let (records, upto, last) = stream.piece(now, after);
+        self.tokens.0 -= records.len() as f64 * RECORD_BYTES;
+        self.given += records.len() as u64;
+        match last {
+            false => peer.serves.push_back(Serve { origin, after: upto, base }),
+            true if origin == own => peer.level = Some(upto),
+            true => {}
+        }
+        let horizon = stream.horizon();
+        Some(Say::Piece(Piece { origin, from: after, upto, base, horizon, last, records }))
+    }
+}
--- /dev/null
+++ b/crates/replica/src/guard.rs
@@ -0,0 +1,175 @@
+//! What the decision module is told of what others know: as a gate, and as a word on its list.
+//!
+//! Hearsay only ever restricts. A server that another member's list calls draining, gone or started later is told to the
+//! module as that, by an entry of the list; a server is never sent to because others name it. One that another member
+//! finds silent is denied by the gate until an own word of it is younger; as a last resort, when nothing else is
+//! open, it may be tried all the same, so that what others say never shuts the last door.
+
+use std::collections::HashMap;
+
+use hollypaddle_policy::{Candidate, Denial, Event, Gate, PoolEntry, PoolId, Readiness};
+
+use crate::record::Place;
+use crate::store::Said;
+
+/// A word that a server is silent counts for so long, in seconds; who still finds it so says it again.
+pub const SILENCE_COUNTS: f64 = 3.0;
+/// A call that is turned away because this member does not know what holds may come again after so long.
+const HELD: f64 = 0.5;
+/// One turned away for hearsay of silence.
+const SILENT: f64 = 0.25;
+
+/// The gate.
+#[derive(Debug, Default)]
+pub struct Guard {
+    /// Nothing may be sent: what is believed is old.
+    hold: bool,
+    /// Pools that others find silent.
+    silent: HashMap<PoolId, f64>,
+    /// Set-ups that were denied, and calls turned away for it.
+    pub denied: u64,
+    /// Calls turned away.
+    pub turned_away: u64,
+}
+
+impl Guard {
+    /// Nothing may be sent, or it may again.
+    pub fn hold(&mut self, hold: bool) {
+        self.hold = hold;
+    }
+
+    /// Whether nothing may be sent.
+    pub fn holds(&self) -> bool {
+        self.hold
+    }
+
+    /// Takes what others say of a pool's silence: since when that counts; the own member heard it last at `heard`.
+    pub fn silence(&mut self, now: f64, pool: PoolId, said: Option<f64>, heard: f64) {
+        match said.filter(|at| now - at < SILENCE_COUNTS && heard <= *at) {
+            Some(at) => drop(self.silent.insert(pool, at)),
+            None => drop(self.silent.remove(&pool)),
+        }
+    }
+
+    /// The own member heard a pool.
+    pub fn heard(&mut self, pool: PoolId) {
+        self.silent.remove(&pool);
+    }
+
+    /// Forgets pools that are not there any more.
+    pub fn keep(&mut self, pools: impl Fn(PoolId) -> bool) {
+        self.silent.retain(|pool, _| pools(*pool));
+    }
+
+    /// Pools that are denied now.
+    pub fn silent(&self) -> usize {
+        self.silent.len()
+    }
+}
+
+impl Gate for Guard {
+    fn hear(&mut self, _: f64, event: &Event) {
+        // Its own word ends what others say.
+        if let Event::Stood { pool, .. } | Event::Load { pool, .. } = event {
+            self.heard(*pool);
+        }
+    }
+
+    fn may_send(&mut self, now: f64, candidate: &Candidate) -> Result<(), Denial> {
+        let denial = if self.hold {
+            Denial { reason: "fleet-catching-up", retry_after: HELD }
+        } else if !candidate.last_resort
+            && self.silent.get(&candidate.pool).is_some_and(|at| now - at < SILENCE_COUNTS)
+        {
+            Denial { reason: "fleet-silent-server", retry_after: SILENT }
+        } else {
+            return Ok(());
+        };
+        self.denied += 1;
+        Err(denial)
+    }
+
+    fn sent(&mut self, _: f64, _: &Candidate) {}
+
+    fn turned_away(&mut self, _: f64, _: &Candidate, _: &Denial) {
+        self.turned_away += 1;
+    }
+}
+
+/// A line of the own list with what others know: the later start, and the worse place of that start. Their start is in
+/// Unix milliseconds as the own list's is.
+pub fn overlay(entry: PoolEntry, said: Option<&Said>) -> PoolEntry {
+    let Some(said) = said else { return entry };
+    let (theirs, own) = (said.fact.started_ms as f64 / 1000.0, entry.ready_at);
+    if theirs < own {
+        return entry;
+    }
+    let place = match said.fact.place {
+        Place::Ready => Readiness::Ready,
+        // Only the own list takes a server away; what it holds of one that is gone must still find it.
+        Place::Draining | Place::Gone => Readiness::Draining,
+    };
+    let rank = |r: Readiness| match r {
+        Readiness::Ready => 0,
+        Readiness::Draining => 1,
+        Readiness::Gone => 2,
+    };
+    // Of a later start that the own list does not know, its own place says nothing.
+    let readiness = if theirs > own || rank(place) > rank(entry.readiness) { place } else { entry.readiness };
+    let readiness = if rank(entry.readiness) == 2 { entry.readiness } else { readiness };
+    PoolEntry { readiness, ready_at: own.max(theirs), ..entry }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::ServerFact;
+    use hollypaddle_membership::MemberId;
+
+    fn said(started_ms: u64, place: Place) -> Said {
+        let fact = ServerFact { started_ms, place, silent: false };
+        Said { at: 0.0, fact, silent: Some((0.0, MemberId(1))) }
+    }
+
+    fn entry(ready_at: f64, readiness: Readiness) -> PoolEntry {
+        PoolEntry { pool: PoolId(1), number: 0, readiness, ready_at, district: None }
+    }
+
+    #[test]
+    fn hearsay_restricts_and_never_opens() {
+        use Readiness::{Draining, Gone, Ready};
+        let of = |own: PoolEntry, s: Said| overlay(own, Some(&s)).readiness;
+        assert_eq!(of(entry(5.0, Ready), said(5000, Place::Draining)), Draining);
+        assert_eq!(of(entry(5.0, Ready), said(5000, Place::Gone)), Draining);
+        assert_eq!(of(entry(5.0, Draining), said(5000, Place::Ready)), Draining);
+        assert_eq!(of(entry(5.0, Gone), said(6000, Place::Ready)), Gone);
+        assert_eq!(of(entry(5.0, Ready), said(4000, Place::Gone)), Ready, "of an earlier start");
+        let restarted = overlay(entry(5.0, Ready), Some(&said(9000, Place::Ready)));
+        assert_eq!((restarted.readiness, restarted.ready_at), (Ready, 9.0), "cold, as of its later start");
+        assert_eq!(overlay(entry(5.0, Ready), None), entry(5.0, Ready));
+    }
+
+    #[test]
+    fn a_silent_server_is_denied_until_it_is_heard_or_the_word_is_old_and_never_as_the_last_resort() {
+        let mut guard = Guard::default();
+        let candidate = |last_resort| Candidate {
+            call: 1,
+            class: 0,
+            pool: PoolId(1),
+            attempt: 0,
+            first_tried: 0.0,
+            last_resort,
+        };
+        guard.silence(10.0, PoolId(1), Some(9.5), 9.0);
+        assert_eq!(guard.may_send(10.0, &candidate(false)).unwrap_err().reason, "fleet-silent-server");
+        assert!(guard.may_send(10.0, &candidate(true)).is_ok());
+        assert!(guard.may_send(9.5 + SILENCE_COUNTS, &candidate(false)).is_ok(), "old");
+        guard.silence(10.0, PoolId(1), Some(9.5), 9.6);
+        assert!(guard.may_send(10.0, &candidate(false)).is_ok(), "heard since");
+        guard.silence(10.0, PoolId(1), Some(9.5), 9.0);
+        guard.hear(10.1, &Event::Load { pool: PoolId(1), report: Default::default() });
+        assert!(guard.may_send(10.1, &candidate(false)).is_ok(), "heard now");
+        guard.hold(true);
+        assert_eq!(guard.may_send(10.2, &candidate(true)).unwrap_err().reason, "fleet-catching-up");
+    }
+}
--- /dev/null
+++ b/crates/replica/src/member.rs
@@ -0,0 +1,677 @@
+//! A member of a fleet, without its sockets: words in, words out.
+//!
+//! The front hands in what came from other members ([`Member::hear`]) and the time ([`Member::tick`]), says what it knows
+//! itself ([`Member::server`], [`Member::stands`], [`Member::ended`]), and asks for the next word to each member for which
+//! its link has room ([`Member::say`]). Nothing is queued here for a member that takes nothing: a word is made as it is
+//! asked for, of the newest state.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use hollypaddle_membership::view::{Change, Membership, Passed, State};
+use hollypaddle_membership::{view, Beat, Life, MemberId};
+use serde::{Deserialize, Serialize};
+
+use crate::adoption::{self, Adopted};
+use crate::catch_up::{self, Ask, CatchUp, Compared, Held, Piece, Refused, Say};
+use crate::record::{CallFact, Key, Origin, ServerFact, ServerKey, Value, KINDS};
+use crate::store::{Said, Store};
+use crate::stream::Conflict;
+
+/// The version of what members say to each other; others are not understood.
+pub const PROTOCOL: u16 = 1;
+/// Time between two looks at what fetches lack, and at what may be forgotten, in seconds.
+const LOOK: f64 = 0.1;
+const SWEEP: f64 = 1.0;
+/// Ended calls that are looked at in a sweep at most.
+const SWEPT: usize = 512;
+/// Things to be told to the log that are kept until they are taken; beyond it they are counted alone.
+const MOST_EVENTS: usize = 256;
+
+/// The figures of it, in seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Of membership.
+    pub membership: view::Settings,
+    /// Of catch-up.
+    pub catch_up: catch_up::Settings,
+    /// Between two digests to a member.
+    pub digest: f64,
+    /// A start waits so long at most until it has caught up.
+    pub within: f64,
+    /// Members that cannot be reached by then are not waited for.
+    pub grace: f64,
+    /// The stream of a life that has ended is forgotten after so long.
+    pub forget: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            membership: view::Settings::default(),
+            catch_up: catch_up::Settings::default(),
+            digest: 0.5,
+            within: 2.0,
+            grace: 0.5,
+            forget: 120.0,
+        }
+    }
+}
+
+/// What members say to each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// The first on a link, each way.
+    Hello {
+        /// The version of the protocol.
+        protocol: u16,
+        /// Who speaks.
+        from: MemberId,
+        /// To whom.
+        to: MemberId,
+        /// In which life.
+        life: Life,
+        /// Which life of the other is known.
+        known: Option<Life>,
+    },
+    /// All the time.
+    Beat(Beat),
+    /// What the speaker holds, and below which incarnation each member's streams are over.
+    Digest(Vec<Held>, Vec<(MemberId, u64)>),
+    /// A question for what is lacking.
+    Ask(Ask),
+    /// A part of a stream.
+    Piece(Piece),
+    /// The speaker ends.
+    Leave,
+}
+
+/// Why a word ends its link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    /// It is of another version of the protocol.
+    Protocol(u16),
+    /// It was meant for another member.
+    NotForUs,
+    /// It comes a second time, or too early.
+    OutOfPlace,
+    /// A stream of nobody in the configuration.
+    Stranger,
+    /// Of membership.
+    Passed(Passed),
+    /// Of a piece.
+    Piece(Refused),
+}
+
+impl fmt::Display for Bad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Bad::Protocol(version) => write!(f, "version {version} of the protocol, expected {PROTOCOL}"),
+            Bad::NotForUs => write!(f, "meant for another member"),
+            Bad::OutOfPlace => write!(f, "a word that has no place there"),
+            Bad::Stranger => write!(f, "a stream of no member"),
+            Bad::Passed(passed) => write!(f, "{passed}"),
+            Bad::Piece(refused) => write!(f, "{refused}"),
+        }
+    }
+}
+
+impl std::error::Error for Bad {}
+
+impl From<Passed> for Bad {
+    fn from(passed: Passed) -> Self {
+        Bad::Passed(passed)
+    }
+}
+
+/// How a member came to take calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    /// It holds what those held that it reached.
+    Complete,
+    /// Nobody could be reached.
+    Alone,
+    /// Its time was up; it goes on catching up.
+    Late,
+}
+
+/// What is to be told to the staff.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Of a member.
+    Member(Change),
+    /// It takes calls, so long after its start or its pause.
+    CaughtUp(How, f64),
+    /// Two contents under one version.
+    Conflict(Origin, Conflict),
+    /// A copy differed from another's though all messages came.
+    Differs(Origin, MemberId),
+    /// It is mended.
+    Mended(Origin),
+    /// A stream that is over was dropped, with so many records.
+    Forgotten(Origin, usize),
+    /// Records were not published, for want of room.
+    LeftOut(u64),
+}
+
+/// What the front is to do about a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    /// See to a call of a member that is gone.
+    Adopt(u64, Adopted),
+    /// A call seen to so far is another's again, or over.
+    Yield(u64),
+    /// An own call was ended by another member, which has told its caller.
+    EndedElsewhere(u64),
+}
+
+/// What a start, or the time after a pause, waits for.
+#[derive(Clone, Debug)]
+struct Resync {
+    since: f64,
+    /// What each member said that it holds, as of after `since`.
+    goals: BTreeMap<MemberId, Vec<Held>>,
+}
+
+/// A member.
+pub struct Member {
+    settings: Settings,
+    view: Membership,
+    store: Store,
+    catch_up: CatchUp,
+    resync: Option<Resync>,
+    next_digest: BTreeMap<MemberId, f64>,
+    next_look: f64,
+    next_sweep: f64,
+    /// Since when each stream's life has ended.
+    ended: BTreeMap<Origin, f64>,
+    /// The calls seen to, and whether that has to be looked at again.
+    adopted: BTreeMap<u64, Adopted>,
+    stale: bool,
+    /// Where the last sweep of ended calls stopped.
+    swept: u64,
+    events: Vec<Event>,
+    acts: Vec<Act>,
+    /// Counted since the start.
+    pub counts: Counts,
+}
+
+/// What happened since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Records found with two contents under one version.
+    pub conflicts: u64,
+    /// Copies that differed though all messages came.
+    pub differed: u64,
+    /// Copies mended.
+    pub mended: u64,
+    /// Records that were not published for want of room.
+    pub left_out: u64,
+    /// Events that were not told, as too many came at once.
+    pub events_dropped: u64,
+    /// Calls adopted.
+    pub adopted: u64,
+}
+
+impl Member {
+    /// A member that has just started, with those of the configuration.
+    pub fn new(
+        now: f64,
+        own: MemberId,
+        life: Life,
+        settings: Settings,
+        members: impl IntoIterator<Item = MemberId>,
+    ) -> Member {
+        Member {
+            settings,
+            view: Membership::new(own, life, settings.membership, members),
+            store: Store::new(Origin { member: own, life }),
+            catch_up: CatchUp::new(now, settings.catch_up),
+            resync: Some(Resync { since: now, goals: BTreeMap::new() }),
+            next_digest: BTreeMap::new(),
+            next_look: now,
+            next_sweep: now,
+            ended: BTreeMap::new(),
+            adopted: BTreeMap::new(),
+            stale: false,
+            swept: 0,
+            events: Vec::new(),
+            acts: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Takes members and settings of a configuration read anew.
+    pub fn change(&mut self, settings: Settings, members: &[MemberId]) {
+        self.settings = settings;
+        self.catch_up.change(settings.catch_up);
+        self.view.members(members.iter().copied());
+        self.store.keep(members);
+        self.stale = true;
+    }
+
+    /// What is believed of the others.
+    pub fn view(&self) -> &Membership {
+        &self.view
+    }
+
+    /// What is held.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// Records given and taken in catch-up, and streams on their way in.
+    pub fn caught(&self) -> (u64, u64, usize) {
+        (self.catch_up.given, self.catch_up.taken, self.catch_up.fetching())
+    }
+
+    /// Whether it knows what the others held when it met them, or has waited for that long enough.
+    pub fn ready(&self) -> bool {
+        self.resync.is_none()
+    }
+
+    /// What is to be told to the staff since this was last asked.
+    pub fn events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// What is to be done about calls since this was last asked.
+    pub fn acts(&mut self) -> Vec<Act> {
+        std::mem::take(&mut self.acts)
+    }
+
+    fn tell(&mut self, event: Event) {
+        match self.events.len() < MOST_EVENTS {
+            true => self.events.push(event),
+            false => self.counts.events_dropped += 1,
+        }
+    }
+
+    // ---- What is known here
+
+    /// What is known of a server, as of then. With `renew` it is told again though it says the same.
+    pub fn server(&mut self, at: f64, server: ServerKey, fact: ServerFact, renew: bool) {
+        self.write(at, Key::Server(server), Value::Server(fact), renew);
+    }
+
+    /// A server is not known any more.
+    pub fn forget_server(&mut self, now: f64, server: ServerKey) {
+        self.store.own_stream().write(now, Key::Server(server), None, false);
+    }
+
+    /// A call stands since then.
+    pub fn stands(&mut self, at: f64, id: u64, fact: CallFact) {
+        self.write(at, Key::Call(id), Value::Call(fact), false);
+    }
+
+    /// A call is over: an own one is withdrawn, the end of another's is recorded.
+    pub fn ended(&mut self, now: f64, id: u64) {
+        if self.store.own_stream().get(&Key::Call(id)).is_some() {
+            self.store.own_stream().write(now, Key::Call(id), None, false);
+        } else if self.store.call(id).is_some() {
+            self.write(now, Key::Over(id), Value::Over, false);
+        }
+        self.adopted.remove(&id);
+    }
+
+    /// A call that stands through another member, as far as is known.
+    pub fn call(&self, id: u64) -> Option<Adopted> {
+        let (origin, since, fact) = self.store.call(id)?;
+        (origin != self.store.own()).then_some(Adopted { origin, since, fact })
+    }
+
+    /// A call that this member sees to in place of one that is gone.
+    pub fn seen_to(&self, id: u64) -> Option<&Adopted> {
+        self.adopted.get(&id)
+    }
+
+    fn write(&mut self, at: f64, key: Key, value: Value, renew: bool) {
+        let most = self.settings.catch_up.most;
+        let stream = self.store.own_stream();
+        if stream.get(&key).is_none() && stream.len() >= most {
+            self.counts.left_out += 1;
+            // Told at each doubling.
+            if self.counts.left_out.is_power_of_two() {
+                let count = self.counts.left_out;
+                self.tell(Event::LeftOut(count));
+            }
+            return;
+        }
+        stream.write(at, key, Some(value), renew);
+    }
+
+    /// What the others that are heard say of the servers.
+    pub fn hearsay(&self) -> BTreeMap<ServerKey, Said> {
+        self.store.servers(|origin| self.heard(origin))
+    }
+
+    /// Whether a stream's origin is heard here, in that life.
+    fn heard(&self, origin: &Origin) -> bool {
+        heard(&self.view, origin)
+    }
+
+    // ---- Links
+
+    /// The first word on a link to a member.
+    pub fn hello(&self, to: MemberId) -> Word {
+        let known = self.view.life_of(to);
+        Word::Hello { protocol: PROTOCOL, from: self.view.own(), to, life: self.view.life(), known }
+    }
+
+    /// Reads the first word on a link: who speaks.
+    pub fn greeted(&mut self, now: f64, word: &Word) -> Result<MemberId, Bad> {
+        let Word::Hello { protocol, from, to, life, known } = *word else { return Err(Bad::OutOfPlace) };
+        if protocol != PROTOCOL {
+            return Err(Bad::Protocol(protocol));
+        }
+        if to != self.view.own() || from == to {
+            return Err(Bad::NotForUs);
+        }
+        self.view.linked(now, from, life, known)?;
+        self.catch_up.linked(from);
+        self.next_digest.insert(from, now);
+        self.settle(now);
+        Ok(from)
+    }
+
+    /// A link is down.
+    pub fn unlinked(&mut self, member: MemberId) {
+        self.view.unlinked(member);
+        self.catch_up.unlinked(member);
+        self.next_digest.remove(&member);
+    }
+
+    /// A member's address refused a link.
+    pub fn refused(&mut self, now: f64, member: MemberId) {
+        self.view.refused(now, member);
+    }
+
+    /// Takes a word of a member; an error ends its link.
+    pub fn hear(&mut self, now: f64, from: MemberId, word: &Word) -> Result<(), Bad> {
+        match word {
+            Word::Hello { .. } => return Err(Bad::OutOfPlace),
+            Word::Beat(beat) => self.view.hear(now, from, beat)?,
+            Word::Digest(held, floors) => self.digest(now, from, held, floors),
+            Word::Ask(ask) => self.catch_up.heard_ask(from, ask, &self.store),
+            Word::Piece(piece) => self.piece(now, from, piece)?,
+            Word::Leave => self.view.left(now, from),
+        }
+        self.settle(now);
+        Ok(())
+    }
+
+    fn digest(&mut self, now: f64, from: MemberId, held: &[Held], floors: &[(MemberId, u64)]) {
+        for (member, floor) in floors {
+            // Nobody but this member says when its own life is over.
+            if self.view.life_of(*member).is_some() && *member != self.view.own() {
+                self.forget(*member, *floor);
+            }
+        }
+        let view = &self.view;
+        let known = |h: &&Held| view.life_of(h.origin.member).is_some();
+        let held: Vec<Held> = held.iter().filter(known).copied().collect();
+        let fresh = self.resync.as_ref().is_some_and(|r| {
+            // What was on its way before counts for nothing: it must have been said after an own beat was heard.
+            self.view.told_back(from).is_some_and(|at| at >= r.since)
+        });
+        if let (true, Some(resync)) = (fresh, &mut self.resync) {
+            resync.goals.entry(from).or_insert_with(|| held.clone());
+        }
+        let compared =
+            self.catch_up.heard_digest(now, from, &held, &self.store, |origin| heard(view, origin));
+        for compared in compared {
+            match compared {
+                Compared::Differs(origin) => {
+                    self.counts.differed += 1;
+                    self.tell(Event::Differs(origin, from));
+                }
+                // Somebody wrote to this life's stream before us: another life is needed.
+                Compared::Ahead(_) => self.relive(now),
+            }
+        }
+    }
+
+    fn relive(&mut self, now: f64) {
+        let mut life = self.view.life();
+        life.incarnation += 1;
+        self.view.relive(life);
+        self.store.relive(life);
+        self.tell(Event::Member(Change::Raised(life)));
+        self.renew_links(now);
+    }
+
+    /// The own stream is another: everybody is told what is held now.
+    fn renew_links(&mut self, now: f64) {
+        let members: Vec<MemberId> = self.next_digest.keys().copied().collect();
+        for member in members {
+            self.catch_up.unlinked(member);
+            self.catch_up.linked(member);
+            self.next_digest.insert(member, now);
+        }
+    }
+
+    fn piece(&mut self, now: f64, from: MemberId, piece: &Piece) -> Result<(), Bad> {
+        if self.view.life_of(piece.origin.member).is_none() {
+            return Err(Bad::Stranger);
+        }
+        let lag = self.view.lag(now, from).unwrap_or(0.0);
+        let taken = self.catch_up.heard_piece(now, lag, from, piece, &mut self.store).map_err(Bad::Piece)?;
+        for conflict in taken.conflicts {
+            self.counts.conflicts += 1;
+            self.tell(Event::Conflict(piece.origin, conflict));
+        }
+        if taken.mended {
+            self.counts.mended += 1;
+            self.tell(Event::Mended(piece.origin));
+        }
+        let ended = taken.keys.iter().filter_map(|key| match key {
+            Key::Over(id) => Some(*id),
+            _ => None,
+        });
+        for id in ended {
+            if self.store.over(id) && self.store.own_stream().get(&Key::Call(id)).is_some() {
+                self.acts.push(Act::EndedElsewhere(id));
+                self.store.own_stream().write(now, Key::Call(id), None, false);
+            }
+        }
+        // What changes the calls of those that are gone, or ends some that are seen to.
+        self.stale |= !taken.keys.is_empty()
+            && (adoption::heir(&piece.origin, &self.view) != adoption::Heir::Itself
+                || taken.keys.iter().any(|key| matches!(key, Key::Over(_))));
+        Ok(())
+    }
+
+    /// The next word to a member for which there is room, if there is one.
+    pub fn say(&mut self, now: f64, to: MemberId) -> Option<Word> {
+        if self.view.superseded() || !self.next_digest.contains_key(&to) {
+            return None;
+        }
+        if let Some(beat) = self.view.beat(now, to, self.resync.is_none()) {
+            return Some(Word::Beat(beat));
+        }
+        match self.catch_up.say(now, to, &self.store) {
+            Some(Say::Ask(ask)) => return Some(Word::Ask(ask)),
+            Some(Say::Piece(piece)) => return Some(Word::Piece(piece)),
+            None => {}
+        }
+        let due = self.next_digest.get_mut(&to).filter(|at| now >= **at)?;
+        *due = now + self.settings.digest;
+        Some(Word::Digest(CatchUp::digest(&self.store), self.store.floors().collect()))
+    }
+
+    // ---- Time
+
+    /// What time brings. Called at least every few tens of milliseconds, before anything that came is taken.
+    pub fn tick(&mut self, now: f64) {
+        self.view.tick(now);
+        self.settle(now);
+        if now >= self.next_look {
+            self.next_look = now + LOOK;
+            let view = &self.view;
+            self.catch_up.look(now, &self.store, |origin| heard(view, origin));
+            if std::mem::take(&mut self.stale) {
+                self.adopt();
+            }
+        }
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP;
+            self.sweep(now);
+        }
+        self.caught_up(now);
+    }
+
+    /// Takes over what membership found.
+    fn settle(&mut self, now: f64) {
+        for change in self.view.changes() {
+            match change {
+                Change::Raised(life) => {
+                    self.store.relive(life);
+                    self.renew_links(now);
+                }
+                Change::Woke(_) => {
+                    self.resync = Some(Resync { since: now, goals: BTreeMap::new() });
+                }
+                Change::Gone(..) | Change::Returned(_) | Change::Restarted(..) => self.stale = true,
+                _ => {}
+            }
+            self.tell(Event::Member(change));
+        }
+    }
+
+    fn caught_up(&mut self, now: f64) {
+        let Some(resync) = &self.resync else { return };
+        let waited = now - resync.since;
+        let mut reached = 0;
+        let settled = self.view.peers().all(|member| {
+            let state = self.view.state(member);
+            let linked = self.view.is_linked(member) && matches!(state, State::Alive);
+            let holds = |h: &Held| {
+                let mine = self.store.stream(&h.origin).map_or(0, |s| s.version());
+                h.origin == self.store.own() || self.store.forgotten(&h.origin) || mine >= h.version
+            };
+            match resync.goals.get(&member) {
+                Some(goals) if linked => {
+                    reached += 1;
+                    goals.iter().all(holds)
+                }
+                _ if linked => false,
+                // Nobody is there, or nobody comes: a restart of all must not wait for itself.
+                _ => self.view.refuses(member) || waited >= self.settings.grace,
+            }
+        });
+        let how = match (settled, reached) {
+            (true, 0) => How::Alone,
+            (true, _) => How::Complete,
+            (false, _) if waited >= self.settings.within => How::Late,
+            _ => return,
+        };
+        self.resync = None;
+        self.tell(Event::CaughtUp(how, waited));
+    }
+
+    fn adopt(&mut self) {
+        let new = adoption::adopted(&self.store, &self.view);
+        for id in self.adopted.keys().filter(|id| !new.contains_key(id)) {
+            self.acts.push(Act::Yield(*id));
+        }
+        for (id, call) in new.iter().filter(|(id, _)| !self.adopted.contains_key(id)) {
+            self.counts.adopted += 1;
+            self.acts.push(Act::Adopt(*id, *call));
+        }
+        self.adopted = new;
+    }
+
+    /// Forgets what is over: streams of lives that ended long ago, and ends of calls that no stream has any more.
+    fn sweep(&mut self, now: f64) {
+        let view = &self.view;
+        let over = |o: &Origin| *o != self.store.own() && adoption::heir(o, view) != adoption::Heir::Itself;
+        let over: Vec<Origin> = self.store.streams().map(|(o, _)| *o).filter(over).collect();
+        self.ended.retain(|origin, _| over.contains(origin));
+        for origin in over {
+            let since = *self.ended.entry(origin).or_insert(now);
+            // As long as a member may come back in that life its stream stays, up to the bound.
+            let later = self.view.life_of(origin.member).is_some_and(|life| life > origin.life);
+            if now - since >= self.settings.forget && later {
+                self.forget(origin.member, origin.life.incarnation + 1);
+            }
+        }
+        for (member, floor) in self.store.excess() {
+            self.forget(member, floor);
+        }
+        let from = Key::Over(self.swept.wrapping_add(1));
+        let ends: Vec<u64> = (self.store.own_stream().range(from..=Key::Over(u64::MAX)).take(SWEPT))
+            .filter_map(|(key, ..)| match key {
+                Key::Over(id) => Some(id),
+                _ => None,
+            })
+            .collect();
+        self.swept = if ends.len() < SWEPT { u64::MAX } else { ends.last().copied().unwrap_or(u64::MAX) };
+        for id in ends {
+            let own = self.store.own();
+            let stands = self.store.streams().any(|(o, s)| *o != own && s.get(&Key::Call(id)).is_some());
+            if !stands {
+                self.store.own_stream().write(now, Key::Over(id), None, false);
+            }
+        }
+    }
+
+    fn forget(&mut self, member: MemberId, below: u64) {
+        // Not what its present life writes.
+        let present = self.view.life_of(member).map_or(0, |life| life.incarnation);
+        for (origin, records) in self.store.forget(member, below.min(present)) {
+            self.stale = true;
+            self.tell(Event::Forgotten(origin, records));
+        }
+    }
+
+    // ---- Reports
+
+    /// What is held of each stream: who looks at it sees in one line what lags.
+    pub fn snapshot(&self) -> Vec<Row> {
+        let lag = |member: MemberId| {
+            let own = self.store.own();
+            let version = self.store.stream(&own)?.version();
+            Some(version - self.catch_up.held_by(member, &own)?.version.min(version))
+        };
+        let row = |(origin, stream): (&Origin, &crate::stream::Stream)| Row {
+            origin: *origin,
+            version: stream.version(),
+            hash: stream.hash(),
+            counts: stream.counts(),
+            lag: lag(origin.member),
+        };
+        self.store.streams().map(row).collect()
+    }
+}
+
+/// Whether a stream's origin is heard here, in that life.
+fn heard(view: &Membership, origin: &Origin) -> bool {
+    view.state(origin.member) == State::Alive
+        && view.is_linked(origin.member)
+        && view.life_of(origin.member) == Some(origin.life)
+}
+
+/// A stream as an operator or a test sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Whose.
+    pub origin: Origin,
+    /// Up to which version it is held.
+    pub version: u64,
+    /// The hash of its records.
+    pub hash: u64,
+    /// Records by kind.
+    pub counts: [usize; 3],
+    /// By how many changes of the own stream its member was behind when it last said so.
+    pub lag: Option<u64>,
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} version {}", self.origin, self.version)?;
+        for (name, count) in KINDS.iter().zip(self.counts) {
+            write!(f, ", {count} {name}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/replica/src/record.rs
@@ -0,0 +1,149 @@
+//! What is replicated: kinds, keys and values, and how each is joined where copies differ.
+
+use std::fmt;
+
+use hollypaddle_membership::{Life, MemberId};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A stream: the records that one member writes in one life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Origin {
+    /// Whose.
+    pub member: MemberId,
+    /// Of which life.
+    pub life: Life,
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}/{}", self.member.0, self.life)
+    }
+}
+
+/// A session server, by a hash of its id, which is the same at every gatekeeper.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServerKey(pub u64);
+
+impl ServerKey {
+    /// The server of an id.
+    pub fn of(id: &str) -> ServerKey {
+        ServerKey(xxh3_64(id.as_bytes()))
+    }
+}
+
+/// What a record is about. Its kind is part of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Key {
+    /// What the origin knows of a server.
+    Server(ServerKey),
+    /// A call that stands through the origin, by its caller's id.
+    Call(u64),
+    /// A call of another's that is over, as the origin knows.
+    Over(u64),
+}
+
+/// The kinds, for reports.
+pub const KINDS: [&str; 3] = ["server", "call", "over"];
+
+impl Key {
+    /// Its kind, an index into [`KINDS`].
+    pub fn kind(&self) -> usize {
+        match self {
+            Key::Server(_) => 0,
+            Key::Call(_) => 1,
+            Key::Over(_) => 2,
+        }
+    }
+}
+
+/// Whether a server takes new calls, as its list has it. Greater is worse.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Place {
+    /// In service.
+    Ready,
+    /// It takes nothing new.
+    Draining,
+    /// It has left the list.
+    Gone,
+}
+
+/// What a member knows of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerFact {
+    /// When its process last started, as told, in Unix milliseconds; 0 is long past. The server's own figure, so it
+    /// compares among members.
+    pub started_ms: u64,
+    /// Whether it takes new calls.
+    pub place: Place,
+    /// It answers nothing, or cannot be reached.
+    pub silent: bool,
+}
+
+/// A call that stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallFact {
+    /// Where.
+    pub server: ServerKey,
+    /// Its class, a hash of the name.
+    pub class: u32,
+}
+
+/// What a record says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Value {
+    /// Of a server.
+    Server(ServerFact),
+    /// Of a call that stands.
+    Call(CallFact),
+    /// Of a call that is over.
+    Over,
+}
+
+impl Value {
+    /// Whether it is of its key's kind.
+    pub fn fits(&self, key: &Key) -> bool {
+        matches!(
+            (key, self),
+            (Key::Server(_), Value::Server(_)) | (Key::Call(_), Value::Call(_)) | (Key::Over(_), Value::Over)
+        )
+    }
+}
+
+/// A record as it is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// What it is about.
+    pub key: Key,
+    /// The origin's count of its changes when it was written.
+    pub version: u64,
+    /// How old the evidence is, in milliseconds. Grows on the way, and is no part of the content.
+    pub age_ms: u32,
+    /// What it says; none where it was withdrawn.
+    pub value: Option<Value>,
+}
+
+/// A hash of a record's content: equal copies have equal ones. Of two contents under one version the greater hash
+/// wins, as good a rule as any that all follow.
+pub fn content(key: &Key, version: u64, value: &Option<Value>) -> u64 {
+    let mut room = [0; 96];
+    // The longest content is 50 bytes; one that had no room would count as empty at every member alike.
+    let bytes = postcard::to_slice(&(key, version, value), &mut room).map(|b| &*b).unwrap_or_default();
+    xxh3_64(bytes)
+}
+
+/// Joins what two members know of one server: the later start counts; of one start, gone never turns back, and else
+/// the younger word counts. Commutative, associative and idempotent; `at` is the time of the evidence.
+pub fn join_servers(a: (f64, ServerFact), b: (f64, ServerFact)) -> (f64, ServerFact) {
+    let rank = |(at, fact): &(f64, ServerFact)| {
+        let gone = fact.place == Place::Gone;
+        // Of the same moment the worse word counts, so that the order does not matter.
+        (fact.started_ms, gone, if gone { f64::INFINITY } else { *at }, fact.place, fact.silent)
+    };
+    let (x, y) = (rank(&a), rank(&b));
+    let order = (x.0, x.1).cmp(&(y.0, y.1)).then(x.2.total_cmp(&y.2)).then((x.3, x.4).cmp(&(y.3, y.4)));
+    match order.then(a.0.total_cmp(&b.0)) {
+        std::cmp::Ordering::Less => b,
+        _ => a,
+    }
+}
--- /dev/null
+++ b/crates/replica/src/store.rs
@@ -0,0 +1,190 @@
+//! All streams that are held here, and what follows from them together.
+
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
+use hollypaddle_membership::{Life, MemberId};
+
+use crate::record::{join_servers, CallFact, Key, Origin, ServerFact, ServerKey, Value};
+use crate::stream::Stream;
+
+/// Lives of one member of which streams are held at most.
+pub const LIVES: usize = 3;
+
+/// All streams.
+#[derive(Clone, Debug)]
+pub struct Store {
+    own: Origin,
+    streams: BTreeMap<Origin, Stream>,
+    /// Of each member, the incarnation below which its streams are over and forgotten; so nobody brings them back.
+    floors: BTreeMap<MemberId, u64>,
+}
+
+/// What is known of a call: its origin, since when it stands, and where.
+pub type Known = (Origin, f64, CallFact);
+
+impl Store {
+    /// The own stream alone.
+    pub fn new(own: Origin) -> Store {
+        Store { own, streams: BTreeMap::from([(own, Stream::default())]), floors: BTreeMap::new() }
+    }
+
+    /// The own stream's origin.
+    pub fn own(&self) -> Origin {
+        self.own
+    }
+
+    /// Gives the own stream another life, with all that it says under new versions.
+    pub fn relive(&mut self, life: Life) {
+        let old = self.streams.remove(&self.own).unwrap_or_default();
+        self.own.life = life;
+        let mut stream = Stream::default();
+        for (key, at, value) in old.range(..) {
+            stream.write(at, key, Some(value), false);
+        }
+        self.streams.insert(self.own, stream);
+    }
+
+    /// A stream.
+    pub fn stream(&self, origin: &Origin) -> Option<&Stream> {
+        self.streams.get(origin)
+    }
+
+    /// The own one, to write to.
+    pub fn own_stream(&mut self) -> &mut Stream {
+        self.streams.entry(self.own).or_default()
+    }
+
+    /// A copy to take changes into; none where it is forgotten, or the own one, which takes none.
+    pub fn copy(&mut self, origin: Origin) -> Option<&mut Stream> {
+        match origin == self.own || self.forgotten(&origin) {
+            true => None,
+            false => Some(self.streams.entry(origin).or_default()),
+        }
+    }
+
+    /// Puts a whole copy in place of what was held.
+    pub fn install(&mut self, origin: Origin, stream: Stream) {
+        if origin != self.own && !self.forgotten(&origin) {
+            self.streams.insert(origin, stream);
+        }
+    }
+
+    /// All streams.
+    pub fn streams(&self) -> impl Iterator<Item = (&Origin, &Stream)> {
+        self.streams.iter()
+    }
+
+    /// Whether a stream is over and forgotten.
+    pub fn forgotten(&self, origin: &Origin) -> bool {
+        self.floors.get(&origin.member).is_some_and(|floor| origin.life.incarnation < *floor)
+    }
+
+    /// The floors, to be told to others.
+    pub fn floors(&self) -> impl Iterator<Item = (MemberId, u64)> + '_ {
+        self.floors.iter().map(|(member, floor)| (*member, *floor))
+    }
+
+    /// Streams of a member below an incarnation are over: they are dropped here and never taken again. Returns the
+    /// dropped ones with their records. The own stream is never dropped.
+    pub fn forget(&mut self, member: MemberId, below: u64) -> Vec<(Origin, usize)> {
+        let floor = self.floors.entry(member).or_default();
+        *floor = (*floor).max(below);
+        let (floor, own) = (*floor, self.own);
+        let over = |o: &Origin| o.member == member && o.life.incarnation < floor && *o != own;
+        let gone: Vec<Origin> = self.streams.keys().filter(|o| over(o)).copied().collect();
+        let count = |o: Origin| (o, self.streams.remove(&o).map_or(0, |s| s.len()));
+        gone.into_iter().map(count).collect()
+    }
+
+    /// Drops what belongs to nobody in the configuration any more.
+    pub fn keep(&mut self, members: &[MemberId]) {
+        let own = self.own;
+        self.streams.retain(|o, _| *o == own || members.contains(&o.member));
+        self.floors.retain(|m, _| members.contains(m));
+    }
+
+    /// Streams of one member beyond so many lives: the floor that leaves the latest.
+    pub fn excess(&self) -> Vec<(MemberId, u64)> {
+        let mut lives: BTreeMap<MemberId, Vec<u64>> = BTreeMap::new();
+        for origin in self.streams.keys() {
+            lives.entry(origin.member).or_default().push(origin.life.incarnation);
+        }
+        let over = |(member, all): (MemberId, Vec<u64>)| {
+            let floor = *all.get(all.len().checked_sub(LIVES)?)?;
+            (all.len() > LIVES).then_some((member, floor))
+        };
+        lives.into_iter().filter_map(over).collect()
+    }
+
+    // ---- What follows
+
+    /// Whether a call is known to be over: an end wins over standing, whoever says it.
+    pub fn over(&self, id: u64) -> bool {
+        self.streams.values().any(|stream| stream.get(&Key::Over(id)).is_some())
+    }
+
+    /// A call that stands, as its origin said and nobody ended.
+    pub fn call(&self, id: u64) -> Option<Known> {
+        let said = |(origin, stream): (&Origin, &Stream)| match stream.get(&Key::Call(id)) {
+            Some((at, Value::Call(fact))) => Some((*origin, at, fact)),
+            _ => None,
+        };
+        let known = self.streams.iter().find_map(said)?;
+        (!self.over(id)).then_some(known)
+    }
+
+    /// The calls of a stream.
+    pub fn calls(stream: &Stream) -> impl Iterator<Item = (u64, f64, CallFact)> + '_ {
+        let call = |(key, at, value)| match (key, value) {
+            (Key::Call(id), Value::Call(fact)) => Some((id, at, fact)),
+            _ => None,
+        };
+        stream.range(Key::Call(0)..=Key::Call(u64::MAX)).filter_map(call)
+    }
+
+    /// What others know of the servers, joined; of each, who says that it is silent, and since when. Only streams
+    /// that `counts` passes are heard.
+    pub fn servers(&self, counts: impl Fn(&Origin) -> bool) -> BTreeMap<ServerKey, Said> {
+        let mut all: BTreeMap<ServerKey, Said> = BTreeMap::new();
+        for (origin, stream) in self.streams.iter().filter(|(o, _)| **o != self.own && counts(o)) {
+            let servers = Key::Server(ServerKey(0))..=Key::Server(ServerKey(u64::MAX));
+            for (key, at, value) in stream.range(servers) {
+                let (Key::Server(server), Value::Server(fact)) = (key, value) else { continue };
+                let silent = fact.silent.then_some((at, origin.member));
+                let said = Said { at, fact, silent };
+                let joined = all.get(&server).map_or(said, |held| held.join(&said));
+                all.insert(server, joined);
+            }
+        }
+        all
+    }
+}
+
+/// What others say of a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Said {
+    /// When the evidence of its place was.
+    pub at: f64,
+    /// Place and start, joined.
+    pub fact: ServerFact,
+    /// The youngest word that it is silent, and whose it is.
+    pub silent: Option<(f64, MemberId)>,
+}
+
+impl Said {
+    /// Joins what two say. Commutative, associative and idempotent.
+    pub fn join(&self, other: &Said) -> Said {
+        let (at, fact) = join_servers((self.at, self.fact), (other.at, other.fact));
+        // A silence is of one start of the server; a later start ends it.
+        let silent = match self.fact.started_ms.cmp(&other.fact.started_ms) {
+            Ordering::Less => other.silent,
+            Ordering::Greater => self.silent,
+            Ordering::Equal => match (self.silent, other.silent) {
+                (Some(a), Some(b)) if a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).is_ge() => Some(a),
+                (a, b) => b.or(a),
+            },
+        };
+        Said { at, fact, silent }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/stream.rs
@@ -0,0 +1,209 @@
+//! One stream, or a copy of it: the newest version of every record, in the order of versions.
+//!
+//! That order is the log of changes: what changed after a version are the records above it. A withdrawn record stays as
+//! a tombstone for a while; once one is dropped, who is behind its version needs the whole stream, and the version
+//! of the latest dropped is the *horizon*. So the log is bounded by what is there and by the tombstones kept.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::record::{content, Key, Record, Value};
+
+/// Tombstones kept in a stream.
+pub const TOMBSTONES: usize = 4096;
+/// Records in a piece at most: about 10 KiB, under a frame's limit and a short matter for a turn.
+pub const PIECE: usize = 256;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Entry {
+    version: u64,
+    /// When the evidence was, on the own clock.
+    at: f64,
+    value: Option<Value>,
+}
+
+/// A record that was found with other content under one version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Conflict {
+    /// About what.
+    pub key: Key,
+    /// Which version.
+    pub version: u64,
+    /// What was held.
+    pub held: Option<Value>,
+    /// What was told.
+    pub told: Option<Value>,
+}
+
+/// A stream.
+#[derive(Clone, Debug, Default)]
+pub struct Stream {
+    version: u64,
+    horizon: u64,
+    records: BTreeMap<Key, Entry>,
+    order: BTreeMap<u64, Key>,
+    graves: VecDeque<(u64, Key)>,
+    hash: u64,
+    counts: [usize; 3],
+}
+
+impl Stream {
+    /// Up to which version it goes.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Who is behind this needs the whole.
+    pub fn horizon(&self) -> u64 {
+        self.horizon
+    }
+
+    /// A hash of its records, whatever the order in which they came.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Records that are there, without tombstones.
+    pub fn len(&self) -> usize {
+        self.counts.iter().sum()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Records that are there, by kind.
+    pub fn counts(&self) -> [usize; 3] {
+        self.counts
+    }
+
+    /// Records and tombstones.
+    pub fn held(&self) -> usize {
+        self.records.len()
+    }
+
+    /// What it says of a key, and when that was.
+    pub fn get(&self, key: &Key) -> Option<(f64, Value)> {
+        let entry = self.records.get(key)?;
+        Some((entry.at, entry.value?))
+    }
+
+    /// What it says of the keys in a range.
+    pub fn range(
+        &self,
+        keys: impl std::ops::RangeBounds<Key>,
+    ) -> impl Iterator<Item = (Key, f64, Value)> + '_ {
+        self.records.range(keys).filter_map(|(key, entry)| Some((*key, entry.at, entry.value?)))
+    }
+
+    /// Writes a record of the own stream, or withdraws it. One that says the same already is written only if its
+    /// evidence is to be told anew.
+    pub fn write(&mut self, at: f64, key: Key, value: Option<Value>, renew: bool) -> bool {
+        let held = self.records.get(&key).and_then(|entry| entry.value);
+        if held == value && !(renew && value.is_some()) {
+            return false;
+        }
+        self.version += 1;
+        self.place(key, Entry { version: self.version, at, value });
+        true
+    }
+
+    /// Takes a record of a copy; tells of one that contradicts what is held under its version.
+    pub fn apply(&mut self, at: f64, record: &Record) -> Option<Conflict> {
+        let Record { key, version, value, .. } = *record;
+        let entry = Entry { version, at, value };
+        // One version is one change of one record: another key under it is a second writer's.
+        if let Some(other) = self.order.get(&version).copied().filter(|other| *other != key) {
+            let held = self.records.get(&other).and_then(|e| e.value);
+            if content(&key, version, &value) > content(&other, version, &held) {
+                self.remove(&other);
+                self.place(key, entry);
+            }
+            return Some(Conflict { key, version, held, told: value });
+        }
+        match self.records.get(&key) {
+            Some(held) if held.version > version => None,
+            Some(held) if held.version == version && held.value == value => None,
+            Some(held) if held.version == version => {
+                let conflict = Conflict { key, version, held: held.value, told: value };
+                if content(&key, version, &value) > content(&key, version, &held.value) {
+                    self.place(key, entry);
+                }
+                Some(conflict)
+            }
+            // Withdrawn and forgotten here; what is told is older than that.
+            None if version <= self.horizon => None,
+            _ => {
+                self.place(key, entry);
+                None
+            }
+        }
+    }
+
+    fn remove(&mut self, key: &Key) {
+        let Some(old) = self.records.remove(key) else { return };
+        self.order.remove(&old.version);
+        if old.value.is_some() {
+            self.hash = self.hash.wrapping_sub(content(key, old.version, &old.value));
+            self.counts[key.kind()] -= 1;
+        }
+    }
+
+    /// All changes up to this version have been taken.
+    pub fn reaches(&mut self, version: u64, horizon: u64) {
+        self.version = self.version.max(version);
+        self.horizon = self.horizon.max(horizon.min(self.version));
+    }
+
+    fn place(&mut self, key: Key, entry: Entry) {
+        self.remove(&key);
+        self.records.insert(key, entry);
+        self.order.insert(entry.version, key);
+        match entry.value {
+            Some(_) => {
+                self.hash = self.hash.wrapping_add(content(&key, entry.version, &entry.value));
+                self.counts[key.kind()] += 1;
+            }
+            None => self.graves.push_back((entry.version, key)),
+        }
+        while self.graves.len() > TOMBSTONES {
+            let Some((version, key)) = self.graves.pop_front() else { break };
+            let grave = |e: &Entry| e.version == version && e.value.is_none();
+            if self.records.get(&key).is_some_and(grave) {
+                self.records.remove(&key);
+                self.order.remove(&version);
+                self.horizon = self.horizon.max(version);
+            }
+        }
+    }
+
+    /// What changed after a version, in the order of versions: a piece of it, up to which version that goes, and
+    /// whether it is the last. Tombstones go with it.
+    pub fn piece(&self, now: f64, after: u64) -> (Vec<Record>, u64, bool) {
+        let mut left = self.order.range(after.saturating_add(1)..);
+        let mut records = Vec::new();
+        for (&version, key) in left.by_ref().take(PIECE) {
+            if let Some(entry) = self.records.get(key) {
+                let age_ms = ((now - entry.at).max(0.0) * 1000.0).min(f64::from(u32::MAX)) as u32;
+                records.push(Record { key: *key, version, age_ms, value: entry.value });
+            }
+        }
+        match left.next() {
+            Some(_) => (records.clone(), records.last().map_or(after, |r| r.version), false),
+            None => (records, self.version, true),
+        }
+    }
+
+    /// Takes over what another copy has, where neither is known to be the whole: the newer of each record.
+    pub fn merge(&mut self, other: &Stream) -> Vec<Conflict> {
+        let mut conflicts = Vec::new();
+        for (&version, key) in &other.order {
+            if let Some(entry) = other.records.get(key) {
+                let record = Record { key: *key, version, age_ms: 0, value: entry.value };
+                conflicts.extend(self.apply(entry.at, &record));
+            }
+        }
+        self.reaches(other.version, other.horizon);
+        conflicts
+    }
+}
