Play random faults over members in a deterministic world, and mend what that found

Change: crates/faults has the script (drawn by a seed, told with its line where wrong, made smaller when it fails), the invariants over what happened, and a world of members with clocks an hour off and 1% apart, links that cut, delay, reset and repeat, pauses and deaths.

Found on the way and mended: two members that restarted together took each other's word against the fleet's (membership::known compares ages now); evidence of life was made up at a link's start and after a pause (view::excused); a restarted member adopted the calls of all whom it had not seen yet (State::Unseen counted as gone); an end told before the call was known left it standing for ever (Member::ended); an incarnation raised late left a second copy standing (Store::relive); a half-open link to one that is gone kept its changes from being fetched elsewhere (CatchUp::look).

--- /dev/null
+++ b/crates/faults/src/check.rs
@@ -0,0 +1,220 @@
+//! What must hold, over the record of what happened. Each invariant is one function with the rule's words; the
+//! deterministic world, real processes and `make faults` are held to the same ones.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Something that happened, as callers, servers and the script saw it; nothing that a gatekeeper says of itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum What {
+    /// A call stands for its caller, through this gatekeeper.
+    Stood(u64, usize),
+    /// A server told the end of a call.
+    Ended(u64),
+    /// A caller heard of the end of a call, from this gatekeeper.
+    Told(u64, usize),
+    /// A call of which the standing or the end was known to one gatekeeper alone, that was killed so soon after, or
+    /// while it was cut off.
+    Unshared(u64),
+    /// A gatekeeper was killed.
+    Killed(usize),
+    /// It was started.
+    Started(usize),
+    /// It was paused.
+    Paused(usize),
+    /// It was woken.
+    Woken(usize),
+    /// A link was cut, delayed or dropped.
+    Faulted,
+    /// All is mended.
+    Healed,
+}
+
+/// What happened, by time.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// When, and what.
+    pub events: Vec<(f64, What)>,
+}
+
+/// An invariant that did not hold: the rule's words, and what broke it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Broken(pub &'static str, pub String);
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.0, self.1)
+    }
+}
+
+/// Whether it is of a call, and no trouble.
+pub(crate) fn of_calls(what: &What) -> bool {
+    matches!(what, What::Stood(..) | What::Ended(_) | What::Told(..) | What::Unshared(_))
+}
+
+impl History {
+    /// Something happened.
+    pub fn push(&mut self, at: f64, what: What) {
+        self.events.push((at, what));
+    }
+
+    fn first(&self, of: impl Fn(&What) -> Option<u64>) -> BTreeMap<u64, f64> {
+        let mut first = BTreeMap::new();
+        for (at, what) in &self.events {
+            if let Some(id) = of(what) {
+                first.entry(id).or_insert(*at);
+            }
+        }
+        first
+    }
+
+    /// Whether everybody who lives is awake and reaches everybody, and nothing happened for a while. One that was
+    /// killed and stays away is no trouble any more: others see to its calls.
+    fn calm_since(&self, at: f64, settled: f64) -> bool {
+        let before = || self.events.iter().filter(|(t, _)| *t <= at);
+        let last = |of: fn(&What) -> bool| {
+            before().filter(|(_, w)| of(w)).map(|e| e.0).fold(f64::NEG_INFINITY, f64::max)
+        };
+        let healed = last(|w| *w == What::Healed);
+        let faulted = last(|w| matches!(w, What::Faulted | What::Paused(_)));
+        let quiet = !before().any(|(t, w)| !of_calls(w) && at - *t < settled);
+        quiet && faulted <= healed
+    }
+}
+
+/// Every end that a server tells is told to the caller within 1 s, but for calls that were known to nobody else when
+/// their gatekeeper was killed. In trouble, it is told within `late` of its end.
+pub fn every_end_is_told(history: &History, late: f64) -> Vec<Broken> {
+    let stood = history.first(|w| if let What::Stood(id, _) = w { Some(*id) } else { None });
+    let told = history.first(|w| if let What::Told(id, _) = w { Some(*id) } else { None });
+    let last = history.events.last().map_or(0.0, |e| e.0);
+    let unshared = history.first(|w| if let What::Unshared(id) = w { Some(*id) } else { None });
+    let mut broken = Vec::new();
+    for (at, what) in &history.events {
+        let What::Ended(id) = what else { continue };
+        let calm = history.calm_since(*at, late) && history.calm_since(*at + 1.0, 1.0);
+        let within = if calm { 1.0 } else { late + lasts_trouble(history, *at) };
+        if unshared.contains_key(id) || !stood.contains_key(id) || last - at < within {
+            continue;
+        }
+        match told.get(id) {
+            Some(heard) if heard - at <= within => {}
+            Some(heard) => broken.push(Broken(
+                "every end that a server tells is told to the caller in time",
+                format!("call {id:x} ended at {at:.2}, told {:.2} s later, within {within:.1}", heard - at),
+            )),
+            None => broken.push(Broken(
+                "every end that a server tells is told to the caller",
+                format!("call {id:x} ended at {at:.2}, never told"),
+            )),
+        }
+    }
+    broken
+}
+
+/// How long after a time the trouble goes on.
+fn lasts_trouble(history: &History, from: f64) -> f64 {
+    let trouble = |w: &What| !of_calls(w);
+    history.events.iter().filter(|(t, w)| trouble(w) && *t > from).map(|(t, _)| t - from).fold(0.0, f64::max)
+}
+
+/// No caller is told the end of a call that has not ended.
+pub fn no_end_is_made_up(history: &History) -> Vec<Broken> {
+    let ended = history.first(|w| if let What::Ended(id) = w { Some(*id) } else { None });
+    let mut broken = Vec::new();
+    for (at, what) in &history.events {
+        let What::Told(id, by) = what else { continue };
+        if ended.get(id).is_none_or(|end| end > at) {
+            let what = format!("call {id:x} told as over by g{by} at {at:.2}");
+            broken.push(Broken("no caller is told the end of a call that has not ended", what));
+        }
+    }
+    broken
+}
+
+/// A doubled word is bounded: an end is told twice only by two who may both have believed that they own the call, and so
+/// only where trouble came while it stood or just before it was told.
+pub fn doubled_words_are_bounded(history: &History) -> Vec<Broken> {
+    let mut tellers: BTreeMap<u64, Vec<(f64, usize)>> = BTreeMap::new();
+    let stood = history.first(|w| if let What::Stood(id, _) = w { Some(*id) } else { None });
+    for (at, what) in &history.events {
+        if let What::Told(id, by) = what {
+            tellers.entry(*id).or_default().push((*at, *by));
+        }
+    }
+    let mut broken = Vec::new();
+    for (id, told) in tellers.iter().filter(|(_, told)| told.len() > 1) {
+        let by: BTreeSet<usize> = told.iter().map(|t| t.1).collect();
+        let from = stood.get(id).copied().unwrap_or(0.0);
+        let to = told.last().map_or(from, |t| t.0);
+        let trouble = history.events.iter().any(|(at, w)| !of_calls(w) && *at >= from - 2.0 && *at <= to);
+        if !trouble {
+            let what = format!("call {id:x} told {} times by {by:?} without any trouble", told.len());
+            broken
+                .push(Broken("an end is told twice only where two may believe that they own the call", what));
+        }
+    }
+    broken
+}
+
+/// All of the above.
+pub fn history(history: &History, late: f64) -> Vec<Broken> {
+    let mut broken = every_end_is_told(history, late);
+    broken.extend(no_end_is_made_up(history));
+    broken.extend(doubled_words_are_bounded(history));
+    broken
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn of(events: &[(f64, What)]) -> History {
+        History { events: events.to_vec() }
+    }
+
+    /// Each invariant finds what breaks it, and passes what does not.
+    #[test]
+    fn each_rule_can_fail() {
+        let good = of(&[
+            (0.0, What::Stood(1, 0)),
+            (9.0, What::Ended(1)),
+            (9.1, What::Told(1, 0)),
+            (30.0, What::Healed),
+        ]);
+        assert_eq!(history(&good, 4.0), []);
+        let never = of(&[(0.0, What::Stood(1, 0)), (9.0, What::Ended(1)), (30.0, What::Healed)]);
+        assert_eq!(history(&never, 4.0).len(), 1);
+        let late = of(&[
+            (0.0, What::Stood(1, 0)),
+            (9.0, What::Ended(1)),
+            (11.0, What::Told(1, 0)),
+            (30.0, What::Healed),
+        ]);
+        assert_eq!(history(&late, 4.0).len(), 1);
+        let trouble = of(&[
+            (0.0, What::Stood(1, 0)),
+            (8.0, What::Killed(0)),
+            (9.0, What::Ended(1)),
+            (11.0, What::Told(1, 1)),
+            (30.0, What::Healed),
+        ]);
+        assert_eq!(history(&trouble, 4.0), [], "in trouble it has more time");
+        let made_up = of(&[(0.0, What::Stood(1, 0)), (9.0, What::Told(1, 0)), (9.5, What::Ended(1))]);
+        assert_eq!(no_end_is_made_up(&made_up).len(), 1);
+        let twice = of(&[
+            (0.0, What::Stood(1, 0)),
+            (9.0, What::Ended(1)),
+            (9.1, What::Told(1, 0)),
+            (9.2, What::Told(1, 2)),
+        ]);
+        assert_eq!(doubled_words_are_bounded(&twice).len(), 1);
+        let unshared = of(&[
+            (7.9, What::Stood(1, 0)),
+            (8.0, What::Unshared(1)),
+            (8.0, What::Killed(0)),
+            (9.0, What::Ended(1)),
+            (60.0, What::Healed),
+        ]);
+        assert_eq!(history(&unshared, 4.0), [], "known to nobody else");
+    }
+}
--- /dev/null
+++ b/crates/faults/src/lib.rs
@@ -0,0 +1,10 @@
+//! Faults among many gatekeepers: one script format for the deterministic world and for real processes, and the
+//! invariants that are checked over what happened in either.
+//!
+//! - [`script`]: `at 2.5s kill g3`, `at 3s cut g1 -> g2`, `at 4s heal`; drawn by a seed, made smaller when one fails.
+//! - [`world`]: members, links, clocks of their own and servers, stepped by one queue in skipped time.
+//! - [`check`]: what must hold, over the record of events.
+
+pub mod check;
+pub mod script;
+pub mod world;
--- /dev/null
+++ b/crates/faults/src/world.rs
@@ -0,0 +1,738 @@
+//! Members, links, clocks and servers in skipped time, stepped in one order that the seed alone decides.
+//!
+//! A link is as a connection: what is said arrives in order, later where the way is delayed, and waits where it is
+//! cut; a way holds so much and then takes nothing more. A process that dies has its connections closed; one that is
+//! paused takes nothing and says nothing, while its address still accepts.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use hollypaddle_membership::view::State;
+use hollypaddle_membership::{Life, MemberId};
+use hollypaddle_replica::member::{Act, Event, How};
+use hollypaddle_replica::record::{CallFact, Origin, Place, ServerFact, ServerKey};
+use hollypaddle_replica::store::{Store, LIVES};
+use hollypaddle_replica::{Member, Settings, Word};
+use rand::Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::check::{self, Broken, History, What};
+use crate::script::{End, Fault, Script};
+
+/// A step, in seconds.
+pub const STEP: f64 = 0.01;
+/// Words that a way holds.
+const ROOM: usize = 64;
+/// Between two tries of a link, and how long one may be up without a greeting.
+const DIAL: f64 = 0.1;
+const GREETING: f64 = 1.0;
+/// What a way takes anyway.
+const WAY: f64 = 0.002;
+/// After the healing, all copies must be equal within so long.
+pub const CONVERGES: f64 = 2.0;
+/// A call that stood for so long is known to the others, where nothing is cut.
+pub const SHARED: f64 = 0.15;
+
+/// A fault put in on purpose, which the invariants must find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// Tombstones are left out of what is told: a join that forgets deletions.
+    NoTombstones,
+    /// A piece says that it reaches further than it does: a copy that skips records.
+    SkipsRecords,
+    /// One who is given its calls back, or hears that they are over, goes on seeing to them.
+    NeverYields,
+    /// One who starts or wakes takes calls without catching up.
+    NoCatchUp,
+}
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Members.
+    pub members: usize,
+    /// Servers.
+    pub servers: usize,
+    /// Calls a second at each.
+    pub calls: f64,
+    /// Chance that a word comes twice, or that a record-carrying one is lost.
+    pub chaos: f64,
+    /// The members' figures.
+    pub settings: Settings,
+    /// A fault put in on purpose.
+    pub planted: Option<Planted>,
+}
+
+impl Plan {
+    /// So many members, with usual traffic.
+    pub fn of(members: usize) -> Plan {
+        Plan { members, servers: 3, calls: 4.0, chaos: 0.0, settings: Settings::default(), planted: None }
+    }
+}
+
+enum Item {
+    Word(Vec<u8>),
+    Close,
+}
+
+/// One direction between two members.
+#[derive(Default)]
+struct Way {
+    items: VecDeque<(f64, u64, Item)>,
+    cut: bool,
+    delay: f64,
+}
+
+#[derive(Clone, Copy)]
+struct Link {
+    connection: u64,
+    greeted: bool,
+    since: f64,
+}
+
+struct Node {
+    member: Option<Member>,
+    paused: bool,
+    /// Its clock: an offset and a drift.
+    offset: f64,
+    drift: f64,
+    lives: u64,
+    links: BTreeMap<usize, Link>,
+    next_dial: Vec<f64>,
+    /// Own calls that stand, and others' that it sees to.
+    calls: BTreeMap<u64, ServerKey>,
+    adopted: BTreeSet<u64>,
+    /// Ends that servers told it while it was paused or down: they come on its next turn, or next connection.
+    owed: Vec<u64>,
+    /// What the others held as it started or woke.
+    met: Option<(f64, BTreeMap<Origin, u64>)>,
+}
+
+impl Node {
+    fn clock(&self, now: f64) -> f64 {
+        self.offset + now * (1.0 + self.drift)
+    }
+
+    fn acts(&self) -> bool {
+        self.member.is_some() && !self.paused
+    }
+}
+
+/// All of it.
+pub struct World {
+    plan: Plan,
+    rng: ChaCha8Rng,
+    /// The time.
+    pub now: f64,
+    nodes: Vec<Node>,
+    ways: BTreeMap<(usize, usize), Way>,
+    connections: u64,
+    /// Calls that stand: owner, when the server ends them.
+    standing: BTreeMap<u64, (usize, f64)>,
+    next_call: u64,
+    /// What happened.
+    pub history: History,
+    /// Servers end nothing for the moment, so that what was said arrives.
+    ends_wait: bool,
+    broken: Vec<Broken>,
+    /// Bytes said by all members.
+    pub bytes: u64,
+    /// Calls adopted, and members that were gone for somebody, so far.
+    pub adopted: u64,
+    /// How often somebody alive and awake was held to be gone by somebody who was, too.
+    pub false_deaths: u64,
+}
+
+fn id(n: usize) -> MemberId {
+    MemberId::of(&format!("g{n}"))
+}
+
+impl World {
+    /// All members start at once.
+    pub fn new(plan: Plan, seed: u64) -> World {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let nodes = (0..plan.members)
+            .map(|_| Node {
+                member: None,
+                paused: false,
+                // An hour off, either way, and up to 1% too fast or too slow.
+                offset: 1e6 + rng.gen_range(-3600.0..3600.0),
+                drift: rng.gen_range(-0.01..0.01),
+                lives: 0,
+                links: BTreeMap::new(),
+                next_dial: vec![0.0; plan.members],
+                calls: BTreeMap::new(),
+                adopted: BTreeSet::new(),
+                owed: Vec::new(),
+                met: None,
+            })
+            .collect();
+        let pairs = (0..plan.members).flat_map(|a| (0..plan.members).map(move |b| (a, b)));
+        let ways = pairs.filter(|(a, b)| a != b).map(|pair| (pair, Way::default())).collect();
+        let mut world = World {
+            plan,
+            rng,
+            now: 0.0,
+            nodes,
+            ways,
+            connections: 0,
+            standing: BTreeMap::new(),
+            next_call: 1,
+            history: History::default(),
+            ends_wait: false,
+            broken: Vec::new(),
+            bytes: 0,
+            adopted: 0,
+            false_deaths: 0,
+        };
+        (0..world.plan.members).for_each(|n| world.start(n));
+        world
+    }
+
+    /// A member, if it is up.
+    pub fn member(&self, n: usize) -> Option<&Member> {
+        self.nodes.get(n)?.member.as_ref()
+    }
+
+    fn start(&mut self, n: usize) {
+        if self.nodes[n].member.is_some() {
+            return;
+        }
+        let members: Vec<MemberId> = (0..self.plan.members).map(id).collect();
+        let nonce = self.rng.gen();
+        let node = &mut self.nodes[n];
+        node.lives += 1;
+        // Its clock may be an hour behind what the fleet knows of its earlier life.
+        let back = if node.lives % 3 == 2 { 3600.0 } else { 0.0 };
+        let local = node.clock(self.now);
+        let life = Life { incarnation: ((local - back) * 1e3) as u64, nonce };
+        let member = Member::new(local, id(n), life, self.plan.settings, members);
+        (node.member, node.paused) = (Some(member), false);
+        self.met(n);
+        self.history.push(self.now, What::Started(n));
+    }
+
+    /// Notes what the others hold, as a member starts or wakes.
+    fn met(&mut self, n: usize) {
+        let mut all: BTreeMap<Origin, u64> = BTreeMap::new();
+        for (m, node) in self.nodes.iter().enumerate().filter(|(m, _)| *m != n) {
+            let Some(member) = node.member.as_ref().filter(|_| !node.paused) else { continue };
+            let _ = m;
+            for (origin, stream) in member.store().streams().filter(|(o, _)| o.member != id(n)) {
+                let held = all.entry(*origin).or_default();
+                *held = (*held).max(stream.version());
+            }
+        }
+        self.nodes[n].met = Some((self.now, all));
+    }
+
+    /// What is known to one member alone as it is killed is lost with it: that may be so of the last moments, or where
+    /// it was cut off, and else it is a fault.
+    fn unshared(&mut self, n: usize) {
+        let cut = self.ways.iter().any(|((a, b), w)| (*a == n || *b == n) && (w.cut || w.delay > 0.0));
+        let trouble = |(at, w): &(f64, What)| *at > self.now - 2.0 && !check::of_calls(w);
+        let may =
+            cut || self.nodes[n].paused || self.plan.chaos > 0.0 || self.history.events.iter().any(trouble);
+        let others: Vec<&Member> = (self.nodes.iter().enumerate())
+            .filter(|(m, node)| *m != n && node.acts())
+            .filter_map(|(_, node)| node.member.as_ref())
+            .collect();
+        let own = self.nodes[n].member.as_ref().map(|m| m.store());
+        let version = |s: &Store, of: &Origin| s.stream(of).map_or(0, |s| s.version());
+        let behind = own.is_some_and(|own| {
+            others.iter().any(|m| version(m.store(), &own.own()) < version(own, &own.own()))
+        });
+        let since = self.now - SHARED;
+        let mut lost = Vec::new();
+        for (at, what) in &self.history.events {
+            let is_lost = match what {
+                What::Stood(call, by) if *by == n && self.nodes[n].calls.contains_key(call) => {
+                    !others.iter().any(|m| m.store().call(*call).is_some())
+                }
+                // Words that still wait on a cut way may bring the call and not its end.
+                What::Told(_, by) if *by == n => behind,
+                _ => false,
+            };
+            if let (true, What::Stood(call, _) | What::Told(call, _)) =
+                (is_lost && (may || *at > since), what)
+            {
+                lost.push(*call);
+            }
+        }
+        lost.into_iter().for_each(|call| self.history.push(self.now, What::Unshared(call)));
+    }
+
+    fn kill(&mut self, n: usize) {
+        if self.nodes[n].member.is_some() {
+            self.unshared(n);
+        }
+        let node = &mut self.nodes[n];
+        if node.member.take().is_none() {
+            return;
+        }
+        node.paused = false;
+        node.calls.clear();
+        node.adopted.clear();
+        let links = std::mem::take(&mut node.links);
+        // What is on its way to a process that has ended comes to nothing, also on a connection it never took.
+        let coming = self.ways.iter_mut().filter(|((_, to), _)| *to == n);
+        coming.for_each(|(_, way)| way.items.clear());
+        for (peer, link) in links {
+            self.close(n, peer, link.connection);
+        }
+        self.history.push(self.now, What::Killed(n));
+    }
+
+    /// One end of a connection is closed; the other hears of it when what was said before has come.
+    fn close(&mut self, from: usize, to: usize, connection: u64) {
+        if let Some(way) = self.ways.get_mut(&(from, to)) {
+            way.items.push_back((self.now + WAY + way.delay, connection, Item::Close));
+        }
+        // What was on its way here is lost.
+        if let Some(way) = self.ways.get_mut(&(to, from)) {
+            way.items.retain(|(_, c, _)| *c != connection);
+        }
+    }
+
+    /// Does what a step of a script says.
+    pub fn fault(&mut self, fault: Fault) {
+        let pair = |a: End, b: End| match (a, b) {
+            (End::Gatekeeper(a), End::Gatekeeper(b)) if a != b => Some((a, b)),
+            _ => None,
+        };
+        match fault {
+            Fault::Kill(n) if n < self.nodes.len() => self.kill(n),
+            Fault::Start(n) if n < self.nodes.len() => self.start(n),
+            Fault::Pause(n) if n < self.nodes.len() && self.nodes[n].acts() => {
+                self.nodes[n].paused = true;
+                self.history.push(self.now, What::Paused(n));
+            }
+            Fault::Wake(n) if n < self.nodes.len() && self.nodes[n].paused => {
+                self.nodes[n].paused = false;
+                self.met(n);
+                self.history.push(self.now, What::Woken(n));
+            }
+            Fault::Cut(a, b) => {
+                if let Some(way) = pair(a, b).and_then(|pair| self.ways.get_mut(&pair)) {
+                    way.cut = true;
+                    self.history.push(self.now, What::Faulted);
+                }
+            }
+            Fault::Delay(a, b, seconds) => {
+                if let Some(way) = pair(a, b).and_then(|pair| self.ways.get_mut(&pair)) {
+                    way.delay = seconds;
+                    self.history.push(self.now, What::Faulted);
+                }
+            }
+            Fault::Drop(a, b) => {
+                if let Some((a, b)) = pair(a, b) {
+                    if let Some(link) = self.nodes[a].links.get(&b).copied() {
+                        self.unlink(a, b);
+                        self.close(a, b, link.connection);
+                    }
+                    self.history.push(self.now, What::Faulted);
+                }
+            }
+            Fault::Heal => {
+                self.ways.values_mut().for_each(|way| (way.cut, way.delay) = (false, 0.0));
+                (0..self.nodes.len()).for_each(|n| {
+                    self.start(n);
+                    self.fault(Fault::Wake(n));
+                });
+                self.history.push(self.now, What::Healed);
+            }
+            // What becomes of servers matters to whole gatekeepers.
+            _ => {}
+        }
+    }
+
+    fn unlink(&mut self, n: usize, peer: usize) {
+        let node = &mut self.nodes[n];
+        if node.links.remove(&peer).is_some() {
+            node.next_dial[peer] = self.now + DIAL;
+            if let Some(member) = &mut node.member {
+                member.unlinked(id(peer));
+            }
+        }
+    }
+
+    /// One step of everything.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        for n in 0..self.nodes.len() {
+            if self.nodes[n].acts() {
+                self.turn(n);
+            }
+        }
+        self.servers();
+    }
+
+    fn turn(&mut self, n: usize) {
+        let local = self.nodes[n].clock(self.now);
+        if let Some(member) = &mut self.nodes[n].member {
+            member.tick(local);
+        }
+        for id in std::mem::take(&mut self.nodes[n].owed) {
+            self.end_told(n, id);
+        }
+        self.hear(n, local);
+        self.dial(n);
+        self.traffic(n, local);
+        self.act(n, local);
+        self.say(n, local);
+    }
+
+    fn hear(&mut self, n: usize, local: f64) {
+        for peer in (0..self.nodes.len()).filter(|p| *p != n) {
+            while let Some((connection, item)) = self.arrived(peer, n) {
+                let link = self.nodes[n].links.get(&peer).copied();
+                match item {
+                    Item::Close if link.is_some_and(|l| l.connection == connection) => self.unlink(n, peer),
+                    Item::Close => {}
+                    Item::Word(bytes) => {
+                        let Ok(word) = postcard::from_bytes::<Word>(&bytes) else {
+                            self.broken.push(Broken("what is said can be read", format!("{bytes:?}")));
+                            continue;
+                        };
+                        self.heard(n, peer, connection, link, local, &word);
+                    }
+                }
+            }
+        }
+    }
+
+    /// What has come on the way between two, one by one.
+    fn arrived(&mut self, from: usize, to: usize) -> Option<(u64, Item)> {
+        let way = self.ways.get_mut(&(from, to)).filter(|w| !w.cut)?;
+        let (_, connection, item) = way.items.pop_front_if(|(at, ..)| *at <= self.now)?;
+        Some((connection, item))
+    }
+
+    fn heard(&mut self, n: usize, peer: usize, connection: u64, link: Option<Link>, local: f64, word: &Word) {
+        let Some(member) = &mut self.nodes[n].member else { return };
+        if let Word::Hello { .. } = word {
+            // A new connection takes the place of one of which the end was not heard.
+            let answers = link.is_none_or(|l| l.connection != connection);
+            if answers && link.is_some_and(|l| l.connection > connection) {
+                return;
+            }
+            if answers && link.is_some() {
+                member.unlinked(id(peer));
+            }
+            let greeted = member.greeted(local, word);
+            let hello = member.hello(local, id(peer));
+            let link = Link { connection, greeted: greeted.is_ok(), since: self.now };
+            self.nodes[n].links.insert(peer, link);
+            if answers {
+                self.send(n, peer, connection, &hello);
+            }
+            if greeted.is_err() {
+                self.unlink(n, peer);
+                self.close(n, peer, connection);
+            }
+            return;
+        }
+        if !link.is_some_and(|l| l.connection == connection && l.greeted) {
+            return;
+        }
+        if member.hear(local, id(peer), word).is_err() {
+            self.unlink(n, peer);
+            self.close(n, peer, connection);
+        }
+    }
+
+    fn dial(&mut self, n: usize) {
+        for peer in (0..self.nodes.len()).filter(|p| *p != n) {
+            if let Some(link) = self.nodes[n].links.get(&peer) {
+                if !link.greeted && self.now - link.since > GREETING {
+                    let connection = link.connection;
+                    self.unlink(n, peer);
+                    self.close(n, peer, connection);
+                }
+                continue;
+            }
+            // The one of the lower number makes the link.
+            if n > peer || self.now < self.nodes[n].next_dial[peer] {
+                continue;
+            }
+            self.nodes[n].next_dial[peer] = self.now + DIAL;
+            let cut = self.ways.get(&(n, peer)).is_some_and(|w| w.cut) || self.ways[&(peer, n)].cut;
+            if cut {
+                continue;
+            }
+            if self.nodes[peer].member.is_none() {
+                let local = self.nodes[n].clock(self.now);
+                if let Some(member) = &mut self.nodes[n].member {
+                    member.refused(local, id(peer));
+                }
+                continue;
+            }
+            self.connections += 1;
+            let connection = self.connections;
+            self.nodes[n].links.insert(peer, Link { connection, greeted: false, since: self.now });
+            let local = self.nodes[n].clock(self.now);
+            if let Some(hello) = self.nodes[n].member.as_ref().map(|m| m.hello(local, id(peer))) {
+                self.send(n, peer, connection, &hello);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, connection: u64, word: &Word) {
+        let Ok(bytes) = postcard::to_allocvec(word) else { return };
+        self.bytes += bytes.len() as u64;
+        let Some(way) = self.ways.get_mut(&(from, to)) else { return };
+        let at = self.now + WAY + way.delay;
+        // What comes later on a connection does not overtake.
+        let at = way.items.back().map_or(at, |(last, ..)| last.max(at));
+        let carries = matches!(word, Word::Piece(_) | Word::Ask(_));
+        if self.plan.chaos > 0.0 && carries && self.rng.gen_bool(self.plan.chaos) {
+            match self.rng.gen_bool(0.5) {
+                true => way.items.push_back((at, connection, Item::Word(bytes.clone()))),
+                false => return,
+            }
+        }
+        way.items.push_back((at, connection, Item::Word(bytes)));
+    }
+
+    fn say(&mut self, n: usize, local: f64) {
+        for peer in self.nodes[n].links.keys().copied().collect::<Vec<_>>() {
+            let Some(link) = self.nodes[n].links.get(&peer).copied().filter(|l| l.greeted) else { continue };
+            while self.ways.get(&(n, peer)).is_some_and(|w| w.items.len() < ROOM) {
+                let Some(mut word) = self.nodes[n].member.as_mut().and_then(|m| m.say(local, id(peer)))
+                else {
+                    break;
+                };
+                self.plant(&mut word);
+                self.send(n, peer, link.connection, &word);
+            }
+        }
+    }
+
+    fn plant(&mut self, word: &mut Word) {
+        let Word::Piece(piece) = word else { return };
+        match self.plan.planted {
+            Some(Planted::NoTombstones) => piece.records.retain(|r| r.value.is_some()),
+            Some(Planted::SkipsRecords) if piece.records.len() > 1 => drop(piece.records.remove(0)),
+            _ => {}
+        }
+    }
+
+    fn traffic(&mut self, n: usize, local: f64) {
+        let ready = self.nodes[n].member.as_ref().is_some_and(Member::ready);
+        let ready = ready || self.plan.planted == Some(Planted::NoCatchUp);
+        if !ready || !self.rng.gen_bool((self.plan.calls * STEP).clamp(0.0, 1.0)) {
+            return;
+        }
+        if self.plan.planted == Some(Planted::NoCatchUp) {
+            self.must_have_caught_up(n);
+        }
+        let call = self.next_call;
+        self.next_call += 1;
+        let server = ServerKey(self.rng.gen_range(0..self.plan.servers as u64));
+        let lasts = self.rng.gen_range(0.2..6.0);
+        let node = &mut self.nodes[n];
+        let Some(member) = &mut node.member else { return };
+        member.stands(local, call, CallFact { server, class: 1 });
+        let fact = ServerFact { started_ms: 0, place: Place::Ready, silent: call.is_multiple_of(7) };
+        member.server(local, server, fact, false);
+        node.calls.insert(call, server);
+        self.standing.insert(call, (n, self.now + lasts));
+        self.history.push(self.now, What::Stood(call, n));
+    }
+
+    fn act(&mut self, n: usize, local: f64) {
+        let Some(member) = &mut self.nodes[n].member else { return };
+        let (acts, events) = (member.acts(), member.events());
+        let never_yields = self.plan.planted == Some(Planted::NeverYields);
+        for act in acts {
+            let node = &mut self.nodes[n];
+            match act {
+                Act::Adopt(call, _) => {
+                    node.adopted.insert(call);
+                    self.adopted += 1;
+                }
+                Act::Yield(_) | Act::EndedElsewhere(_) if never_yields => {}
+                Act::Yield(call) => drop(node.adopted.remove(&call)),
+                Act::EndedElsewhere(call) => drop(node.calls.remove(&call)),
+            }
+        }
+        for event in events {
+            match event {
+                Event::CaughtUp(How::Complete, _) => self.must_have_caught_up(n),
+                Event::Member(hollypaddle_membership::view::Change::Gone(member, _)) => {
+                    let gone = (0..self.nodes.len()).find(|m| id(*m) == member);
+                    self.false_deaths += u64::from(gone.is_some_and(|m| self.nodes[m].acts()));
+                }
+                _ => {}
+            }
+        }
+        let _ = local;
+    }
+
+    /// A member that takes calls holds what those held that it reached, as of its start or its waking.
+    fn must_have_caught_up(&mut self, n: usize) {
+        let Some((since, met)) = self.nodes[n].met.take() else { return };
+        // Only where nobody was cut off or came and went meanwhile is it known whom it reached.
+        let trouble = |(at, w): &(f64, What)| *at > since - 1.0 && *at < self.now && !check::of_calls(w);
+        let own = self.history.events.iter().filter(|e| trouble(e)).count();
+        let cut = self.ways.values().any(|w| w.cut || w.delay > 0.0);
+        let Some(member) = self.nodes[n].member.as_ref().filter(|_| own <= 1 && !cut) else { return };
+        for (origin, version) in met {
+            let held = member.store().stream(&origin).map_or(0, |s| s.version());
+            if held < version && !member.store().forgotten(&origin) && origin.member != id(n) {
+                let what = format!("g{n} takes calls with {origin} at {held} of {version}");
+                self.broken.push(Broken("who takes calls holds what the others held as it came", what));
+            }
+        }
+    }
+
+    /// A server told the end of a call to this gatekeeper.
+    fn end_told(&mut self, n: usize, call: u64) {
+        if !self.nodes[n].acts() {
+            return self.nodes[n].owed.push(call);
+        }
+        let local = self.nodes[n].clock(self.now);
+        let node = &mut self.nodes[n];
+        let Some(member) = &mut node.member else { return };
+        let own = node.calls.remove(&call).is_some();
+        // One that was started anew passes on the end of a call that it never heard of: it may have stood through it.
+        let earlier = node.lives > 1 && !member.store().over(call);
+        if own || earlier || node.adopted.contains(&call) || member.call(call).is_some() {
+            member.ended(local, call);
+            node.adopted.remove(&call);
+            self.history.push(self.now, What::Told(call, n));
+        }
+    }
+
+    /// Servers end calls: towards the gatekeeper that took it, and while that has no connection towards any other; the
+    /// word comes again on the owner's next connection.
+    fn servers(&mut self) {
+        if self.ends_wait {
+            return;
+        }
+        let due: Vec<u64> =
+            self.standing.iter().filter(|(_, (_, at))| *at <= self.now).map(|(c, _)| *c).collect();
+        for call in due {
+            let Some((owner, _)) = self.standing.remove(&call) else { continue };
+            self.history.push(self.now, What::Ended(call));
+            if self.nodes[owner].member.is_some() {
+                self.end_told(owner, call);
+                continue;
+            }
+            self.nodes[owner].owed.push(call);
+            let others: Vec<usize> = (0..self.nodes.len()).filter(|n| self.nodes[*n].acts()).collect();
+            if !others.is_empty() {
+                let to = others[self.rng.gen_range(0..others.len())];
+                self.end_told(to, call);
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, seconds: f64) {
+        (0..(seconds / STEP).round() as usize).for_each(|_| self.step());
+    }
+
+    /// Plays a script to its end, lets all settle, and returns what did not hold.
+    pub fn play(&mut self, script: &Script) -> Vec<Broken> {
+        for (at, fault) in &script.steps {
+            while self.now + STEP / 2.0 < *at {
+                self.step();
+            }
+            self.fault(*fault);
+        }
+        self.pass(4.0);
+        // No more calls come or end; what was said has arrived.
+        (self.plan.calls, self.plan.chaos) = (0.0, 0.0);
+        self.ends_wait = true;
+        self.pass(CONVERGES);
+        self.ends_wait = false;
+        let mut broken = std::mem::take(&mut self.broken);
+        broken.extend(self.quiet());
+        self.pass(8.0);
+        broken.extend(check::history(&self.history, 4.0));
+        broken
+    }
+
+    /// What must hold when all is mended and quiet.
+    fn quiet(&self) -> Vec<Broken> {
+        let mut broken = Vec::new();
+        let members: Vec<(usize, &Member)> =
+            self.nodes.iter().enumerate().filter_map(|(n, node)| Some((n, node.member.as_ref()?))).collect();
+        for (n, member) in &members {
+            for other in members.iter().filter(|(m, _)| m != n) {
+                let state = member.view().state(id(other.0));
+                if state != State::Alive {
+                    let what = format!("g{n} holds g{} to be {}", other.0, state.name());
+                    broken.push(Broken("whoever lives and is reached is alive to all", what));
+                }
+            }
+            if !member.ready() {
+                broken.push(Broken("nobody waits for ever", format!("g{n} is not ready")));
+            }
+            let streams = member.store().streams().count();
+            if streams > self.plan.members * LIVES {
+                broken.push(Broken("what is over leaves no growth", format!("g{n} holds {streams} streams")));
+            }
+        }
+        let held = |m: &Member| -> Vec<(Origin, u64, u64)> {
+            m.snapshot().iter().map(|r| (r.origin, r.version, r.hash)).collect()
+        };
+        if let Some((first, rest)) = members.split_first() {
+            for other in rest.iter().filter(|other| held(other.1) != held(first.1)) {
+                let (a, b) = (held(first.1), held(other.1));
+                let differ: Vec<String> = (a.iter().filter(|x| !b.contains(x)))
+                    .chain(b.iter().filter(|x| !a.contains(x)))
+                    .map(|(o, version, hash)| format!("{o} {version} {hash:x}"))
+                    .collect();
+                let what = format!("g{} and g{}: {}", first.0, other.0, differ.join(", "));
+                broken.push(Broken("after the healing all copies are equal", what));
+            }
+        }
+        broken.extend(self.quiet_calls(&members));
+        broken
+    }
+
+    /// Copies say what the naive model says: what stands is known to all where its owner has lived long enough to tell,
+    /// and what is over stands nowhere; one that its owner has left is seen to by one member alone.
+    fn quiet_calls(&self, members: &[(usize, &Member)]) -> Vec<Broken> {
+        let mut broken = Vec::new();
+        for (n, member) in members {
+            for (origin, stream) in member.store().streams() {
+                for (call, ..) in Store::calls(stream) {
+                    let known = !member.store().over(call);
+                    if known && !self.standing.contains_key(&call) {
+                        // The server's word reached nobody who knew of it: it comes on the owner's next connection.
+                        let any = |of: &dyn Fn(&What) -> bool| self.history.events.iter().any(|(_, w)| of(w));
+                        let told = any(&|w| matches!(w, What::Told(c, _) if *c == call));
+                        if told && !any(&|w| *w == What::Unshared(call)) {
+                            let what = format!("call {call:x} of {origin} stands for g{n}");
+                            broken.push(Broken("an end wins over standing", what));
+                        }
+                    }
+                }
+            }
+        }
+        for call in self.standing.keys() {
+            let by: Vec<usize> =
+                (0..self.nodes.len()).filter(|n| self.nodes[*n].adopted.contains(call)).collect();
+            let own = self.nodes.iter().any(|node| node.calls.contains_key(call));
+            if by.len() + usize::from(own) > 1 {
+                let what = format!("call {call:x} by {by:?}, its owner {own}");
+                broken.push(Broken("a call is seen to by one member alone", what));
+            }
+            let known = members.iter().filter(|(_, m)| m.store().call(*call).is_some()).count();
+            if known > 0 && known < members.len() {
+                let what = format!("call {call:x} is known to {known} of {}", members.len());
+                broken.push(Broken("what one knows all know", what));
+            }
+            if known > 0 && by.is_empty() && !own {
+                broken.push(Broken(
+                    "a call that is known is seen to",
+                    format!("call {call:x} is seen to by nobody"),
+                ));
+            }
+        }
+        broken
+    }
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -29,6 +29,12 @@
 /// Deviations of a member's gaps beyond their mean after which its silence is suspect.
 const DEVIATIONS: f64 = 4.0;
 
+/// By how much clocks may differ in pace, and how exact an age is, in seconds.
+const CLOCKS: f64 = 1.02;
+const CERTAIN: f64 = 0.05;
+/// A second process under the own name must have been told of for so long, in seconds.
+const AGAIN: f64 = 0.5;
+
 /// The figures of it, in seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -116,6 +122,8 @@
     /// When it was alive for certain, by its own beats; and by what others hear.
     alive_at: f64,
     sight_at: f64,
+    /// Its silence before this tells nothing: its link came up then, or this member was paused. No evidence of life.
+    excused: f64,
     gaps: Detector,
     linked: bool,
     refused_since: Option<f64>,
@@ -138,6 +146,7 @@
             life: None,
             alive_at: never,
             sight_at: never,
+            excused: never,
             gaps: Detector::default(),
             linked: false,
             refused_since: None,
@@ -180,8 +189,10 @@
     life: Life,
     settings: Settings,
     peers: BTreeMap<MemberId, Peer>,
-    /// The fleet has heard of the own life: from then on a higher one is another process's.
-    accepted: bool,
+    /// When the own life began.
+    started: f64,
+    /// A later life that was alive after the own one began, and since when it is told of.
+    rival: Option<(Life, f64)>,
     superseded: bool,
     ticked: Option<f64>,
     /// Whose turn it is to be told of.
@@ -192,14 +203,26 @@
 impl Membership {
     /// A member that has just started, with those that stand in the configuration beside it.
     pub fn new(
+        now: f64,
         own: MemberId,
         life: Life,
         settings: Settings,
         members: impl IntoIterator<Item = MemberId>,
     ) -> Membership {
         let peers = members.into_iter().filter(|m| *m != own).map(|m| (m, Peer::new())).collect();
-        let (accepted, superseded, changes) = (false, false, Vec::new());
-        Membership { own, life, settings, peers, accepted, superseded, ticked: None, turn: 0, changes }
+        let (superseded, changes) = (false, Vec::new());
+        Membership {
+            own,
+            life,
+            settings,
+            peers,
+            started: now,
+            rival: None,
+            superseded,
+            ticked: None,
+            turn: 0,
+            changes,
+        }
     }
 
     /// The own id.
@@ -273,7 +296,7 @@
     /// been on its way. None before anything is known of that.
     pub fn lag(&self, now: f64, member: MemberId) -> Option<f64> {
         let peer = self.peers.get(&member)?;
-        peer.echoed.map(|_| (now - peer.alive_at).max(0.0))
+        peer.echoed.filter(|_| peer.alive_at.is_finite()).map(|_| (now - peer.alive_at).max(0.0))
     }
 
     /// When the latest own beat was sent that a member has told back: what it says now it says later than that.
@@ -304,16 +327,17 @@
 
     // ---- Links
 
-    /// A link to a member is up, and it said which life it is, and which life of ours it knows.
+    /// A link to a member is up, and it said which life it is, which life of ours it knows, and how long ago that was
+    /// alive, in milliseconds.
     pub fn linked(
         &mut self,
         now: f64,
         member: MemberId,
         life: Life,
-        known: Option<Life>,
+        known: Option<(Life, u32)>,
     ) -> Result<(), Passed> {
-        if let Some(known) = known {
-            self.known(known);
+        if let Some((known, age_ms)) = known {
+            self.known(now, known, age_ms);
         }
         self.lives(now, member, life)?;
         if let Some(peer) = self.peers.get_mut(&member) {
@@ -321,7 +345,7 @@
             // Beats count anew on each link, and none of an earlier one is told back.
             (peer.heard, peer.next_beat) = (None, now);
             peer.gaps.interrupted();
-            peer.alive_at = peer.alive_at.max(now);
+            peer.excused = now;
         }
         self.judge(now);
         Ok(())
@@ -343,17 +367,35 @@
         }
     }
 
-    /// The fleet knows this life of the own member.
-    fn known(&mut self, known: Life) {
-        if known > self.life && !self.accepted {
-            // A clock that was set back, or the same machine's earlier life: later than all that is known.
+    /// What another member is told of its own life: the latest that is known here, and how long ago that was
+    /// alive for certain, in milliseconds.
+    pub fn known_of(&self, now: f64, member: MemberId) -> Option<(Life, u32)> {
+        let peer = self.peers.get(&member)?;
+        let at = peer.alive_at.max(peer.sight_at);
+        Some((peer.life?, if at.is_finite() { millis(now - at) } else { u32::MAX }))
+    }
+
+    /// Somebody knows this life of the own member, alive so long ago. A later life that was alive after the own one
+    /// began is another process's, under the same name. One that was not is an earlier one: the clock was set back.
+    fn known(&mut self, now: f64, known: Life, age_ms: u32) {
+        if known <= self.life {
+            return;
+        }
+        let age = f64::from(age_ms) / 1000.0 * CLOCKS + CERTAIN;
+        if age > now - self.started {
             self.life.incarnation = known.incarnation.saturating_add(1);
             self.changes.push(Change::Raised(self.life));
-        } else if known > self.life && !self.superseded {
+            return;
+        }
+        // Told once it may be a word that was frozen on its way. One that is there is told of again.
+        let since = match self.rival {
+            Some((life, since)) if life == known => since,
+            _ => now,
+        };
+        self.rival = Some((known, since));
+        if now - since >= AGAIN && !self.superseded {
             self.superseded = true;
             self.changes.push(Change::Superseded(known));
-        } else if known == self.life {
-            self.accepted = true;
         }
     }
 
@@ -371,7 +413,7 @@
                 self.changes.push(Change::Restarted(member, life));
                 let (linked, sent, next_seq) = (peer.linked, std::mem::take(&mut peer.sent), peer.next_seq);
                 *peer = Peer { linked, sent, next_seq, state: peer.state, ..Peer::new() };
-                (peer.alive_at, peer.next_beat) = (now, now);
+                (peer.excused, peer.next_beat) = (now, now);
             }
             _ => {}
         }
@@ -398,7 +440,6 @@
                 peer.sent.retain(|(sent, _)| *sent >= seq);
             }
             if let Some((_, at)) = peer.echoed.filter(|(seq, _)| *seq == echo.seq) {
-                self.accepted = true;
                 // Never later than now, however its clock runs.
                 let spoke_at = (at + f64::from(echo.held_ms) / 1000.0).min(now);
                 peer.alive_at = peer.alive_at.max(spoke_at);
@@ -410,7 +451,7 @@
                 self.changes.push(if deaf { Change::Deaf(from) } else { Change::Hears(from) });
             }
         }
-        let lag = (now - peer.alive_at).max(0.0);
+        let lag = if peer.alive_at.is_finite() { (now - peer.alive_at).max(0.0) } else { 0.0 };
         for sight in &beat.sights {
             self.sighted(now, lag, sight);
         }
@@ -421,7 +462,7 @@
     /// Takes what another member hears of one, told at most `lag` seconds ago.
     fn sighted(&mut self, now: f64, lag: f64, sight: &Sight) {
         if sight.member == self.own {
-            return self.known(sight.life);
+            return self.known(now, sight.life, sight.age_ms);
         }
         let Some(peer) = self.peers.get_mut(&sight.member) else { return };
         let known = peer.life.unwrap_or_default();
@@ -476,8 +517,8 @@
             .collect();
         self.turn = self.turn.wrapping_add(count);
         // The one spoken to is told which life of it is known.
-        if let Some(life) = self.peers.get(&to).and_then(|p| p.life) {
-            sights.push(Sight { member: to, life, age_ms: u32::MAX, gone: false });
+        if let Some((life, age_ms)) = self.known_of(now, to) {
+            sights.push(Sight { member: to, life, age_ms, gone: false });
         }
         sights
     }
@@ -494,7 +535,7 @@
             for peer in self.peers.values_mut() {
                 peer.gaps.interrupted();
                 if !matches!(peer.state, State::Gone(_)) && peer.alive_at.is_finite() {
-                    peer.alive_at = now;
+                    peer.excused = now;
                 }
                 peer.refused_since = None;
             }
@@ -506,15 +547,17 @@
         let s = self.settings;
         let quorum = self.quorum();
         for (&member, peer) in &mut self.peers {
-            let silent = now - peer.alive_at;
+            let silent = now - peer.alive_at.max(peer.excused);
             let others = now - peer.sight_at;
             let limit = peer.gaps.limit(DEVIATIONS, s.suspect, s.gone / 2.0);
             let refused = peer.refused_since.is_some_and(|since| now - since >= s.refused);
-            let dead = refused && silent.min(others) >= s.refused;
-            let lost = quorum && silent.min(others) >= s.gone;
+            // One that was never heard of is waited for as long as one that has fallen silent.
+            let unheard = silent.min(others).min(now - self.started);
+            let dead = refused && unheard >= s.refused;
+            let lost = quorum && unheard >= s.gone;
             let next = match peer.state {
                 State::Unseen if peer.life.is_some() && silent <= limit => State::Alive,
-                State::Unseen => State::Unseen,
+                State::Unseen if !dead && !lost => State::Unseen,
                 // What others hear of it brings nobody back here, but nobody is gone whom they hear.
                 State::Gone(_) if silent <= limit => State::Alive,
                 State::Gone(since) => State::Gone(since),
@@ -529,7 +572,7 @@
                     self.changes.push(Change::Alive(member))
                 }
                 (State::Alive, State::Suspected(_)) => self.changes.push(Change::Suspected(member, silent)),
-                (State::Alive | State::Suspected(_), State::Gone(_)) => {
+                (State::Unseen | State::Alive | State::Suspected(_), State::Gone(_)) => {
                     self.changes.push(Change::Gone(member, dead));
                 }
                 _ => {}
--- a/crates/replica/src/adoption.rs
+++ b/crates/replica/src/adoption.rs
@@ -12,7 +12,7 @@
 use hollypaddle_membership::MemberId;
 use hollypaddle_ownership::owner;
 
-use crate::record::{CallFact, Origin};
+use crate::record::{CallFact, Key, Origin};
 use crate::store::Store;
 
 /// A call that this member is to see to in place of its origin.
@@ -39,7 +39,7 @@
 
 /// Who sees to the calls of a stream.
 pub fn heir(origin: &Origin, view: &Membership) -> Heir {
-    let gone = matches!(view.state(origin.member), State::Gone(_) | State::Unseen);
+    let gone = matches!(view.state(origin.member), State::Gone(_));
     match view.life_of(origin.member) {
         _ if gone => Heir::Living,
         Some(life) if life > origin.life => Heir::Later(origin.member),
@@ -49,7 +49,7 @@
 
 /// The calls that are the own member's to see to.
 pub fn adopted(store: &Store, view: &Membership) -> BTreeMap<u64, Adopted> {
-    let own = view.own();
+    let (own, owned) = (view.own(), store.stream(&store.own()));
     let living: Vec<(MemberId, u64)> = view.living().map(|m| (m, m.0)).collect();
     let mut all = BTreeMap::new();
     for (origin, stream) in store.streams().filter(|(o, _)| **o != store.own()) {
@@ -61,7 +61,9 @@
         };
         for (id, since, fact) in Store::calls(stream) {
             let is_mine = mine.is_none_or(|living| owner(id, living.iter().copied()) == Some(own));
-            if is_mine && !store.over(id) {
+            // One that raised its incarnation has them in its present stream, too.
+            let has = owned.is_some_and(|s| s.get(&Key::Call(id)).is_some());
+            if is_mine && !has && !store.over(id) {
                 all.insert(id, Adopted { origin: *origin, since, fact });
             }
         }
--- a/crates/replica/src/catch_up.rs
+++ b/crates/replica/src/catch_up.rs
@@ -300,8 +300,9 @@
         let mut best: BTreeMap<Origin, (bool, u64, MemberId)> = BTreeMap::new();
         for (&member, peer) in &self.peers {
             for held in peer.held.values().filter(|h| h.origin != own && !store.forgotten(&h.origin)) {
-                let is_origin = held.origin.member == member;
-                // An origin that is heard brings its own changes; to ask others for them would double them.
+                // An origin that is heard brings its own changes; to ask others for them would double them. One that
+                // is not heard may have a link that still looks open, and offers what it held long ago.
+                let is_origin = held.origin.member == member && heard(&held.origin);
                 if !is_origin && heard(&held.origin) {
                     continue;
                 }
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -71,8 +71,8 @@
         to: MemberId,
         /// In which life.
         life: Life,
-        /// Which life of the other is known.
-        known: Option<Life>,
+        /// Which life of the other is known, and how long ago that was alive, in milliseconds.
+        known: Option<(Life, u32)>,
     },
     /// All the time.
     Beat(Beat),
@@ -176,6 +176,7 @@
 /// A member.
 pub struct Member {
     settings: Settings,
+    started: f64,
     view: Membership,
     store: Store,
     catch_up: CatchUp,
@@ -224,7 +225,8 @@
     ) -> Member {
         Member {
             settings,
-            view: Membership::new(own, life, settings.membership, members),
+            started: now,
+            view: Membership::new(now, own, life, settings.membership, members),
             store: Store::new(Origin { member: own, life }),
             catch_up: CatchUp::new(now, settings.catch_up),
             resync: Some(Resync { since: now, goals: BTreeMap::new() }),
@@ -306,9 +308,10 @@
 
     /// A call is over: an own one is withdrawn, the end of another's is recorded.
     pub fn ended(&mut self, now: f64, id: u64) {
-        if self.store.own_stream().get(&Key::Call(id)).is_some() {
-            self.store.own_stream().write(now, Key::Call(id), None, false);
-        } else if self.store.call(id).is_some() {
+        let own = self.store.own_stream().write(now, Key::Call(id), None, false);
+        // A stream of an earlier life may say that it stands, too. And one that is back may end a call of which it
+        // hears only later that it stood.
+        if self.store.call(id).is_some() || !own && now - self.started < self.settings.forget {
             self.write(now, Key::Over(id), Value::Over, false);
         }
         self.adopted.remove(&id);
@@ -353,8 +356,8 @@
     // ---- Links
 
     /// The first word on a link to a member.
-    pub fn hello(&self, to: MemberId) -> Word {
-        let known = self.view.life_of(to);
+    pub fn hello(&self, now: f64, to: MemberId) -> Word {
+        let known = self.view.known_of(now, to);
         Word::Hello { protocol: PROTOCOL, from: self.view.own(), to, life: self.view.life(), known }
     }
 
@@ -598,15 +601,16 @@
         for (member, floor) in self.store.excess() {
             self.forget(member, floor);
         }
+        let old = now - self.settings.forget;
         let from = Key::Over(self.swept.wrapping_add(1));
-        let ends: Vec<u64> = (self.store.own_stream().range(from..=Key::Over(u64::MAX)).take(SWEPT))
-            .filter_map(|(key, ..)| match key {
-                Key::Over(id) => Some(id),
+        let ends: Vec<(u64, f64)> = (self.store.own_stream().range(from..=Key::Over(u64::MAX)).take(SWEPT))
+            .filter_map(|(key, at, _)| match key {
+                Key::Over(id) => Some((id, at)),
                 _ => None,
             })
             .collect();
-        self.swept = if ends.len() < SWEPT { u64::MAX } else { ends.last().copied().unwrap_or(u64::MAX) };
-        for id in ends {
+        self.swept = if ends.len() < SWEPT { u64::MAX } else { ends.last().map_or(u64::MAX, |e| e.0) };
+        for (id, _) in ends.into_iter().filter(|(_, at)| *at < old) {
             let own = self.store.own();
             let stands = self.store.streams().any(|(o, s)| *o != own && s.get(&Key::Call(id)).is_some());
             if !stands {
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -34,9 +34,13 @@
         self.own
     }
 
-    /// Gives the own stream another life, with all that it says under new versions.
+    /// Gives the own stream another life, with all that it says under new versions. What others may have of it
+    /// under the old one stays, as a copy: what ends is to be known as over there, too.
     pub fn relive(&mut self, life: Life) {
-        let old = self.streams.remove(&self.own).unwrap_or_default();
+        let old = self.streams.get(&self.own).cloned().unwrap_or_default();
+        if old.version() == 0 {
+            self.streams.remove(&self.own);
+        }
         self.own.life = life;
         let mut stream = Stream::default();
         for (key, at, value) in old.range(..) {
