Throw faults at real processes by the same scripts, judged by what servers saw

Change: crates/faults::real starts gatekeepers as processes with relays between any two (standin::relay: cut, cut one way, delay, reset, refuse), SIGKILL, SIGSTOP, SIGCONT, restarts, and servers that fall silent, drain or are replaced; hollypaddle-faults and make faults SEED=n ROUNDS=n, a failing script is made smaller and written out. Invariants: ends told once and in time, one attempt at a time, drains kept, cold budgets, one final answer, nobody ends by itself.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # How long the demonstration runs, in seconds; 0 is until it is stopped.
 SECONDS ?= 20
 
-.PHONY: check build test lint run demo measure soak
+.PHONY: check build test lint run demo measure soak faults
 
 check: lint build test
 
@@ -36,6 +36,15 @@
 measure: build
 	cargo run --release --locked -p hollypaddle-measure -- crossings
 	cargo run --release --locked -p hollypaddle-measure -- cores
+	cargo run --release --locked -p hollypaddle-measure -- replication
+
+# Random faults: ROUNDS scripts over real processes, and a hundred times as many in the deterministic world. A script
+# that breaks an invariant is made smaller and written to target/faults.
+ROUNDS ?= 10
+faults: build
+	cargo build --release --locked -p hollypaddle-faults
+	target/release/hollypaddle-faults world --seed $(SEED) --rounds $(shell expr $(ROUNDS) \* 100)
+	target/release/hollypaddle-faults real --seed $(SEED) --rounds $(ROUNDS)
 
 # The random tests at length, with a seed of the day: SEED=N repeats one. Takes some minutes.
 soak: SEED = $(shell date +%s)
--- a/crates/faults/src/check.rs
+++ b/crates/faults/src/check.rs
@@ -156,7 +156,47 @@
     broken
 }
 
-/// All of the above.
+/// Each call has at most one attempt out at once, whoever sends it: a set-up that reaches a server while the call is out
+/// or stands at any. Of each attempt: the call, when it arrived, and when it was over.
+pub fn one_attempt_at_a_time(attempts: &[(u64, f64, f64)]) -> Vec<Broken> {
+    let mut by_call: BTreeMap<u64, Vec<(f64, f64)>> = BTreeMap::new();
+    for (call, from, to) in attempts {
+        by_call.entry(*call).or_default().push((*from, *to));
+    }
+    let mut broken = Vec::new();
+    for (call, mut all) in by_call {
+        all.sort_by(|a, b| a.0.total_cmp(&b.0));
+        if all.windows(2).any(|pair| pair[1].0 < pair[0].1) {
+            broken.push(Broken("a call has one attempt out at a time", format!("call {call:x}: {all:?}")));
+        }
+    }
+    broken
+}
+
+/// Nothing new reaches a server later than `slack` after it was listed as draining.
+pub fn drains_are_kept(drained: f64, arrivals: &[f64], server: usize, slack: f64) -> Vec<Broken> {
+    let late = arrivals.iter().filter(|at| **at > drained + slack).count();
+    match late {
+        0 => Vec::new(),
+        n => {
+            let what = format!("{n} set-ups at s{server} later than {slack:.2} s after its drain");
+            vec![Broken("nothing new goes to a draining server", what)]
+        }
+    }
+}
+
+/// A cold server is sent less than what pushes it over, in each second, by all together: what arrived, and what it
+/// could do, by second of its age.
+pub fn cold_budget_holds(loads: &[(u32, f64)], server: usize) -> Vec<Broken> {
+    let over = loads.iter().filter(|(sent, can)| f64::from(*sent) > 3.0 * can);
+    over.map(|(sent, can)| {
+        let what = format!("s{server} was sent {sent} in a second in which it could do {can:.1}");
+        Broken("a cold server is not pushed over", what)
+    })
+    .collect()
+}
+
+/// All of the above that goes by events.
 pub fn history(history: &History, late: f64) -> Vec<Broken> {
     let mut broken = every_end_is_told(history, late);
     broken.extend(no_end_is_made_up(history));
@@ -172,6 +212,16 @@
         History { events: events.to_vec() }
     }
 
+    #[test]
+    fn what_servers_saw_is_held_to_the_rules() {
+        assert_eq!(one_attempt_at_a_time(&[(1, 0.0, 1.0), (1, 1.0, 2.0), (2, 0.5, 3.0)]), []);
+        assert_eq!(one_attempt_at_a_time(&[(1, 0.0, 1.0), (1, 0.9, 2.0)]).len(), 1);
+        assert_eq!(drains_are_kept(5.0, &[1.0, 5.3], 0, 0.4), []);
+        assert_eq!(drains_are_kept(5.0, &[1.0, 5.5], 0, 0.4).len(), 1);
+        assert_eq!(cold_budget_holds(&[(29, 10.0), (30, 10.0)], 0), []);
+        assert_eq!(cold_budget_holds(&[(31, 10.0)], 0).len(), 1);
+    }
+
     /// Each invariant finds what breaks it, and passes what does not.
     #[test]
     fn each_rule_can_fail() {
--- /dev/null
+++ b/crates/gatekeeper/tests/faults.rs
@@ -0,0 +1,64 @@
+//! Real processes under fixed scripts of faults; what callers and servers saw is held to the invariants. More and
+//! random scripts: `make faults`.
+
+use std::path::Path;
+
+use hollypaddle_faults::real::{play, Plan};
+use hollypaddle_faults::script::{Draw, Script};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_hollypaddle");
+
+fn plan(gatekeepers: usize) -> Plan {
+    Plan { gatekeepers, servers: 3, more: String::new(), ends_anywhere: true }
+}
+
+fn holds(gatekeepers: usize, script: &Script) {
+    let (broken, (stood, ended)) = play(Path::new(PROGRAM), &plan(gatekeepers), script).unwrap();
+    let told: Vec<String> = broken.iter().map(ToString::to_string).collect();
+    assert!(told.is_empty(), "{script}{}", told.join("\n"));
+    assert!(stood > 50 && ended > 50, "too little to tell: {stood} stood, {ended} ended");
+}
+
+/// SIGKILL of one under load with calls standing, then of seven in ten within 100 ms; back after 1 s.
+#[test]
+fn one_and_then_most_are_killed() {
+    let script = "seed 1\nat 2s kill g1\nat 3s start g1\nat 5s kill g0\nat 5.03s kill g2\nat 5.06s kill g3\nat 6s start g0\n\
+                  at 6.03s start g2\nat 6.06s start g3\nat 7s heal";
+    holds(5, &script.parse().unwrap());
+}
+
+/// One is paused for 5 s across a drain, a server's replacement and an adoption of its calls, and wakes.
+#[test]
+fn one_is_paused_across_a_drain_and_a_replacement() {
+    let script = "seed 2\nat 2s pause g1\nat 2.5s drain s0\nat 3s replace s1\nat 7s wake g1\nat 8s heal";
+    holds(4, &script.parse().unwrap());
+}
+
+/// A split in halves, then one-way loss, then a link that flaps every 200 ms, while a server comes back cold.
+#[test]
+fn the_links_are_split_cut_one_way_and_flap() {
+    let mut script = String::from("seed 3\nat 1.5s replace s1\n");
+    for (a, b) in [(0, 2), (0, 3), (1, 2), (1, 3)] {
+        script += &format!("at 2s cut g{a} - g{b}\n");
+    }
+    script += "at 5s heal\nat 5.5s cut g0 -> g1\nat 7.5s heal\n";
+    (0..8).for_each(|n| script += &format!("at {:.1}s drop g2 - g3\n", 7.6 + 0.2 * f64::from(n)));
+    script += "at 9.5s heal\n";
+    holds(4, &script.parse().unwrap());
+}
+
+/// A random script, the same each time.
+#[test]
+fn a_random_script_breaks_nothing() {
+    let draw = Draw { gatekeepers: 4, servers: 3, lasts: 6.0, faults: 4, server_links: false };
+    holds(4, &Script::random(11, &draw));
+}
+
+/// What is checked can fail: where servers tell ends to nobody in place of one that is gone, that is found.
+#[test]
+fn ends_that_reach_nobody_are_found() {
+    let script: Script = "seed 4\nat 1.5s kill g1\nat 11s heal".parse().unwrap();
+    let deaf = Plan { ends_anywhere: false, ..plan(3) };
+    let (broken, _) = play(Path::new(PROGRAM), &deaf, &script).unwrap();
+    assert!(broken.iter().any(|b| b.0.starts_with("every end that a server tells")), "{broken:?}");
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod callers;
 pub mod program;
+pub mod relay;
 pub mod resolver;
 pub mod server;
 pub mod world;
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -40,6 +40,18 @@
         world: &World,
         front: usize,
         conf: &str,
+    ) -> io::Result<Program> {
+        Program::start_at(program, folder, world, front, conf, "127.0.0.1:0")
+    }
+
+    /// The same, with the address at which it listens for callers.
+    pub fn start_at(
+        program: &Path,
+        folder: &Path,
+        world: &World,
+        front: usize,
+        conf: &str,
+        listen: &str,
     ) -> io::Result<Program> {
         let name = format!("n{front}");
         let (platform, own) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.conf")));
@@ -49,7 +61,7 @@
             .args(["run", "--log-format", "json", "--config"])
             .arg(&own)
             .env("PROXY_NAME", name)
-            .env("PROXY_LISTEN", "127.0.0.1:0")
+            .env("PROXY_LISTEN", listen)
             .env("PROXY_CONFIG", &platform)
             .env_remove("RUST_LOG")
             .stderr(Stdio::piped())
@@ -79,6 +91,11 @@
         }
     }
 
+    /// Takes what it has written since, so that it never waits to write.
+    pub fn take_lines(&mut self) {
+        self.log.extend(self.lines.try_iter());
+    }
+
     /// Waits until it serves; returns where.
     pub fn serving(&mut self) -> io::Result<SocketAddr> {
         let event = self.event("serving")?;
