--- a/crates/faults/src/world.rs
+++ b/crates/faults/src/world.rs
@@ -57,6 +57,8 @@
     pub calls: f64,
     /// Chance that a word comes twice, or that a record-carrying one is lost.
     pub chaos: f64,
+    /// Chance that a beat is lost, as no connection loses it but a datagram is.
+    pub loss: f64,
     /// The members' figures.
     pub settings: Settings,
     /// A fault put in on purpose.
@@ -66,17 +68,26 @@
 impl Plan {
     /// So many members, with usual traffic.
     pub fn of(members: usize) -> Plan {
-        Plan { members, servers: 3, calls: 4.0, chaos: 0.0, settings: Settings::default(), planted: None }
+        Plan {
+            members,
+            servers: 3,
+            calls: 4.0,
+            chaos: 0.0,
+            loss: 0.0,
+            settings: Settings::default(),
+            planted: None,
+        }
     }
 }
 
+#[derive(Clone)]
 enum Item {
     Word(Vec<u8>),
     Close,
 }
 
 /// One direction between two members.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Way {
     items: VecDeque<(f64, u64, Item)>,
     cut: bool,
@@ -90,6 +101,7 @@
     since: f64,
 }
 
+#[derive(Clone)]
 struct Node {
     member: Option<Member>,
     paused: bool,
@@ -119,6 +131,7 @@
 }
 
 /// All of it.
+#[derive(Clone)]
 pub struct World {
     plan: Plan,
     rng: ChaCha8Rng,
@@ -483,6 +496,9 @@
         self.bytes += bytes.len() as u64;
         let Some(way) = self.ways.get_mut(&(from, to)) else { return };
         let at = self.now + WAY + way.delay;
+        if self.plan.loss > 0.0 && matches!(word, Word::Beat(_)) && self.rng.gen_bool(self.plan.loss) {
+            return;
+        }
         // What comes later on a connection does not overtake.
         let at = way.items.back().map_or(at, |(last, ..)| last.max(at));
         let carries = matches!(word, Word::Piece(_) | Word::Ask(_));
@@ -534,8 +550,8 @@
         let node = &mut self.nodes[n];
         let Some(member) = &mut node.member else { return };
         member.stands(local, call, CallFact { server, class: 1 });
-        let fact = ServerFact { started_ms: 0, place: Place::Ready, silent: call.is_multiple_of(7) };
-        member.server(local, server, fact, false);
+        member.server(local, server, ServerFact { started_ms: 0, place: Place::Ready });
+        member.silent(local, server, 0, call.is_multiple_of(7).then_some(local));
         node.calls.insert(call, server);
         self.standing.insert(call, (n, self.now + lasts));
         self.history.push(self.now, What::Stood(call, n));
@@ -629,6 +645,61 @@
         }
     }
 
+    /// No more calls come or end, nor are words lost: what was said arrives.
+    pub fn still(&mut self) {
+        (self.plan.calls, self.plan.chaos, self.plan.loss, self.ends_wait) = (0.0, 0.0, 0.0, true);
+    }
+
+    /// Whether one holds another to be gone.
+    pub fn holds_gone(&self, n: usize, who: usize) -> bool {
+        self.member(n).is_some_and(|m| matches!(m.view().state(id(who)), State::Gone(_)))
+    }
+
+    /// Whether all that are up hold the same.
+    pub fn copies_are_equal(&self) -> bool {
+        let held = |m: &Member| -> Vec<(Origin, u64, u64)> {
+            m.snapshot().iter().map(|r| (r.origin, r.version, r.hash)).collect()
+        };
+        let mut all = self.nodes.iter().filter_map(|node| node.member.as_ref()).map(held);
+        let first = all.next();
+        all.all(|other| Some(&other) == first.as_ref())
+    }
+
+    /// A call stands through a gatekeeper, until it is ended.
+    pub fn call(&mut self, n: usize) -> Option<u64> {
+        let local = self.nodes[n].clock(self.now);
+        let node = self.nodes.get_mut(n).filter(|node| node.acts())?;
+        let (call, server) = (self.next_call, ServerKey(0));
+        self.next_call += 1;
+        node.member.as_mut()?.stands(local, call, CallFact { server, class: 1 });
+        node.calls.insert(call, server);
+        self.standing.insert(call, (n, f64::INFINITY));
+        self.history.push(self.now, What::Stood(call, n));
+        Some(call)
+    }
+
+    /// A server ends a call now.
+    pub fn end(&mut self, call: u64) {
+        if let Some(ends) = self.standing.get_mut(&call) {
+            ends.1 = self.now;
+        }
+    }
+
+    /// Ends all calls, mends all, lets all settle, and returns what did not hold.
+    pub fn settle(&mut self) -> Vec<Broken> {
+        self.fault(Fault::Heal);
+        self.still();
+        self.pass(4.0 + CONVERGES);
+        let mut broken = std::mem::take(&mut self.broken);
+        broken.extend(self.quiet());
+        self.ends_wait = false;
+        let left: Vec<u64> = self.standing.keys().copied().collect();
+        left.into_iter().for_each(|call| self.end(call));
+        self.pass(1.5);
+        broken.extend(check::history(&self.history, 4.0));
+        broken
+    }
+
     /// Lets time pass.
     pub fn pass(&mut self, seconds: f64) {
         (0..(seconds / STEP).round() as usize).for_each(|_| self.step());
@@ -643,9 +714,7 @@
             self.fault(*fault);
         }
         self.pass(4.0);
-        // No more calls come or end; what was said has arrived.
-        (self.plan.calls, self.plan.chaos) = (0.0, 0.0);
-        self.ends_wait = true;
+        self.still();
         self.pass(CONVERGES);
         self.ends_wait = false;
         let mut broken = std::mem::take(&mut self.broken);
--- a/crates/gatekeeper/src/ctl.rs
+++ b/crates/gatekeeper/src/ctl.rs
@@ -184,6 +184,7 @@
         ("version", "version"),
         ("hash", "hash"),
         ("server", "servers"),
+        ("silent", "silent"),
         ("call", "calls"),
         ("over", "ended"),
         ("lag", "lag"),
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -94,6 +94,8 @@
     /// The other gatekeepers, where the own configuration names them.
     fleet: Option<Fleet>,
     seed: u64,
+    /// When the resolver last told the whole list, or the file did.
+    list_at: f64,
     /// The control address, readiness and lameduck, and the figures that it reports.
     http: Option<Http>,
     life: Lifecycle,
@@ -120,7 +122,10 @@
         let resolver =
             Resolver::new(config.dns, config.known.position, config.seed, config.link.districts.clone())?;
         let resolver_key = watch.add(resolver.socket(), false)?;
-        let most = ((config.sockets as f64 * CALLERS_SHARE) as usize).max(1);
+        // The links to other gatekeepers come off what callers share with the rest.
+        let links =
+            config.own.fleet.as_ref().map_or(0, |fleet| super::peers::most_links(fleet.members.len()));
+        let most = ((config.sockets.saturating_sub(links) as f64 * CALLERS_SHARE) as usize).max(1);
         let clients = Clients::listen(
             config.listen,
             most,
@@ -157,6 +162,7 @@
             control: None,
             fleet: None,
             seed: config.seed,
+            list_at: now,
             http,
             life: Lifecycle::new(now),
             figures,
@@ -528,7 +534,8 @@
         let now = self.clock.now();
         if let (Some(fleet), Some(guard)) = (&mut self.fleet, &mut self.controller.gate().fleet) {
             if fleet.tick(now, guard) {
-                // What waits at the sockets was said while this process was paused.
+                // What waits at the socket was said before or while this process was paused.
+                self.resolver.forget_asked();
                 self.resolver.ask();
             }
         }
@@ -538,6 +545,9 @@
                 if let Some(list) = self.resolver.read() {
                     self.servers.list(&list, ListKind::Full, &mut turn);
                 }
+                if self.resolver.confirmed() {
+                    self.list_at = now;
+                }
             } else {
                 self.servers.ready(ready, &mut turn);
                 if let Some(fleet) = &mut self.fleet {
@@ -602,7 +612,7 @@
     /// What others know, for the gate and for the lines of the list.
     fn fleet_beat(&mut self, now: f64) {
         let (Some(fleet), Some(guard)) = (&mut self.fleet, &mut self.controller.gate().fleet) else { return };
-        let entries = fleet.beat(now, &self.servers, &mut self.calls, guard, &mut self.watch);
+        let entries = fleet.beat(now, self.list_at, &self.servers, &mut self.calls, guard, &mut self.watch);
         if !entries.is_empty() {
             self.calls.events.push(Event::List { kind: ListKind::Changes, entries });
         }
@@ -618,7 +628,7 @@
             }
             for mut event in std::mem::take(&mut self.calls.events) {
                 if let (Event::List { entries, .. }, Some(fleet)) = (&mut event, &self.fleet) {
-                    fleet.overlay(entries);
+                    fleet.overlay(entries, self.list_at);
                 }
                 self.controller.handle(now, event, &mut actions);
             }
--- a/crates/gatekeeper/src/node/fleet.rs
+++ b/crates/gatekeeper/src/node/fleet.rs
@@ -63,9 +63,10 @@
     member: Member,
     peers: Peers,
     /// What was told of each server, to tell what changes.
-    told: BTreeMap<PoolId, (ServerKey, ServerFact)>,
-    /// What others say of each server, as it was last looked at.
+    told: BTreeMap<PoolId, (ServerKey, ServerFact, bool)>,
+    /// What others say of each server, and when the own list was heard, as it was last looked at.
     said: HashMap<PoolId, Said>,
+    list_at: f64,
     /// Calls of members that are gone whose server is not known here, and since when.
     unplaced: BTreeMap<u64, (Adopted, f64)>,
     /// Ends of calls that are not known yet, while this member catches up: when they came, and whether cut.
@@ -109,6 +110,7 @@
             peers,
             told: BTreeMap::new(),
             said: HashMap::new(),
+            list_at: now,
             unplaced: BTreeMap::new(),
             kept: VecDeque::new(),
             lines,
@@ -183,7 +185,7 @@
 
     /// Where a call's server is here.
     pub fn pool(&self, server: ServerKey) -> Option<PoolId> {
-        self.told.iter().find(|(_, (key, _))| *key == server).map(|(pool, _)| *pool)
+        self.told.iter().find(|(_, told)| told.0 == server).map(|(pool, _)| *pool)
     }
 
     // ---- The three places of a turn
@@ -207,6 +209,7 @@
     pub fn beat(
         &mut self,
         now: f64,
+        list_at: f64,
         servers: &Servers,
         calls: &mut Calls,
         guard: &mut Guard,
@@ -220,7 +223,7 @@
         self.acts(now, calls);
         self.place(now, calls);
         self.tell_kept(now, calls);
-        self.listen(now, servers, guard)
+        self.listen(now, list_at, servers, guard)
     }
 
     /// Carries out: tells what has become of calls, and says what is due on every link that has room.
@@ -236,7 +239,7 @@
         for change in calls.changes() {
             match change {
                 Change::Stands { id, class, pool, since } => {
-                    if let Some((server, _)) = self.told.get(&pool) {
+                    if let Some((server, ..)) = self.told.get(&pool) {
                         let fact = CallFact {
                             server: *server,
                             class: self.classes.get(class).copied().unwrap_or(0),
@@ -261,25 +264,28 @@
                 Readiness::Ready => Place::Ready,
                 Readiness::Draining => Place::Draining,
             };
-            let silent = known.silent_at.is_some();
             let started_ms = (known.listed.started.max(0.0) * 1000.0) as u64;
-            let fact = ServerFact { started_ms, place, silent };
-            if self.told.get(&known.pool) != Some(&(server, fact)) {
-                // Of a silence the time counts at which what was not answered was sent.
-                self.member.server(known.silent_at.unwrap_or(now), server, fact, true);
-                self.told.insert(known.pool, (server, fact));
+            let (fact, silent) = (ServerFact { started_ms, place }, known.silent_at.is_some());
+            let old = self.told.insert(known.pool, (server, fact, silent));
+            if old.is_none_or(|(_, told, _)| told != fact) {
+                self.member.server(now, server, fact);
+            }
+            if old.map_or(silent, |(_, told, was)| was != silent || silent && told != fact) {
+                // The time counts at which what was not answered was sent.
+                self.member.silent(now, server, started_ms, known.silent_at);
             }
         }
         for pool in gone {
-            let Some((server, fact)) = self.told.remove(&pool) else { continue };
-            self.member.server(now, server, ServerFact { place: Place::Gone, ..fact }, true);
+            let Some((server, fact, _)) = self.told.remove(&pool) else { continue };
+            self.member.server(now, server, ServerFact { place: Place::Gone, ..fact });
+            self.member.silent(now, server, fact.started_ms, None);
         }
     }
 
     // ---- What is heard
 
     /// Takes over what others say of the servers; returns the lines of the list that change by it.
-    fn listen(&mut self, now: f64, servers: &Servers, guard: &mut Guard) -> Vec<PoolEntry> {
+    fn listen(&mut self, now: f64, list_at: f64, servers: &Servers, guard: &mut Guard) -> Vec<PoolEntry> {
         let hearsay = self.member.hearsay();
         let mut said = HashMap::new();
         for known in servers.known() {
@@ -292,15 +298,17 @@
         let ready = servers.known().filter(|k| k.listed.readiness == Readiness::Ready).map(|k| k.pool);
         guard.in_service(&ready.collect::<Vec<PoolId>>());
         let old = std::mem::replace(&mut self.said, said);
+        let old_at = std::mem::replace(&mut self.list_at, list_at);
         let entries = servers.entries().into_iter();
-        let changed = |e: &PoolEntry| overlay(*e, old.get(&e.pool)) != overlay(*e, self.said.get(&e.pool));
-        entries.filter(changed).map(|e| overlay(e, self.said.get(&e.pool))).collect()
+        let was = |e: &PoolEntry| overlay(*e, old.get(&e.pool), old_at);
+        let is = |e: &PoolEntry| overlay(*e, self.said.get(&e.pool), list_at);
+        entries.filter(|e| was(e) != is(e)).map(|e| is(&e)).collect()
     }
 
     /// The lines of a list, with what others know.
-    pub fn overlay(&self, entries: &mut [PoolEntry]) {
+    pub fn overlay(&self, entries: &mut [PoolEntry], list_at: f64) {
         for entry in entries {
-            *entry = overlay(*entry, self.said.get(&entry.pool));
+            *entry = overlay(*entry, self.said.get(&entry.pool), list_at);
         }
     }
 
@@ -447,7 +455,7 @@
             json!({
                 "member": self.peers.name(r.origin.member), "own": r.origin.member == self.member.view().own(),
                 "life": r.origin.life.to_string(), "version": r.version, "hash": format!("{:016x}", r.hash),
-                KINDS[0]: r.counts[0], KINDS[1]: r.counts[1], KINDS[2]: r.counts[2], "lag": r.lag,
+                KINDS[0]: r.counts[0], KINDS[1]: r.counts[1], KINDS[2]: r.counts[2], KINDS[3]: r.counts[3], "lag": r.lag,
             })
         };
         let (given, taken, fetching) = self.member.caught();
--- a/crates/gatekeeper/src/node/peers.rs
+++ b/crates/gatekeeper/src/node/peers.rs
@@ -79,6 +79,11 @@
     }
 }
 
+/// Descriptors that the links to so many members may take, the listener and strangers among them.
+pub fn most_links(members: usize) -> usize {
+    members + MOST_STRANGERS + 1
+}
+
 struct Link {
     connection: Connection<TcpStream, Framed>,
     /// Whom it was made to, or who said hello on it.
--- a/crates/gatekeeper/src/node/resolver.rs
+++ b/crates/gatekeeper/src/node/resolver.rs
@@ -25,6 +25,8 @@
     asked: VecDeque<u16>,
     next: u16,
     position: u64,
+    /// See [`Resolver::confirmed`].
+    confirmed: bool,
 }
 
 impl Resolver {
@@ -37,7 +39,18 @@
     ) -> io::Result<Resolver> {
         let socket = open(address)?;
         let name = Name::from_ascii(LIST).map_err(io::Error::other)?;
-        Ok(Resolver { socket, name, districts, asked: VecDeque::new(), next: seed as u16, position })
+        let (asked, confirmed) = (VecDeque::new(), false);
+        Ok(Resolver { socket, name, districts, asked, next: seed as u16, position, confirmed })
+    }
+
+    /// Questions on their way are forgotten: what answers them was said too long ago.
+    pub fn forget_asked(&mut self) {
+        self.asked.clear();
+    }
+
+    /// Whether a whole list that is no older than the one held was told since this was last asked.
+    pub fn confirmed(&mut self) -> bool {
+        std::mem::take(&mut self.confirmed)
     }
 
     /// Asks on another socket from now on. Questions on the old one are forgotten, and the position
@@ -111,6 +124,7 @@
         if list.is_none() {
             log::debug!("resolver-answer-incomplete");
         }
+        self.confirmed |= list.as_ref().is_some_and(|list| list.position >= self.position);
         list.filter(|list| self.accept(list.position))
     }
 }
--- a/crates/measure/src/crossings.rs
+++ b/crates/measure/src/crossings.rs
@@ -303,7 +303,8 @@
     Ok(format!("{:.3} ({:.3} to {:.3})", at("median")?, at("least")?, at("most")?))
 }
 
-fn machine() -> String {
+/// What this was measured on.
+pub fn machine() -> String {
     let cores = std::thread::available_parallelism().map_or(0, usize::from);
     let info = std::fs::read_to_string("/proc/cpuinfo").unwrap_or_default();
     let model = info.lines().find_map(|l| l.strip_prefix("model name")).unwrap_or("unknown processor");
--- /dev/null
+++ b/crates/measure/src/delays.rs
@@ -0,0 +1,213 @@
+//! What replication costs a set-up: the program as a process, between a caller and a server that answers at once, with
+//! links to two others and without, and while one of those catches up with many standing calls.
+
+use std::error::Error;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use hollypaddle_platform::message::{kind, Message};
+use hollypaddle_standin::program::{unix_time, Program};
+use hollypaddle_standin::world::{classes, Plan, World};
+use hollypaddle_standin::{answer, fleet_block, free_addresses, peer, set_up, Peer};
+use serde::Serialize;
+
+use crate::stats::Spread;
+
+/// Set-ups a second, and how many are timed in a stretch.
+const RATE: f64 = 400.0;
+const TIMED: usize = 1200;
+/// Calls that stand as a member catches up.
+pub const STANDING: usize = 100_000;
+/// Set-ups out at once while those are made.
+const AT_ONCE: usize = 400;
+
+/// The delays of one stretch, in microseconds.
+#[derive(Clone, Copy)]
+struct Delays {
+    p50: f64,
+    p99: f64,
+}
+
+/// What was measured.
+#[derive(Clone, Serialize)]
+pub struct Cost {
+    /// Without a fleet, with one, and while a member of it catches up: p50 and p99, in microseconds.
+    pub off: [Spread; 2],
+    /// With links.
+    pub on: [Spread; 2],
+    /// While a member catches up with [`STANDING`] calls.
+    pub catching_up: [Spread; 2],
+    /// On over off, and catching up over on.
+    pub on_ratio: [f64; 2],
+    /// The same, while one catches up.
+    pub catching_up_ratio: [f64; 2],
+    /// Seconds until that one says that it has caught up, and the bytes of memory that each record takes there.
+    pub caught_up: f64,
+    /// The bytes.
+    pub record: f64,
+    /// Memory of a process without a fleet, and with an empty one, in kB.
+    pub idle_kb: [f64; 2],
+}
+
+/// A caller and a server in one.
+struct Bench {
+    listener: TcpListener,
+    server: Vec<Peer>,
+    caller: Peer,
+    next: u64,
+}
+
+impl Bench {
+    fn new(listener: TcpListener, gatekeeper: SocketAddr, name: u64) -> Result<Bench, Box<dyn Error>> {
+        listener.set_nonblocking(true)?;
+        let caller = peer(std::net::TcpStream::connect(gatekeeper)?)?;
+        Ok(Bench { listener, server: Vec::new(), caller, next: name << 48 })
+    }
+
+    fn offer(&mut self) -> Result<u64, Box<dyn Error>> {
+        self.next += 1;
+        self.caller.send(&set_up("meter-read", 0, self.next, 3000)).map_err(|e| e.to_string())?;
+        Ok(self.next)
+    }
+
+    /// One look at all sockets; returns the calls that stand since.
+    fn look(&mut self) -> Result<Vec<u64>, Box<dyn Error>> {
+        while let Ok((stream, _)) = self.listener.accept() {
+            self.server.push(peer(stream)?);
+        }
+        for server in &mut self.server {
+            let mut heard: Vec<Message> = Vec::new();
+            let _ = server.read(&mut heard);
+            for message in heard.iter().filter(|m| m.kind == kind::SET_UP) {
+                server.send(&answer(message.call)).map_err(|e| e.to_string())?;
+            }
+            let _ = server.flush();
+        }
+        let mut heard: Vec<Message> = Vec::new();
+        self.caller.read(&mut heard).map_err(|e| e.to_string())?;
+        let _ = self.caller.flush();
+        Ok(heard.iter().filter(|m| m.kind == kind::ANSWER).map(|m| m.call).collect())
+    }
+
+    /// Makes so many calls stand, as fast as may be.
+    fn stand(&mut self, count: usize) -> Result<(), Box<dyn Error>> {
+        let (mut offered, mut stood, since) = (0, 0, unix_time());
+        while stood < count {
+            while offered < count && offered - stood < AT_ONCE {
+                self.offer()?;
+                offered += 1;
+            }
+            stood += self.look()?.len();
+            if unix_time() - since > 120.0 {
+                return Err(format!("only {stood} of {count} calls stand").into());
+            }
+        }
+        Ok(())
+    }
+
+    fn timed(&mut self) -> Result<Delays, Box<dyn Error>> {
+        let mut delays: Histogram<u64> = Histogram::new_with_bounds(1, 10_000_000, 3)?;
+        let begun = Instant::now();
+        let (mut sent, mut out): (usize, Option<(u64, Instant)>) = (0, None);
+        while delays.len() < TIMED as u64 {
+            if out.is_none() && begun.elapsed().as_secs_f64() >= sent as f64 / RATE {
+                out = Some((self.offer()?, Instant::now()));
+                sent += 1;
+            }
+            for call in self.look()? {
+                if let Some((_, since)) = out.take_if(|(id, _)| *id == call) {
+                    delays.record(since.elapsed().as_micros().max(1) as u64)?;
+                }
+            }
+            if out.is_some_and(|(_, since)| since.elapsed().as_secs() > 5) {
+                return Err("a set-up had no answer".into());
+            }
+        }
+        Ok(Delays { p50: delays.value_at_quantile(0.5) as f64, p99: delays.value_at_quantile(0.99) as f64 })
+    }
+}
+
+/// Resident memory of a process, in kB.
+fn resident(program: &Program) -> Result<f64, Box<dyn Error>> {
+    let text = std::fs::read_to_string(format!("/proc/{}/status", program.child.id()))?;
+    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:")).ok_or("no VmRSS")?;
+    Ok(line.trim().trim_end_matches("kB").trim().parse()?)
+}
+
+/// A gatekeeper with a server of the bench's, and others without traffic, all in one fleet or in none.
+struct Scene {
+    folder: tempfile::TempDir,
+    world: World,
+    conf: String,
+    programs: Vec<Program>,
+    bench: Bench,
+}
+
+fn scene(program: &Path, fleet: bool, name: u64) -> Result<Scene, Box<dyn Error>> {
+    let servers = vec![(0, 40.0)];
+    let mut world = World::open(Plan { fronts: vec![0, 0, 0], servers, classes: classes(), seed: name })?;
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    world.serve_at(0, 0, listener.local_addr()?);
+    let links = free_addresses(3)?;
+    let conf =
+        if fleet { fleet_block(&links, "records 200000\ncatch-up within 60s\n") } else { String::new() };
+    let folder = tempfile::tempdir()?;
+    let mut programs = Vec::new();
+    for front in 0..3 {
+        programs.push(Program::start(program, folder.path(), &world, front, &conf)?);
+    }
+    let mut address = None;
+    for started in &mut programs {
+        let at = started.serving()?;
+        address.get_or_insert(at);
+        if fleet {
+            started.event("fleet-caught-up")?;
+        }
+    }
+    let bench = Bench::new(listener, address.ok_or("nobody serves")?, name)?;
+    Ok(Scene { folder, world, conf, programs, bench })
+}
+
+/// Measures, in so many runs by turns.
+pub fn measure(runs: u64, program: &Path) -> Result<Cost, Box<dyn Error>> {
+    let (mut off, mut on, mut catching) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut caught_up, mut record, mut idle_kb) = (f64::NAN, f64::NAN, [0.0; 2]);
+    for run in 0..runs {
+        let mut without = scene(program, false, 2 * run + 1)?;
+        let mut with = scene(program, true, 2 * run + 2)?;
+        idle_kb = [resident(&without.programs[1])?, resident(&with.programs[1])?];
+        // The first hundred warm the caches up.
+        without.bench.stand(100)?;
+        with.bench.stand(100)?;
+        off.push(without.bench.timed()?);
+        on.push(with.bench.timed()?);
+        if run == 0 {
+            // One that is started anew has everything to learn.
+            with.bench.stand(STANDING)?;
+            let before = idle_kb[1];
+            let mut killed = with.programs.remove(1);
+            killed.child.kill()?;
+            killed.child.wait()?;
+            let begun = unix_time();
+            let mut fresh = Program::start(program, with.folder.path(), &with.world, 1, &with.conf)?;
+            for _ in 0..runs.max(3) {
+                catching.push(with.bench.timed()?);
+            }
+            let event = fresh.event("fleet-caught-up")?;
+            caught_up = event["time"].as_f64().unwrap_or(f64::NAN) - begun;
+            record = (resident(&fresh)? - before) * 1024.0 / STANDING as f64;
+        }
+    }
+    let spread = |all: &[Delays]| {
+        let of = |f: fn(&Delays) -> f64| Spread::of(&all.iter().map(f).collect::<Vec<f64>>());
+        [of(|d| d.p50), of(|d| d.p99)]
+    };
+    let (off, on, catching_up) = (spread(&off), spread(&on), spread(&catching));
+    let ratio = |a: &[Spread; 2], b: &[Spread; 2]| [a[0].median / b[0].median, a[1].median / b[1].median];
+    let (on_ratio, catching_up_ratio) = (ratio(&on, &off), ratio(&catching_up, &off));
+    println!("set-up p50 and p99: on over off {on_ratio:.3?}, catching up over off {catching_up_ratio:.3?}");
+    println!("{STANDING} calls: caught up after {caught_up:.2} s, {record:.0} bytes a record");
+    Ok(Cost { off, on, catching_up, on_ratio, catching_up_ratio, caught_up, record, idle_kb })
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,7 +4,9 @@
 mod cores;
 mod crossings;
 mod decisions;
+mod delays;
 mod replication;
+mod scale;
 mod stats;
 
 use std::error::Error;
@@ -43,7 +45,7 @@
     let args = Args::parse();
     let failures = match args.name {
         Name::Cores => cores::measure(args.runs.max(1), &args.program, &args.out)?,
-        Name::Replication => replication::measure(args.runs.max(1), &args.out)?,
+        Name::Replication => replication::measure(args.runs.max(1), &args.program, &args.out)?,
         Name::Crossings => crossings::measure(args.runs.max(1), &args.out)?,
     };
     for failure in &failures {
--- a/crates/replica/src/catch_up.rs
+++ b/crates/replica/src/catch_up.rs
@@ -144,13 +144,14 @@
     }
 }
 
+#[derive(Clone)]
 struct Serve {
     origin: Origin,
     after: u64,
     base: Option<u64>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Peer {
     /// What it holds, as it said last.
     held: BTreeMap<Origin, Held>,
@@ -160,6 +161,7 @@
     asks: VecDeque<Ask>,
 }
 
+#[derive(Clone)]
 struct Fetch {
     from: Option<MemberId>,
     at: f64,
@@ -175,6 +177,7 @@
 const RECORD_BYTES: f64 = 40.0;
 
 /// All of that, towards all members.
+#[derive(Clone)]
 pub struct CatchUp {
     settings: Settings,
     peers: BTreeMap<MemberId, Peer>,
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -14,7 +14,7 @@
 
 use crate::adoption::{self, Adopted};
 use crate::catch_up::{self, Ask, CatchUp, Compared, Held, Piece, Refused, Say};
-use crate::record::{CallFact, Key, Origin, ServerFact, ServerKey, Value, KINDS};
+use crate::record::{CallFact, Key, Origin, Place, ServerFact, ServerKey, Value, KINDS};
 use crate::store::{Said, Store};
 use crate::stream::Conflict;
 
@@ -174,6 +174,7 @@
 }
 
 /// A member.
+#[derive(Clone)]
 pub struct Member {
     settings: Settings,
     started: f64,
@@ -291,28 +292,31 @@
 
     // ---- What is known here
 
-    /// What is known of a server, as of then. With `renew` it is told again though it says the same.
-    pub fn server(&mut self, at: f64, server: ServerKey, fact: ServerFact, renew: bool) {
-        self.write(at, Key::Server(server), Value::Server(fact), renew);
+    /// What the own list says of a server, as of then.
+    pub fn server(&mut self, at: f64, server: ServerKey, fact: ServerFact) {
+        self.write(at, Key::Server(server), Value::Server(fact));
     }
 
-    /// A server is not known any more.
-    pub fn forget_server(&mut self, now: f64, server: ServerKey) {
-        self.store.own_stream().write(now, Key::Server(server), None, false);
+    /// A server of that start is silent since then, or it is not.
+    pub fn silent(&mut self, now: f64, server: ServerKey, started_ms: u64, since: Option<f64>) {
+        match since {
+            Some(at) => self.write(at, Key::Silent(server), Value::Silent(started_ms)),
+            None => _ = self.store.own_stream().write(now, Key::Silent(server), None),
+        }
     }
 
     /// A call stands since then.
     pub fn stands(&mut self, at: f64, id: u64, fact: CallFact) {
-        self.write(at, Key::Call(id), Value::Call(fact), false);
+        self.write(at, Key::Call(id), Value::Call(fact));
     }
 
     /// A call is over: an own one is withdrawn, the end of another's is recorded.
     pub fn ended(&mut self, now: f64, id: u64) {
-        let own = self.store.own_stream().write(now, Key::Call(id), None, false);
+        let own = self.store.own_stream().write(now, Key::Call(id), None);
         // A stream of an earlier life may say that it stands, too. And one that is back may end a call of which it
         // hears only later that it stood.
         if self.store.call(id).is_some() || !own && now - self.started < self.settings.forget {
-            self.write(now, Key::Over(id), Value::Over, false);
+            self.write(now, Key::Over(id), Value::Over);
         }
         self.adopted.remove(&id);
     }
@@ -328,7 +332,7 @@
         self.adopted.get(&id)
     }
 
-    fn write(&mut self, at: f64, key: Key, value: Value, renew: bool) {
+    fn write(&mut self, at: f64, key: Key, value: Value) {
         let most = self.settings.catch_up.most;
         let stream = self.store.own_stream();
         if stream.get(&key).is_none() && stream.len() >= most {
@@ -340,7 +344,7 @@
             }
             return;
         }
-        stream.write(at, key, Some(value), renew);
+        stream.write(at, key, Some(value));
     }
 
     /// What the others that are heard say of the servers.
@@ -474,7 +478,7 @@
         for id in ended {
             if self.store.over(id) && self.store.own_stream().get(&Key::Call(id)).is_some() {
                 self.acts.push(Act::EndedElsewhere(id));
-                self.store.own_stream().write(now, Key::Call(id), None, false);
+                self.store.own_stream().write(now, Key::Call(id), None);
             }
         }
         // What changes the calls of those that are gone, or ends some that are seen to.
@@ -602,6 +606,16 @@
             self.forget(member, floor);
         }
         let old = now - self.settings.forget;
+        // A server that left the list long ago comes back under no list, and so need not be told of.
+        let servers = Key::Server(ServerKey(0))..=Key::Server(ServerKey(u64::MAX));
+        let gone = |(key, at, value): (Key, f64, Value)| {
+            let left = matches!(value, Value::Server(fact) if fact.place == Place::Gone);
+            (left && at < old).then_some(key)
+        };
+        let gone: Vec<Key> = self.store.own_stream().range(servers).filter_map(gone).collect();
+        for key in gone {
+            self.store.own_stream().write(now, key, None);
+        }
         let from = Key::Over(self.swept.wrapping_add(1));
         let ends: Vec<(u64, f64)> = (self.store.own_stream().range(from..=Key::Over(u64::MAX)).take(SWEPT))
             .filter_map(|(key, at, _)| match key {
@@ -614,7 +628,7 @@
             let own = self.store.own();
             let stands = self.store.streams().any(|(o, s)| *o != own && s.get(&Key::Call(id)).is_some());
             if !stands {
-                self.store.own_stream().write(now, Key::Over(id), None, false);
+                self.store.own_stream().write(now, Key::Over(id), None);
             }
         }
     }
@@ -665,7 +679,7 @@
     /// The hash of its records.
     pub hash: u64,
     /// Records by kind.
-    pub counts: [usize; 3],
+    pub counts: [usize; KINDS.len()],
     /// By how many changes of the own stream its member was behind when it last said so.
     pub lag: Option<u64>,
 }
--- a/crates/replica/src/record.rs
+++ b/crates/replica/src/record.rs
@@ -40,8 +40,10 @@
 /// What a record is about. Its kind is part of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Key {
-    /// What the origin knows of a server.
+    /// What the origin's list says of a server.
     Server(ServerKey),
+    /// The origin finds that server silent.
+    Silent(ServerKey),
     /// A call that stands through the origin, by its caller's id.
     Call(u64),
     /// A call of another's that is over, as the origin knows.
@@ -49,15 +51,16 @@
 }
 
 /// The kinds, for reports.
-pub const KINDS: [&str; 3] = ["server", "call", "over"];
+pub const KINDS: [&str; 4] = ["server", "silent", "call", "over"];
 
 impl Key {
     /// Its kind, an index into [`KINDS`].
     pub fn kind(&self) -> usize {
         match self {
             Key::Server(_) => 0,
-            Key::Call(_) => 1,
-            Key::Over(_) => 2,
+            Key::Silent(_) => 1,
+            Key::Call(_) => 2,
+            Key::Over(_) => 3,
         }
     }
 }
@@ -73,7 +76,7 @@
     Gone,
 }
 
-/// What a member knows of a server.
+/// What a member's list says of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerFact {
     /// When its process last started, as told, in Unix milliseconds; 0 is long past. The server's own figure, so it
@@ -81,8 +84,6 @@
     pub started_ms: u64,
     /// Whether it takes new calls.
     pub place: Place,
-    /// It answers nothing, or cannot be reached.
-    pub silent: bool,
 }
 
 /// A call that stands.
@@ -99,6 +100,8 @@
 pub enum Value {
     /// Of a server.
     Server(ServerFact),
+    /// That it answers nothing, or cannot be reached, and of which start, in Unix milliseconds.
+    Silent(u64),
     /// Of a call that stands.
     Call(CallFact),
     /// Of a call that is over.
@@ -110,7 +113,10 @@
     pub fn fits(&self, key: &Key) -> bool {
         matches!(
             (key, self),
-            (Key::Server(_), Value::Server(_)) | (Key::Call(_), Value::Call(_)) | (Key::Over(_), Value::Over)
+            (Key::Server(_), Value::Server(_))
+                | (Key::Silent(_), Value::Silent(_))
+                | (Key::Call(_), Value::Call(_))
+                | (Key::Over(_), Value::Over)
         )
     }
 }
@@ -143,10 +149,10 @@
     let rank = |(at, fact): &(f64, ServerFact)| {
         let gone = fact.place == Place::Gone;
         // Of the same moment the worse word counts, so that the order does not matter.
-        (fact.started_ms, gone, if gone { f64::INFINITY } else { *at }, fact.place, fact.silent)
+        (fact.started_ms, gone, if gone { f64::INFINITY } else { *at }, fact.place)
     };
     let (x, y) = (rank(&a), rank(&b));
-    let order = (x.0, x.1).cmp(&(y.0, y.1)).then(x.2.total_cmp(&y.2)).then((x.3, x.4).cmp(&(y.3, y.4)));
+    let order = (x.0, x.1).cmp(&(y.0, y.1)).then(x.2.total_cmp(&y.2)).then(x.3.cmp(&y.3));
     match order.then(a.0.total_cmp(&b.0)) {
         std::cmp::Ordering::Less => b,
         _ => a,
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -5,7 +5,7 @@
 
 use hollypaddle_membership::{Life, MemberId};
 
-use crate::record::{join_servers, CallFact, Key, Origin, ServerFact, ServerKey, Value};
+use crate::record::{join_servers, CallFact, Key, Origin, Place, ServerFact, ServerKey, Value};
 use crate::stream::Stream;
 
 /// Lives of one member of which streams are held at most.
@@ -44,7 +44,7 @@
         self.own.life = life;
         let mut stream = Stream::default();
         for (key, at, value) in old.range(..) {
-            stream.write(at, key, Some(value), false);
+            stream.write(at, key, Some(value));
         }
         self.streams.insert(self.own, stream);
     }
@@ -152,11 +152,18 @@
     pub fn servers(&self, counts: impl Fn(&Origin) -> bool) -> BTreeMap<ServerKey, Said> {
         let mut all: BTreeMap<ServerKey, Said> = BTreeMap::new();
         for (origin, stream) in self.streams.iter().filter(|(o, _)| **o != self.own && counts(o)) {
-            let servers = Key::Server(ServerKey(0))..=Key::Server(ServerKey(u64::MAX));
+            let servers = Key::Server(ServerKey(0))..=Key::Silent(ServerKey(u64::MAX));
             for (key, at, value) in stream.range(servers) {
-                let (Key::Server(server), Value::Server(fact)) = (key, value) else { continue };
-                let silent = fact.silent.then_some((at, origin.member));
-                let said = Said { at, fact, silent };
+                let (server, said) = match (key, value) {
+                    (Key::Server(server), Value::Server(fact)) => (server, Said { at, fact, silent: None }),
+                    (Key::Silent(server), Value::Silent(started_ms)) => {
+                        // It tells of a start, and nothing of its place.
+                        let fact = ServerFact { started_ms, place: Place::Ready };
+                        let silent = Some((at, origin.member));
+                        (server, Said { at: f64::NEG_INFINITY, fact, silent })
+                    }
+                    _ => continue,
+                };
                 let joined = all.get(&server).map_or(said, |held| held.join(&said));
                 all.insert(server, joined);
             }
--- a/crates/replica/src/stream.rs
+++ b/crates/replica/src/stream.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::record::{content, Key, Record, Value};
+use crate::record::{content, Key, Record, Value, KINDS};
 
 /// Tombstones kept in a stream.
 pub const TOMBSTONES: usize = 4096;
@@ -43,7 +43,7 @@
     order: BTreeMap<u64, Key>,
     graves: VecDeque<(u64, Key)>,
     hash: u64,
-    counts: [usize; 3],
+    counts: [usize; KINDS.len()],
 }
 
 impl Stream {
@@ -73,7 +73,7 @@
     }
 
     /// Records that are there, by kind.
-    pub fn counts(&self) -> [usize; 3] {
+    pub fn counts(&self) -> [usize; KINDS.len()] {
         self.counts
     }
 
@@ -96,11 +96,10 @@
         self.records.range(keys).filter_map(|(key, entry)| Some((*key, entry.at, entry.value?)))
     }
 
-    /// Writes a record of the own stream, or withdraws it. One that says the same already is written only if its
-    /// evidence is to be told anew.
-    pub fn write(&mut self, at: f64, key: Key, value: Option<Value>, renew: bool) -> bool {
+    /// Writes a record of the own stream, or withdraws it; returns whether that changes what it says.
+    pub fn write(&mut self, at: f64, key: Key, value: Option<Value>) -> bool {
         let held = self.records.get(&key).and_then(|entry| entry.value);
-        if held == value && !(renew && value.is_some()) {
+        if held == value {
             return false;
         }
         self.version += 1;
--- a/crates/replica/tests/laws.rs
+++ b/crates/replica/tests/laws.rs
@@ -13,11 +13,7 @@
 
 fn fact() -> impl Strategy<Value = ServerFact> {
     let place = prop_oneof![Just(Place::Ready), Just(Place::Draining), Just(Place::Gone)];
-    (0u64..3, place, any::<bool>()).prop_map(|(started_ms, place, silent)| ServerFact {
-        started_ms,
-        place,
-        silent,
-    })
+    (0u64..3, place).prop_map(|(started_ms, place)| ServerFact { started_ms, place })
 }
 
 fn said() -> impl Strategy<Value = Said> {
@@ -53,8 +49,10 @@
     let call = (0u64..12, proptest::option::of(0u32..3)).prop_map(|(id, class)| {
         (Key::Call(id), class.map(|class| Value::Call(CallFact { server: ServerKey(1), class })))
     });
+    let silent = (0u64..4, any::<bool>())
+        .prop_map(|(n, silent)| (Key::Silent(ServerKey(n)), silent.then_some(Value::Silent(n))));
     let over = (0u64..12, any::<bool>()).prop_map(|(id, over)| (Key::Over(id), over.then_some(Value::Over)));
-    prop_oneof![server, call, over]
+    prop_oneof![server, silent, call, over]
 }
 
 fn origin(member: u64) -> Origin {
@@ -89,7 +87,7 @@
         let mut told: Vec<Piece> = Vec::new();
         for (key, value) in &changes {
             let before = source.version();
-            source.write(0.0, *key, *value, false);
+            source.write(0.0, *key, *value);
             let (records, upto, last) = source.piece(0.0, before);
             told.push(Piece { origin: origin(1), from: before, upto, base: None, horizon: 0, last, records });
         }
@@ -186,7 +184,7 @@
 }
 
 fn write(store: &mut Store, key: Key, value: Option<Value>) {
-    store.own_stream().write(0.0, key, value, false);
+    store.own_stream().write(0.0, key, value);
 }
 
 fn giver(calls: u64) -> Store {
@@ -289,7 +287,7 @@
     let wrong = Value::Call(CallFact { server: ServerKey(8), class: 9 });
     let mut bent = Stream::default();
     for (key, at, value) in pair.giver.0.stream(&origin(1)).unwrap().range(..) {
-        bent.write(at, key, Some(if key == Key::Call(250) { wrong } else { value }), false);
+        bent.write(at, key, Some(if key == Key::Call(250) { wrong } else { value }));
     }
     pair.asker.0.install(origin(1), bent);
     assert!(!pair.level());
@@ -307,8 +305,8 @@
     let stream = |class: u32, extra: u64| {
         let mut s = Stream::default();
         let fact = CallFact { server: ServerKey(1), class };
-        s.write(0.0, Key::Call(1), Some(Value::Call(fact)), false);
-        s.write(0.0, Key::Call(extra), Some(Value::Call(CallFact { server: ServerKey(1), class: 0 })), false);
+        s.write(0.0, Key::Call(1), Some(Value::Call(fact)));
+        s.write(0.0, Key::Call(extra), Some(Value::Call(CallFact { server: ServerKey(1), class: 0 })));
         s
     };
     let (a, b) = (stream(1, 2), stream(2, 3));
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -70,6 +70,8 @@
     position: u32,
     generation: u32,
     resolvers: Vec<Resolver>,
+    /// Servers that a gatekeeper reaches elsewhere than at its door.
+    elsewhere: BTreeMap<(usize, usize), SocketAddr>,
     /// The callers of each gatekeeper, once it is known where that listens.
     pub callers: Vec<Callers>,
     rng: ChaCha8Rng,
@@ -93,13 +95,16 @@
         let due = vec![f64::NEG_INFINITY; plan.fronts.len()];
         let rng = ChaCha8Rng::seed_from_u64(plan.seed);
         let callers = Vec::new();
-        Ok(World { plan, servers, list, position: 1, generation: 0, resolvers, callers, rng, due })
+        let elsewhere = BTreeMap::new();
+        Ok(World { plan, servers, list, position: 1, generation: 0, resolvers, elsewhere, callers, rng, due })
     }
 
     fn listed(&self, front: usize) -> Vec<Listed> {
         let entry = |(n, entry): (usize, &Option<(String, usize, bool, u64)>)| {
             let (id, district, draining, started_ms) = entry.clone()?;
-            let (district, address) = (DISTRICTS[district].to_string(), self.servers[n].address(front));
+            let address = self.elsewhere.get(&(front, n)).copied();
+            let address = address.unwrap_or_else(|| self.servers[n].address(front));
+            let district = DISTRICTS[district].to_string();
             Some(Listed { id, district, address, number: n as u32, draining, started_ms })
         };
         self.list.iter().enumerate().filter_map(entry).collect()
@@ -223,6 +228,12 @@
         self.resolvers.iter_mut().for_each(|r| r.silent = silent);
     }
 
+    /// Lists a server at another address, for one gatekeeper: a relay's, or a server's of the caller's own.
+    pub fn serve_at(&mut self, front: usize, server: usize, address: SocketAddr) {
+        self.elsewhere.insert((front, server), address);
+        self.position += 1;
+    }
+
     /// Whether the resolver of one gatekeeper answers.
     pub fn resolver_silent(&mut self, front: usize, silent: bool) {
         self.resolvers[front].silent = silent;
