Read a full server's wait from parameter 40, where the protocol has it

So a full server was sent to again after one wait unit (0.375 s) instead of the 2.3 to 3.5 s that it asked for. Ruled out: the module, which has kept away from such servers all the time. Change: parameter 40, and at most the longest deadline, so that no word shuts a server for good. Measured: the new test sends nothing there before the time and fails with 34 (10 set-ups) and without the bound.

--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -241,6 +241,7 @@
         if !channel.up {
             return server.connected(pool, ready.key, &self.link, turn);
         }
+        let longest = self.link.longest();
         let mut messages = Vec::new();
         let mut end = if ready.writable { channel.connection.flush() } else { Ok(()) };
         if end.is_ok() && ready.readable {
@@ -252,7 +253,7 @@
             (server.word_at, server.silent_at) = (turn.now, None);
         }
         for message in messages {
-            if let Err(reason) = server.heard(pool, ready.key, message, &self.telemetry, turn) {
+            if let Err(reason) = server.heard(pool, ready.key, message, (&self.telemetry, longest), turn) {
                 end = Err(reason);
                 break;
             }
@@ -571,7 +572,7 @@
         pool: PoolId,
         key: Key,
         message: Message,
-        telemetry: &Telemetry,
+        (telemetry, longest): (&Telemetry, f64),
         turn: &mut Turn,
     ) -> Result<(), Over> {
         let id = message.call;
@@ -606,7 +607,7 @@
             kind::RELEASE => {
                 self.patience = UNHEARD;
                 self.closed(id);
-                turn.calls.ended(turn.now, pool, id, end(&message, report));
+                turn.calls.ended(turn.now, pool, id, end(&message, report, longest));
             }
             kind::STATE | kind::TEST_RESULT if told => turn.calls.load(pool, report),
             kind::TEST => {
@@ -694,7 +695,7 @@
 /// What Linux says of a connection that is on its way.
 const EINPROGRESS: i32 = 115;
 
-fn end(message: &Message, report: Report) -> End {
+fn end(message: &Message, report: Report, longest: f64) -> End {
     let outcome = match message.cause() {
         Some(cause::NORMAL) => Outcome::Done,
         Some(cause::FULL) => Outcome::Full,
@@ -710,8 +711,9 @@
         Some("engaged") => Cause::NumberBusy,
         _ => Cause::Unknown,
     };
-    let wait = message.text(code::RETRY_AFTER).and_then(|text| text.trim().parse::<f64>().ok());
-    let wait = wait.filter(|ms| ms.is_finite() && *ms >= 0.0).map(|ms| ms / 1000.0);
+    let wait = message.text(code::FULL_WAIT).and_then(|text| text.trim().parse::<f64>().ok());
+    // No caller waits longer than the longest deadline: a server that says more must not shut itself for good.
+    let wait = wait.filter(|ms| ms.is_finite() && *ms >= 0.0).map(|ms| (ms / 1000.0).min(longest));
     End { outcome, cause, wait, report }
 }
 
@@ -726,7 +728,7 @@
         let address = listener.local_addr().unwrap();
         let (mut watch, mut calls) = (Watch::new().unwrap(), Calls::new(0.0, 0));
         let districts = Vec::new();
-        let link = Link { classes: Vec::new(), connect_timeout: 0.5, districts };
+        let link = Link { classes: Vec::new(), connect_timeout: 0.5, drain_grace: 0.25, districts };
         let (_, telemetry) = hollypaddle_policy::settings::read(
             br#"{"peersTotal":1,"period":0.005,"familyInfo":{"release":0.3},"limits":{"tryLimit":6},
                 "requestClasses":[],"safety":{"cold":14,"coldFrom":0.3,"overloadFactor":3}}"#,
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -245,6 +245,41 @@
     assert_eq!(w.heard.len(), 1, "one final answer");
 }
 
+/// A server whose processor is full says in parameter 40 how long to wait, and nothing goes there before. Guards against a
+/// wait that is looked for elsewhere, as in parameter 34, which is the callers'; against one that never ends; and against
+/// one that makes no sense.
+#[test]
+fn a_full_server_is_left_alone_for_as_long_as_it_says() {
+    for (code, wait, alone) in [
+        (code::FULL_WAIT, "1500", true),
+        (code::RETRY_AFTER, "1500", false),
+        (code::FULL_WAIT, "-1500", false),
+        (code::FULL_WAIT, "soon", false),
+    ] {
+        let mut w = World::new(2);
+        w.caller.send(&set_up_to(0, 1, 3000)).unwrap();
+        w.at_servers(1, kind::SET_UP);
+        w.servers_say(&hollypaddle_standin::full(1, "throttled").with(code, wait));
+        w.pass(1.0);
+        for id in 2..12 {
+            w.caller.send(&set_up_to(0, id, 3000)).unwrap();
+        }
+        w.pass(0.2);
+        let there = w.set_ups.iter().filter(|(server, id)| *server == 0 && *id > 1).count();
+        assert_eq!(there == 0, alone, "{there} sent there with {code} {wait}");
+    }
+    let mut w = World::new(2);
+    w.caller.send(&set_up_to(0, 1, 3000)).unwrap();
+    w.at_servers(1, kind::SET_UP);
+    w.servers_say(&hollypaddle_standin::full(1, "throttled").with(code::FULL_WAIT, "999999999"));
+    w.pass(9.5);
+    w.caller = peer(TcpStream::connect(w.node.address()).unwrap());
+    for id in 2..12 {
+        w.caller.send(&set_up_to(0, id, 3000)).unwrap();
+    }
+    w.until("one that goes there again", |w| w.set_ups.iter().any(|(server, id)| *server == 0 && *id > 1));
+}
+
 #[test]
 fn bad_input_harms_its_own_connection_or_call_alone() {
     let mut w = World::new(1);
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -39,14 +39,18 @@
     pub const CLASS: u8 = 16;
     /// How long the sender waits, in milliseconds.
     pub const WAIT: u8 = 19;
+    /// Marks a caller's further try; else absent.
+    pub const AGAIN: u8 = 25;
     /// The number called, in hex digits.
     pub const NUMBER: u8 = 28;
     /// The request's figures.
     pub const FIGURES: u8 = 31;
-    /// For how long to stay away, in milliseconds.
+    /// For how long a caller is to stay away, in milliseconds.
     pub const RETRY_AFTER: u8 = 34;
     /// Why a server turned a set-up back.
     pub const NOTE: u8 = 37;
+    /// The wait at a server's full processor, in milliseconds.
+    pub const FULL_WAIT: u8 = 40;
     /// A load report.
     pub const REPORT: u8 = 43;
     /// The cause, one byte.
