Take times that were drawn from the first site from the settings and the file

Cause: event_loop.rs asked the resolver every 80 ms, a third of the first site's 250 ms of grace; calls.rs reckoned with calls of an earlier life for 120 s, which suits calls of 9 s; guard.rs and node/fleet.rs held that lists come at most 2 s apart, where the second site's come up to 13 s late: a call of a member that is gone would have been told as cut as its server was not listed here yet. Change: the first from drainGrace, the second from the mean holding time, the third a directive, lists-late, 7 s by default as the platform counts a word as told after that.

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -55,7 +55,17 @@
 /// Reads the block.
 pub(crate) fn read(line: &Directive, names: &Names, problems: &mut Vec<Problem>) -> Fleet {
     const KNOWN: &[&str] = &[
-        "catch-up", "digest", "forget", "gone", "include", "lend", "listen", "member", "name", "records",
+        "catch-up",
+        "digest",
+        "forget",
+        "gone",
+        "include",
+        "lend",
+        "listen",
+        "lists-late",
+        "member",
+        "name",
+        "records",
         "suspect",
     ];
     let settings = Settings::default();
@@ -80,6 +90,7 @@
             ("suspect", [time]) => set(&mut s.membership.suspect, take(time, duration, problems)),
             ("gone", [time]) => set(&mut s.membership.gone, take(time, duration, problems)),
             ("digest", [time]) => set(&mut s.digest, take(time, duration, problems)),
+            ("lists-late", [time]) => set(&mut s.lists_late, take(time, duration, problems)),
             ("forget", [time]) => set(&mut s.forget, take(time, duration, problems)),
             ("catch-up", [word, time]) if word.text == "within" => {
                 set(&mut s.within, take(time, duration, problems));
@@ -111,7 +122,7 @@
             ("listen", _) => drop(words(inner, "listen ADDRESS:PORT", false, problems)),
             ("catch-up", _) => drop(words(inner, "catch-up within TIME [rate BYTES]", false, problems)),
             ("records", _) => drop(words(inner, "records COUNT", false, problems)),
-            ("suspect" | "gone" | "digest" | "forget", _) => {
+            ("suspect" | "gone" | "digest" | "forget" | "lists-late", _) => {
                 words(inner, &format!("{name} TIME"), false, problems);
             }
             _ => unknown(inner, KNOWN, problems),
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -20,8 +20,10 @@
 /// Ids remembered after their calls: an id is taken once, and one never offered may have stood through
 /// this gatekeeper before its restart.
 const MOST_REMEMBERED: usize = 1 << 14;
-/// Calls from before a restart are reckoned with for so long, in seconds; all but a few are over then.
+/// Calls from before a restart are reckoned with for so long at least, in seconds, and for so many times as long as a call
+/// stands on average: of 20,000 one is not over then.
 const EARLIER: f64 = 120.0;
+const EARLIER_HOLDS: f64 = 10.0;
 /// Releases of such calls that are passed on at once, and a second. Each goes to every server, so a flood
 /// of made-up ids would be multiplied.
 const STRAYS: f64 = 100.0;
@@ -220,6 +222,8 @@
     /// beyond it new ones are turned away.
     started: f64,
     most_held: usize,
+    /// For how long calls from before the start are reckoned with.
+    earlier_for: f64,
     /// Strays that may be passed on, as of then.
     strays: (f64, f64),
     /// Calls without a final answer, by origin; an origin without any is not there.
@@ -249,6 +253,7 @@
         Calls {
             started: now,
             most_held,
+            earlier_for: EARLIER,
             strays: (STRAYS, now),
             open: HashMap::new(),
             calls: HashMap::new(),
@@ -265,6 +270,11 @@
         }
     }
 
+    /// Takes how long a call stands on average, in seconds, where that is told.
+    pub fn calls_last(&mut self, hold: Option<f64>) {
+        self.earlier_for = hold.map_or(EARLIER, |hold| (EARLIER_HOLDS * hold).max(EARLIER));
+    }
+
     /// How many calls of an origin wait for their final answer.
     pub fn open_from(&self, origin: Origin) -> usize {
         self.open.get(&origin).copied().unwrap_or(0)
@@ -604,7 +614,7 @@
 
     /// Whether an id may be of a call that stood through this gatekeeper before it started.
     fn earlier(&self, now: f64, id: u64) -> bool {
-        now - self.started < EARLIER && !self.offered.contains(&id)
+        now - self.started < self.earlier_for && !self.offered.contains(&id)
     }
 
     // ---- What servers say
@@ -918,6 +928,11 @@
         calls.caller_release(EARLIER, 9);
         calls.ended(EARLIER, PoolId(1), 9, End::of(Outcome::Done));
         assert_eq!(calls.effects.len(), STRAYS as usize - 1);
+        // Where calls stand for minutes, one from before the start may stand for as long.
+        calls.effects.clear();
+        calls.calls_last(Some(60.0));
+        calls.ended(EARLIER + 1.0, PoolId(1), 10, End::of(Outcome::Done));
+        assert_eq!(calls.effects.len(), 1);
     }
 
     fn request(id: u64) -> Request {
--- a/crates/gatekeeper/src/node/config.rs
+++ b/crates/gatekeeper/src/node/config.rs
@@ -53,6 +53,8 @@
     pub classes: Vec<LinkClass>,
     /// A connection not up within so many seconds has failed.
     pub connect_timeout: f64,
+    /// Nothing new may reach a server so many seconds after its drain was told.
+    pub drain_grace: f64,
     /// The districts.
     pub districts: Vec<String>,
 }
@@ -158,6 +160,8 @@
     #[serde(default)]
     family_info: LinkFamily,
     #[serde(default)]
+    safety: LinkSafety,
+    #[serde(default)]
     zones: Vec<String>,
     zone: Option<usize>,
 }
@@ -182,6 +186,18 @@
     connect_timeout: f64,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct LinkSafety {
+    drain_grace: f64,
+}
+
+impl Default for LinkSafety {
+    fn default() -> Self {
+        LinkSafety { drain_grace: 0.25 }
+    }
+}
+
 impl Default for LinkLimits {
     fn default() -> Self {
         LinkLimits { connect_timeout: 0.5 }
@@ -283,6 +299,7 @@
             link: Link {
                 classes: link.request_classes.into_iter().enumerate().map(class).collect(),
                 connect_timeout: link.limits.connect_timeout,
+                drain_grace: link.safety.drain_grace,
                 districts: link.zones,
             },
         })
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -35,9 +35,12 @@
 const TICK: f64 = 0.005;
 /// Time between looks at connections that owe a sign.
 const BEAT: f64 = 0.05;
-/// Time between questions to the resolver. A drain must be kept 0.25 s after it was told, which an
-/// answer that gets lost counts as too: so two in a row may be lost and the third still comes in time.
-const ASK: f64 = 0.08;
+/// Between two questions to the resolver lies this part of the time in which a drain must be kept after it was told, which
+/// an answer that gets lost counts as too: so two in a row may be lost and the third still comes in time. In seconds, it
+/// is asked no less and no more often than that.
+const ASK_PART: f64 = 0.32;
+const ASK_LEAST: f64 = 0.02;
+const ASK_MOST: f64 = 0.25;
 /// Least time between two pieces to members that catch up.
 const GIVES: f64 = 0.001;
 /// How much later than the settings say the sockets' rules let a limit end; the release rule's strict
@@ -112,6 +115,8 @@
     started: f64,
     /// The longest time after SIGTERM.
     last: f64,
+    /// Between two questions to the resolver.
+    ask_every: f64,
 }
 
 impl Gatekeeper {
@@ -149,6 +154,7 @@
         let given = config.settings;
         let mut settings = given.clone();
         settings.release += SOCKET_SLACK;
+        let ask_every = (config.link.drain_grace * ASK_PART).clamp(ASK_LEAST, ASK_MOST);
         let last = config.link.longest().min(LONGEST_WAIT) + KILL_AFTER - KILL_RESERVE;
         let mut node = Gatekeeper {
             clock,
@@ -176,7 +182,9 @@
             classes,
             started: now,
             last,
+            ask_every,
         };
+        node.calls.calls_last(node.settings.hold);
         node.take_own(now, config.own)?;
         let mut turn = Turn { now, watch: &mut node.watch, calls: &mut node.calls };
         node.servers.list(&config.known, ListKind::Cached, &mut turn);
@@ -613,7 +621,7 @@
                 }
                 Timer::Ask => {
                     self.resolver.ask();
-                    self.wheel.set(now + ASK, Timer::Ask);
+                    self.wheel.set(now + self.ask_every, Timer::Ask);
                 }
             }
         }
@@ -721,6 +729,7 @@
         let entries = table.entries();
         settings.classes = entries.iter().map(|e| e.settings.0.clone()).collect();
         settings.release += SOCKET_SLACK;
+        self.calls.calls_last(settings.hold);
         self.controller.retune(settings);
         let link = |e: &hollypaddle_service::classes::Entry<(ClassSettings, LinkClass)>| LinkClass {
             live: e.live,
--- a/crates/gatekeeper/src/node/fleet.rs
+++ b/crates/gatekeeper/src/node/fleet.rs
@@ -26,9 +26,6 @@
 use super::servers::Servers;
 use hollypaddle_membership::view::{Change as Seen, State};
 
-/// A call of a member that is gone whose server is not in the own list: it may come late. After so long, in seconds,
-/// the server counts as gone, and the call as cut.
-const LIST_LATE: f64 = 2.0;
 /// The end of a call that is not known is kept for so long while this member catches up, in seconds: it may learn that
 /// the caller was told. It is owed within 1 s. Of so many at most; beyond that they are told at once.
 const KEPT_FOR: f64 = 0.5;
@@ -68,7 +65,8 @@
     /// What others say of each server, and when the own list was heard, as it was last looked at.
     said: HashMap<PoolId, Said>,
     list_at: f64,
-    /// Calls of members that are gone whose server is not known here, and since when.
+    /// Calls of members that are gone whose server is not known here, and since when: the list may name it late. After that
+    /// the server counts as gone, and the call as cut.
     unplaced: BTreeMap<u64, (Adopted, f64)>,
     /// Ends of calls that are not known yet, while this member catches up: when they came, and whether cut.
     kept: VecDeque<(f64, u64, bool)>,
@@ -321,15 +319,16 @@
         let old = std::mem::replace(&mut self.said, said);
         let old_at = std::mem::replace(&mut self.list_at, list_at);
         let entries = servers.entries().into_iter();
-        let was = |e: &PoolEntry| overlay(*e, old.get(&e.pool), old_at);
-        let is = |e: &PoolEntry| overlay(*e, self.said.get(&e.pool), list_at);
+        let late = self.conf.settings.lists_late;
+        let was = |e: &PoolEntry| overlay(*e, old.get(&e.pool), old_at, late);
+        let is = |e: &PoolEntry| overlay(*e, self.said.get(&e.pool), list_at, late);
         entries.filter(|e| was(e) != is(e)).map(|e| is(&e)).collect()
     }
 
     /// The lines of a list, with what others know.
     pub fn overlay(&self, entries: &mut [PoolEntry], list_at: f64) {
         for entry in entries {
-            *entry = overlay(*entry, self.said.get(&entry.pool), list_at);
+            *entry = overlay(*entry, self.said.get(&entry.pool), list_at, self.conf.settings.lists_late);
         }
     }
 
@@ -359,7 +358,7 @@
                     calls.adopt(*id, pool, call.since);
                     placed.push(*id);
                 }
-                None if now - since >= LIST_LATE => {
+                None if now - since >= self.conf.settings.lists_late => {
                     calls.tell_end(*id, true);
                     placed.push(*id);
                 }
--- a/crates/replica/src/guard.rs
+++ b/crates/replica/src/guard.rs
@@ -15,8 +15,6 @@
 
 /// A word that a server is silent counts for so long, in seconds; who still finds it so says it again.
 pub const SILENCE_COUNTS: f64 = 3.0;
-/// Lists come so much later at one gatekeeper than at another, in seconds, where they come at all.
-const LISTS_LATE: f64 = 2.0;
 /// A call that is turned away because this member does not know what holds may come again after so long.
 const HELD: f64 = 0.5;
 /// One turned away for hearsay of silence.
@@ -102,10 +100,10 @@
 }
 
 /// A line of the own list, as of then, with what others know: the later start, and the worse place of that start. What
-/// they heard so long before the own list was last heard counts for nothing: that list knows as much by now. Their start
-/// is in Unix milliseconds as the own list's is.
-pub fn overlay(entry: PoolEntry, said: Option<&Said>, own_at: f64) -> PoolEntry {
-    let Some(said) = said.filter(|said| said.at > own_at - LISTS_LATE) else { return entry };
+/// they heard longer before the own list was last heard than lists come late counts for nothing: that list knows as much
+/// by now. Their start is in Unix milliseconds as the own list's is.
+pub fn overlay(entry: PoolEntry, said: Option<&Said>, own_at: f64, lists_late: f64) -> PoolEntry {
+    let Some(said) = said.filter(|said| said.at > own_at - lists_late) else { return entry };
     let (theirs, own) = (said.fact.started_ms as f64 / 1000.0, entry.ready_at);
     if theirs < own {
         return entry;
@@ -143,17 +141,19 @@
     #[test]
     fn hearsay_restricts_and_never_opens() {
         use Readiness::{Draining, Gone, Ready};
-        let of = |own: PoolEntry, s: Said| overlay(own, Some(&s), 9.0).readiness;
-        let later = overlay(entry(5.0, Ready), Some(&said(5000, Place::Draining)), 12.5);
+        let of = |own: PoolEntry, s: Said| overlay(own, Some(&s), 9.0, 2.0).readiness;
+        let later = overlay(entry(5.0, Ready), Some(&said(5000, Place::Draining)), 12.5, 2.0);
         assert_eq!(later.readiness, Ready, "the own list was heard since");
+        let later = overlay(entry(5.0, Ready), Some(&said(5000, Place::Draining)), 12.5, 7.0);
+        assert_eq!(later.readiness, Draining, "where lists come later, it may not know yet");
         assert_eq!(of(entry(5.0, Ready), said(5000, Place::Draining)), Draining);
         assert_eq!(of(entry(5.0, Ready), said(5000, Place::Gone)), Draining);
         assert_eq!(of(entry(5.0, Draining), said(5000, Place::Ready)), Draining);
         assert_eq!(of(entry(5.0, Gone), said(6000, Place::Ready)), Gone);
         assert_eq!(of(entry(5.0, Ready), said(4000, Place::Gone)), Ready, "of an earlier start");
-        let restarted = overlay(entry(5.0, Ready), Some(&said(9000, Place::Ready)), 9.0);
+        let restarted = overlay(entry(5.0, Ready), Some(&said(9000, Place::Ready)), 9.0, 2.0);
         assert_eq!((restarted.readiness, restarted.ready_at), (Ready, 9.0), "cold, as of its later start");
-        assert_eq!(overlay(entry(5.0, Ready), None, 9.0), entry(5.0, Ready));
+        assert_eq!(overlay(entry(5.0, Ready), None, 9.0, 2.0), entry(5.0, Ready));
     }
 
     #[test]
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -48,6 +48,8 @@
     pub grace: f64,
     /// The stream of a life that has ended is forgotten after so long.
     pub forget: f64,
+    /// What the resolver has to tell may come so much later at one gatekeeper than at another.
+    pub lists_late: f64,
 }
 
 impl Default for Settings {
@@ -59,6 +61,8 @@
             within: 2.0,
             grace: 0.5,
             forget: 120.0,
+            // The platform counts a word as told after so long, whether it came or not.
+            lists_late: 7.0,
         }
     }
 }
