--- a/crates/drive/src/lib.rs
+++ b/crates/drive/src/lib.rs
@@ -1,5 +1,7 @@
 //! Whole gatekeepers in this process against stand-ins, on a clock that is moved in steps.
 
+pub mod plain;
+
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -8,9 +10,12 @@
 use hollypaddle::node::clock::Clock;
 use hollypaddle::node::config::{Config, ConfigError};
 use hollypaddle::node::event_loop::Gatekeeper;
+use hollypaddle_standin::deployment::Deployment;
 use hollypaddle_standin::free_addresses;
 use hollypaddle_standin::world::{Plan, World};
 
+use crate::plain::Plain;
+
 /// A step of time, and when runs begin, in Unix seconds.
 const STEP: f64 = 0.005;
 const IDLE_STEP: f64 = 0.04;
@@ -22,10 +27,14 @@
     pub world: World,
     /// The gatekeepers; none for one that is down.
     pub nodes: Vec<Option<Gatekeeper>>,
+    /// Fronts that decide by the plain policy, in place of gatekeepers.
+    pub plain: Vec<Plain>,
     /// Where each listens, also after a restart.
     addresses: Vec<SocketAddr>,
     /// The own configuration, the same file for all; it may be written anew before a reload.
     pub conf: PathBuf,
+    /// When a front was last killed.
+    pub killed_at: f64,
     /// Attempts written whole by gatekeepers that have been killed since.
     forwards: u64,
     /// The time.
@@ -37,7 +46,12 @@
 impl Fleet {
     /// Opens all of it, with the own configuration in the file.
     pub fn open(plan: Plan, conf: &Path) -> Result<Fleet, Box<dyn Error>> {
-        let mut world = World::open(plan)?;
+        Fleet::open_as(plan, Deployment::default(), conf)
+    }
+
+    /// The same, of another deployment.
+    pub fn open_as(plan: Plan, deployment: Deployment, conf: &Path) -> Result<Fleet, Box<dyn Error>> {
+        let mut world = World::open_as(plan, deployment)?;
         let mut nodes = Vec::new();
         let listen = free_addresses(world.plan.fronts.len())?;
         for (front, listen) in listen.iter().enumerate() {
@@ -47,18 +61,55 @@
         let addresses: Vec<_> = nodes.iter().flatten().map(Gatekeeper::address).collect();
         world.connect(&addresses);
         let conf = conf.to_path_buf();
-        Ok(Fleet { world, nodes, addresses, conf, forwards: 0, now: BEGIN, took: 0.0 })
+        Ok(Fleet {
+            world,
+            nodes,
+            plain: Vec::new(),
+            addresses,
+            conf,
+            killed_at: f64::NEG_INFINITY,
+            forwards: 0,
+            now: BEGIN,
+            took: 0.0,
+        })
+    }
+
+    /// The same world with fronts that decide by the plain policy, to be compared with.
+    pub fn plain(plan: Plan, deployment: Deployment) -> Result<Fleet, Box<dyn Error>> {
+        let mut world = World::open_as(plan, deployment)?;
+        let plain = (0..world.plan.fronts.len()).map(Plain::open).collect::<Result<Vec<Plain>, _>>()?;
+        let addresses: Vec<SocketAddr> = plain.iter().map(Plain::address).collect();
+        world.connect(&addresses);
+        let (nodes, conf) = (Vec::new(), PathBuf::new());
+        Ok(Fleet {
+            world,
+            nodes,
+            plain,
+            addresses,
+            conf,
+            killed_at: f64::NEG_INFINITY,
+            forwards: 0,
+            now: BEGIN,
+            took: 0.0,
+        })
     }
 
     /// Ends a gatekeeper as SIGKILL does: its sockets close, and nothing is said.
     pub fn kill(&mut self, front: usize) {
+        self.killed_at = self.now;
         if let Some(node) = self.nodes.get_mut(front).and_then(Option::take) {
             self.forwards += node.figures_now().forwards;
         }
+        if let Some(plain) = self.plain.get_mut(front) {
+            plain.kill();
+        }
     }
 
     /// Starts a gatekeeper that is down, with nothing of its earlier life but its name and address.
     pub fn start(&mut self, front: usize) -> Result<(), Box<dyn Error>> {
+        if let Some(plain) = self.plain.get_mut(front) {
+            return Ok(plain.start()?);
+        }
         let node = Gatekeeper::on_clock(self.config(front)?, Clock::still(self.now))?;
         self.nodes[front] = Some(node);
         Ok(())
@@ -118,6 +169,7 @@
             node.turn()?;
         }
         self.took += begun.elapsed().as_secs_f64();
+        self.plain.iter_mut().for_each(|front| front.turn(&self.world));
         Ok(())
     }
 
@@ -129,7 +181,7 @@
         choice: impl Fn(usize, f64, f64) -> u32,
     ) -> Result<(), Box<dyn Error>> {
         for _ in 0..(seconds / STEP) as usize {
-            for front in 0..self.nodes.len() {
+            for front in 0..self.addresses.len() {
                 self.world.traffic(self.now + STEP, front, rate, |a, b| choice(front, a, b));
             }
             self.step(STEP)?;
--- a/crates/drive/tests/fleet.rs
+++ b/crates/drive/tests/fleet.rs
@@ -122,6 +122,28 @@
     }
 }
 
+/// Servers say an end again on each new connection, and the connections of all break again and again after one was killed:
+/// who hears an end that is known to be told says nothing.
+#[test]
+fn an_end_that_was_told_is_not_told_again_on_a_new_connection() {
+    let mut t = test(4, "");
+    t.all_ready(2.0);
+    t.fleet.idle(121.0).unwrap();
+    t.run(2.0);
+    t.stands(1, 30, |n| n as u32 % 3);
+    t.fleet.kill(1);
+    t.pass(1.0);
+    for _ in 0..30 {
+        t.pass(1.0);
+        let now = t.fleet.now;
+        t.fleet.world.servers.iter_mut().for_each(|server| server.hang_up(now));
+    }
+    t.pass(5.0);
+    let (all, late, twice) = t.ends();
+    assert!(all >= 25, "{all}");
+    assert_eq!((late, twice), (0, 0), "of {all} ends");
+}
+
 /// One that has no callers hears the ends of calls of one that is gone, and hands them to those who have some.
 #[test]
 fn an_end_that_one_without_callers_hears_is_told_by_another() {
--- a/crates/faults/src/check.rs
+++ b/crates/faults/src/check.rs
@@ -199,6 +199,18 @@
     .collect()
 }
 
+/// A cold server does not fall: with `n` what the settings allow of it in the time that they name, it is sent no more than
+/// `n` and three roots of it and three, by all together. What arrived and what it could do, by second of its age.
+pub fn cold_server_stands(loads: &[(u32, f64)], factor: f64, server: usize) -> Vec<Broken> {
+    let most = |can: f64| factor * can + 3.0 * (factor * can).sqrt() + 3.0;
+    let over = loads.iter().filter(|(sent, can)| f64::from(*sent) > most(*can));
+    over.map(|(sent, can)| {
+        let what = format!("s{server} was sent {sent} in a second, it bears {:.1}", most(*can));
+        Broken("a cold server does not fall", what)
+    })
+    .collect()
+}
+
 /// A rate that the fleet shares holds for the sum over all, whoever is cut off from whom: in no stretch of time more is
 /// sent than the rate brings in it, and the burst. By clocks that are up to a hundredth too fast.
 pub fn shared_rate_holds(sent: &[f64], per_s: f64, burst: f64) -> Vec<Broken> {
--- a/crates/faults/src/real.rs
+++ b/crates/faults/src/real.rs
@@ -160,6 +160,12 @@
         self.folder.path().join(format!("n{n}.sock"))
     }
 
+    /// How often a gatekeeper's log has an event, in its present life.
+    pub fn logged(&self, n: usize, event: &str) -> usize {
+        let log = self.programs.get(n).and_then(Option::as_ref).map(|p| &p.log);
+        log.map_or(0, |log| log.iter().filter(|line| line["event"] == event).count())
+    }
+
     fn to_target(&self, n: usize, down: bool) {
         let here = self.relays.iter().filter(|((_, to), _)| *to == n);
         here.for_each(|(_, relay)| relay.down(down));
--- a/crates/faults/src/world.rs
+++ b/crates/faults/src/world.rs
@@ -38,6 +38,8 @@
 const WAY: f64 = 0.002;
 /// Between two looks of a gatekeeper at what it may use of budgets.
 const BEAT: f64 = 0.05;
+/// One that hears no majority for so long knows it: within that its silences are suspected.
+const MINORITY: f64 = 1.2;
 /// After the healing, all copies must be equal within so long.
 pub const CONVERGES: f64 = 2.0;
 /// A call that stood for so long is known to the others, where nothing is cut.
@@ -160,6 +162,8 @@
     next_beat: f64,
     /// What the others held as it started or woke.
     met: Option<(f64, BTreeMap<Origin, u64>)>,
+    /// Since when no majority can be heard here.
+    minority: Option<f64>,
 }
 
 impl Node {
@@ -263,6 +267,7 @@
                 asked: (0.0, 0.0),
                 next_beat: 0.0,
                 met: None,
+                minority: None,
             })
             .collect();
         let pairs = (0..plan.members).flat_map(|a| (0..plan.members).map(move |b| (a, b)));
@@ -470,6 +475,13 @@
     pub fn step(&mut self) {
         self.now += STEP;
         for n in 0..self.nodes.len() {
+            let reached = |m: &usize| {
+                let cut = |a, b| self.ways.get(&(a, b)).is_some_and(|way| way.cut);
+                *m == n || self.nodes[*m].acts() && !cut(n, *m) && !cut(*m, n)
+            };
+            let count = (0..self.nodes.len()).filter(reached).count();
+            let since = self.nodes[n].minority.unwrap_or(self.now);
+            self.nodes[n].minority = (2 * count <= self.nodes.len()).then_some(since);
             if self.nodes[n].acts() {
                 self.turn(n);
             }
@@ -728,9 +740,19 @@
         for act in acts {
             let node = &mut self.nodes[n];
             match act {
-                Act::Adopt(call, _) => {
+                Act::Adopt(call, adopted) => {
                     node.adopted.insert(call);
                     self.adopted += 1;
+                    let alone = node.minority.is_some_and(|since| self.now - since >= MINORITY);
+                    let owner = (0..self.nodes.len()).find(|m| id(*m) == adopted.origin.member);
+                    // One that was killed may have been found dead before the cut.
+                    let lives = |m: usize| self.nodes[m].member.is_some() && self.nodes[m].lives == 1;
+                    if let Some(owner) = owner.filter(|m| alone && *m != n && lives(*m)) {
+                        let what = format!(
+                            "g{n}, which hears no majority, adopts call {call:x} of g{owner}, which lives"
+                        );
+                        self.broken.push(Broken("no minority adopts the calls of those that live", what));
+                    }
                 }
                 Act::Yield(_) | Act::EndedElsewhere(_) if never_yields => {}
                 Act::Yield(call) => drop(node.adopted.remove(&call)),
--- a/crates/faults/tests/rounds.rs
+++ b/crates/faults/tests/rounds.rs
@@ -95,6 +95,23 @@
     }
 }
 
+/// Minorities of each size are cut off for longer than a silence takes to count as an end, while calls stand everywhere and
+/// one of the majority is killed: nobody in a minority sees to the calls of those who live, and all is well afterwards.
+#[test]
+fn a_minority_that_is_cut_off_adopts_nothing_of_those_that_live() {
+    for (members, minority) in [(3, 1), (4, 2), (5, 1), (5, 2), (6, 3), (8, 3)] {
+        for seed in 0..4 {
+            let pairs = (0..minority).flat_map(|a| (minority..members).map(move |b| (a, b)));
+            let cuts: String = pairs.map(|(a, b)| format!("at 3s cut g{a} - g{b}\n")).collect();
+            let killed = members - 1;
+            let script: Script =
+                format!("seed {seed}\n{cuts}at 8s kill g{killed}\nat 12s heal").parse().unwrap();
+            let mut world = World::new(Plan::of(members), seed);
+            assert_eq!(world.play(&script), [], "{minority} of {members}, seed {seed}");
+        }
+    }
+}
+
 /// One seed, one world: what was found is found again.
 #[test]
 fn a_script_plays_the_same_again() {
--- a/crates/gatekeeper/tests/faults.rs
+++ b/crates/gatekeeper/tests/faults.rs
@@ -75,6 +75,22 @@
     holds(3, &script.parse().unwrap());
 }
 
+/// One is cut off from all others for longer than a silence takes to count as an end. It holds nobody to be gone and sees to
+/// nobody's calls, though it hears nobody; the others, who are a majority, see to its calls; nobody was killed.
+#[test]
+fn one_that_is_cut_off_holds_nobody_to_be_gone() {
+    let mut script = String::from("seed 7\n");
+    (1..4).for_each(|n| script += &format!("at 2s cut g0 - g{n}\n"));
+    let script: Script = format!("{script}at 8s heal").parse().unwrap();
+    let mut group = Group::start(Path::new(PROGRAM), Plan::of(4), script.seed).unwrap();
+    let broken = group.play(&script).unwrap();
+    assert!(broken.is_empty(), "{broken:?}");
+    let gone = |n: usize| group.logged(n, "member-gone");
+    assert_eq!(gone(0), 0, "a minority of one");
+    assert!((1..4).all(|n| gone(n) == 1), "the majority finds it silent: {:?}", [gone(1), gone(2), gone(3)]);
+    assert!((0..4).all(|n| group.logged(n, "member-suspected") >= 1), "it was cut off");
+}
+
 /// A random script, the same each time.
 #[test]
 fn a_random_script_breaks_nothing() {
--- /dev/null
+++ b/crates/membership/tests/quorum.rs
@@ -0,0 +1,139 @@
+//! Who is held to be gone, and by whom: a member that a majority is not heard by adopts nobody's calls, for those that it
+//! does not hear may go on without it.
+
+use hollypaddle_membership::view::{Change, Membership, Settings, State};
+use hollypaddle_membership::{Life, MemberId};
+
+const STEP: f64 = 0.02;
+
+fn id(n: usize) -> MemberId {
+    MemberId(n as u64)
+}
+
+/// Members on one clock, with ways between them that may be cut.
+struct Group {
+    views: Vec<Membership>,
+    now: f64,
+    cut: Vec<(usize, usize)>,
+    down: Vec<usize>,
+    /// Who was held to be gone, by whom, and whether links to it were refused.
+    gone: Vec<(usize, MemberId, bool)>,
+}
+
+impl Group {
+    fn of(members: usize) -> Group {
+        let life = |n: usize| Life { incarnation: 10 + n as u64, nonce: 1 };
+        let view = |n: usize| Membership::new(0.0, id(n), life(n), Settings::default(), (0..members).map(id));
+        let mut views: Vec<Membership> = (0..members).map(view).collect();
+        for (a, view) in views.iter_mut().enumerate() {
+            (0..members).filter(|b| *b != a).for_each(|b| view.linked(0.0, id(b), life(b), None).unwrap());
+        }
+        Group { views, now: 0.0, cut: Vec::new(), down: Vec::new(), gone: Vec::new() }
+    }
+
+    /// Cuts both ways between any of some and any of others.
+    fn split(&mut self, some: &[usize], others: &[usize]) {
+        for a in some {
+            self.cut.extend(others.iter().flat_map(|b| [(*a, *b), (*b, *a)]));
+        }
+    }
+
+    fn pass(&mut self, seconds: f64) {
+        for _ in 0..(seconds / STEP) as usize {
+            self.now += STEP;
+            let up: Vec<usize> = (0..self.views.len()).filter(|n| !self.down.contains(n)).collect();
+            for &a in &up {
+                for b in (0..self.views.len()).filter(|b| *b != a) {
+                    if self.down.contains(&b) {
+                        self.views[a].refused(self.now, id(b));
+                    }
+                    let Some(beat) = self.views[a].beat(self.now, id(b), true) else { continue };
+                    if !self.cut.contains(&(a, b)) && !self.down.contains(&b) {
+                        self.views[b].hear(self.now, id(a), &beat).unwrap();
+                    }
+                }
+                self.views[a].tick(self.now);
+                for change in self.views[a].changes() {
+                    if let Change::Gone(who, refused) = change {
+                        self.gone.push((a, who, refused));
+                    }
+                }
+            }
+        }
+    }
+
+    fn state(&self, at: usize, of: usize) -> State {
+        self.views[at].state(id(of))
+    }
+}
+
+/// For groups of two to eight and each way to split them in two: the side with a majority holds the other to be gone, a
+/// side without one nobody; of a split in halves neither does.
+#[test]
+fn only_a_majority_holds_silent_members_to_be_gone() {
+    for members in 2..=8 {
+        for side in 1..members {
+            let (some, others): (Vec<usize>, Vec<usize>) = ((0..side).collect(), (side..members).collect());
+            let mut group = Group::of(members);
+            group.pass(1.0);
+            assert!(group.gone.is_empty());
+            group.split(&some, &others);
+            group.pass(30.0);
+            let by = |at: &[usize]| group.gone.iter().filter(|(a, ..)| at.contains(a)).count();
+            for (here, there) in [(&some, &others), (&others, &some)] {
+                let majority = 2 * here.len() > members;
+                let expected = if majority { here.len() * there.len() } else { 0 };
+                assert_eq!(by(here), expected, "{} of {members}", here.len());
+                assert_eq!(group.views[here[0]].quorum(), majority, "{} of {members}", here.len());
+                for (a, b) in here.iter().flat_map(|a| there.iter().map(move |b| (*a, *b))) {
+                    let state = group.state(a, b);
+                    let gone = matches!(state, State::Gone(_));
+                    assert_eq!(gone, majority, "{} of {members}: {state:?}", here.len());
+                    assert!(gone || matches!(state, State::Suspected(_)));
+                }
+            }
+        }
+    }
+}
+
+/// A minority that is whole again holds everybody to be alive, and nobody was gone for it meanwhile.
+#[test]
+fn a_minority_for_an_hour_comes_back_with_nobody_gone() {
+    let mut group = Group::of(5);
+    group.pass(1.0);
+    group.split(&[0, 1], &[2, 3, 4]);
+    group.pass(3600.0);
+    assert!(group.gone.iter().all(|(by, ..)| *by >= 2));
+    group.cut.clear();
+    group.pass(1.0);
+    for (a, b) in (0..5).flat_map(|a| (0..5).map(move |b| (a, b))).filter(|(a, b)| a != b) {
+        assert_eq!(group.state(a, b), State::Alive, "{b} at {a}");
+    }
+}
+
+/// A process whose address refuses links has ended, whatever the majority says: that is evidence of its own.
+#[test]
+fn one_whose_address_refuses_is_gone_without_a_majority() {
+    let mut group = Group::of(3);
+    group.pass(1.0);
+    group.down = vec![1, 2];
+    for n in [1, 2] {
+        group.views[0].unlinked(id(n));
+    }
+    group.pass(1.0);
+    assert!(!group.views[0].quorum());
+    assert!([1, 2].iter().all(|n| matches!(group.state(0, *n), State::Gone(_))));
+    assert!(group.gone.iter().all(|(by, _, refused)| *by == 0 && *refused), "{:?}", group.gone);
+}
+
+/// One that others hear is not gone for who does not, though a majority is heard.
+#[test]
+fn one_that_another_hears_is_suspected_and_not_gone() {
+    let mut group = Group::of(5);
+    group.pass(1.0);
+    group.split(&[0], &[4]);
+    group.pass(20.0);
+    assert!(group.gone.is_empty(), "{:?}", group.gone);
+    assert!(matches!(group.state(0, 4), State::Suspected(_)));
+    assert_eq!(group.state(1, 4), State::Alive);
+}
--- a/crates/replica/tests/laws.rs
+++ b/crates/replica/tests/laws.rs
@@ -402,3 +402,42 @@
     assert_eq!(member.hear(0.1, other, &Word::Digest(vec![held], vec![(other, u64::MAX)])), Ok(()));
     (0..3000).for_each(|n| member.tick(0.1 + f64::from(n) * 0.1));
 }
+
+/// An end wins over standing, whoever says either, and in whichever order the words come: a call that is known to be over
+/// is given to nobody as one that stands. Guards against an end that is told again, and a release that goes out again,
+/// each time that a server says it on a new connection.
+#[test]
+fn a_call_with_a_known_end_is_given_to_nobody() {
+    let fact = CallFact { server: ServerKey(1), class: 1 };
+    for (owner, ender) in [(2, 3), (3, 2), (2, 2)] {
+        for end_first in [true, false] {
+            let mut store = Store::new(origin(1));
+            let mut words = [
+                (origin(owner), Key::Call(7), Value::Call(fact)),
+                (
+                    Origin { life: Life { incarnation: 2, nonce: 0 }, ..origin(ender) },
+                    Key::Over(7),
+                    Value::Over,
+                ),
+            ];
+            if end_first {
+                words.reverse();
+            }
+            for (n, (origin, key, value)) in words.into_iter().enumerate() {
+                let known = store.call(7).is_some();
+                assert!(!known || !end_first, "before the word that it stands");
+                store.copy(origin).unwrap().write(n as f64, key, Some(value));
+            }
+            assert!(store.over(7) && store.told(7));
+            assert_eq!(store.call(7), None, "owner {owner}, ended by {ender}, end first: {end_first}");
+            // Another call of the same owner is no less known for it.
+            store.copy(origin(owner)).unwrap().write(9.0, Key::Call(8), Some(Value::Call(fact)));
+            assert_eq!(store.call(8).map(|known| known.0), Some(origin(owner)));
+        }
+    }
+    // One that its owner withdrew stands no more either.
+    let mut store = Store::new(origin(1));
+    store.copy(origin(2)).unwrap().write(0.0, Key::Call(7), Some(Value::Call(fact)));
+    store.copy(origin(2)).unwrap().write(1.0, Key::Call(7), None);
+    assert_eq!((store.call(7), store.told(7)), (None, true));
+}
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -5,7 +5,10 @@
 
 use hollypaddle_platform::message::{cause, code, kind, Message};
 
-use crate::{peer, set_up, Peer};
+use crate::{peer, redial, Peer};
+
+/// An answer may be so late, in seconds: the settings' grace of 20 ms, and 50 ms on sockets.
+const GRACE: f64 = 0.07;
 
 /// What became of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,6 +38,14 @@
     pub answers: u32,
     /// How often its end was told after it had stood.
     pub ends: u32,
+    /// The first choice.
+    pub choice: u32,
+    /// For how long its caller waits, in seconds.
+    pub wait: f64,
+    /// The first try of which it is a further one.
+    pub further_of: Option<u64>,
+    /// Its caller gave it up, then.
+    pub given_up: Option<f64>,
 }
 
 /// The callers of one gatekeeper, on one connection that is opened anew when it has gone.
@@ -68,6 +79,40 @@
 
     /// Offers a call; returns its id. A gatekeeper that cannot be reached has not taken it.
     pub fn offer(&mut self, now: f64, class: &str, first_choice: u32, wait: f64) -> Option<u64> {
+        self.dial(now, class, first_choice, wait, None, false)
+    }
+
+    /// Offers a call again that is over, under an id of its own; `marked` tells the gatekeeper so.
+    pub fn redial(&mut self, now: f64, id: u64, marked: bool) -> Option<u64> {
+        let call = self.calls.get(&id)?;
+        let (class, choice, wait) = (call.class.clone(), call.choice, call.wait);
+        let first = call.further_of.unwrap_or(id);
+        self.dial(now, &class, choice, wait, Some(first), marked)
+    }
+
+    /// Gives up calls whose callers have waited for as long as they do.
+    pub fn give_up_late(&mut self, now: f64) {
+        let late = |c: &Call| c.answers == 0 && c.given_up.is_none() && now - c.offered >= c.wait + GRACE;
+        let ids: Vec<u64> = self.calls.iter().filter(|(_, c)| late(c)).map(|(id, _)| *id).collect();
+        for id in ids {
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.given_up = Some(now);
+            }
+            if let Some(peer) = &mut self.peer {
+                let _ = peer.send(&crate::release(id, cause::NORMAL));
+            }
+        }
+    }
+
+    fn dial(
+        &mut self,
+        now: f64,
+        class: &str,
+        first_choice: u32,
+        wait: f64,
+        further_of: Option<u64>,
+        marked: bool,
+    ) -> Option<u64> {
         if self.peer.is_none() || !self.at_home {
             if let Ok(home) = TcpStream::connect(self.gatekeeper).and_then(peer) {
                 (self.peer, self.at_home) = (Some(home), true);
@@ -77,12 +122,24 @@
             return None;
         }
         self.next += 1;
-        let message = set_up(class, first_choice, self.next, (wait * 1000.0) as u32);
+        let number = further_of.unwrap_or(self.next);
+        let message = redial(class, first_choice, self.next, number, (wait * 1000.0) as u32, marked);
         if self.peer.as_mut()?.send(&message).is_err() {
             self.peer = None;
             return None;
         }
-        let call = Call { class: class.into(), offered: now, stood: None, end: None, answers: 0, ends: 0 };
+        let call = Call {
+            class: class.into(),
+            offered: now,
+            stood: None,
+            end: None,
+            answers: 0,
+            ends: 0,
+            choice: first_choice,
+            wait,
+            further_of,
+            given_up: None,
+        };
         self.calls.insert(self.next, call);
         Some(self.next)
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 //! against what a gatekeeper says of itself.
 
 pub mod callers;
+pub mod deployment;
 pub mod program;
 pub mod relay;
 pub mod resolver;
@@ -71,12 +72,21 @@
 
 /// A set-up as a caller sends it.
 pub fn set_up(class: &str, first_choice: u32, id: u64, wait_ms: u32) -> Message {
-    Message::new(kind::SET_UP, id)
+    redial(class, first_choice, id, id, wait_ms, false)
+}
+
+/// A further try of a caller: under an id of its own, of the same number, and marked as one where the deployment has it.
+pub fn redial(class: &str, first_choice: u32, id: u64, number: u64, wait_ms: u32, marked: bool) -> Message {
+    let again = Message::new(kind::SET_UP, id)
         .with(code::CLASS, class)
         .with(code::WAIT, wait_ms.to_string())
-        .with(code::NUMBER, format!("{id:016x}"))
+        .with(code::NUMBER, format!("{number:016x}"))
         .with(code::FIGURES, format!("dest:{first_choice};width:1;via:-1"))
-        .with(code::DESCRIPTION, vec![0, 255, 7])
+        .with(code::DESCRIPTION, vec![0, 255, 7]);
+    match marked {
+        true => again.with(code::AGAIN, "1"),
+        false => again,
+    }
 }
 
 /// A server's answer: the call stands.
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -13,6 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp};
 
+use crate::deployment::Deployment;
 use crate::{answer, full, peer, release, Peer};
 
 /// Time between two looks at the line's wait, by which the share to hold back is set, in seconds.
@@ -23,8 +24,9 @@
 const STATE_EVERY: f64 = 1.0;
 /// Work of turning a set-up away, as a part of that of a call.
 const REFUSAL_WORK: f64 = 0.1;
-/// Parts of a call's work that its set-up and its release cost.
+/// Parts of a call's work that its set-up and its release cost, and each time that the set-up came again meanwhile.
 const SET_UP_WORK: f64 = 0.7;
+const REPEAT_WORK: f64 = 0.2;
 
 /// How a server is built.
 #[derive(Clone, Debug)]
@@ -37,6 +39,8 @@
     pub most_wait: f64,
     /// Mean time that a call stands, by class, in seconds.
     pub hold: BTreeMap<String, f64>,
+    /// How the servers of its deployment are.
+    pub deployment: Deployment,
 }
 
 /// What a server saw; the counts that a gatekeeper's account is held against.
@@ -103,7 +107,8 @@
 }
 
 enum Job {
-    SetUp(u64),
+    /// A set-up, and when it came.
+    SetUp(u64, f64),
     Release(u64),
     Refusal,
 }
@@ -213,7 +218,9 @@
 
     /// Share of the full speed at which a cold process works.
     fn warmth(&self, now: f64) -> f64 {
-        self.cold.map_or(1.0, |started| (0.29 + 0.71 * (now - started).max(0.0) / 14.0).min(1.0))
+        let Deployment { cold, cold_from, .. } = self.plan.deployment;
+        let warm = |started: f64| cold_from + (1.0 - cold_from) * (now - started).max(0.0) / cold;
+        self.cold.map_or(1.0, |started| warm(started).min(1.0))
     }
 
     fn speed(&self, now: f64) -> f64 {
@@ -224,7 +231,7 @@
     fn work(&self, job: &Job) -> f64 {
         let call = 1.0 / self.plan.rate;
         match job {
-            Job::SetUp(_) => call * SET_UP_WORK,
+            Job::SetUp(..) => call * SET_UP_WORK,
             Job::Release(_) => call * (1.0 - SET_UP_WORK),
             Job::Refusal => call * REFUSAL_WORK,
         }
@@ -270,6 +277,14 @@
         self.at(now, Step::State);
     }
 
+    /// Closes all connections and goes on: set-ups open on them are given up, what stands stands on.
+    pub fn hang_up(&mut self, now: f64) {
+        self.read(now);
+        let open: Vec<u64> = self.pending.keys().copied().collect();
+        open.into_iter().for_each(|call| self.given_up(now, call));
+        self.doors.iter_mut().for_each(|door| door.peers.clear());
+    }
+
     /// Dies and stays away: its doors are shut.
     pub fn die(&mut self, now: f64) {
         self.replace(now);
@@ -411,9 +426,13 @@
                 self.at(at.max(now - LOOK) + LOOK, Step::Look);
             }
             Step::State => {
-                let state = Message::new(kind::STATE, 0).with(code::REPORT, "x0:400;x1:800;eps:-1");
-                for (door, peer) in self.connections() {
-                    self.say(at, door, peer, state.clone());
+                if let Some(lines) = self.plan.deployment.lines {
+                    let free = lines - self.standing.len().min(lines);
+                    let state = Message::new(kind::STATE, 0)
+                        .with(code::REPORT, format!("x0:{free};x1:{lines};eps:-1"));
+                    for (door, peer) in self.connections() {
+                        self.say(at, door, peer, state.clone());
+                    }
                 }
                 self.at(at.max(now - STATE_EVERY) + STATE_EVERY, Step::State);
             }
@@ -431,8 +450,20 @@
         self.at(when, Step::Leaves { door, peer, message });
     }
 
-    fn report(&self) -> String {
-        format!("x0:{};x1:800;eps:{:.3}", 800 - self.standing.len().min(800), self.hold_back)
+    /// What it says of itself beside what it says, if it says anything.
+    fn told(&self, message: Message) -> Message {
+        let Deployment { reports, lines, .. } = self.plan.deployment;
+        let mut fields = Vec::new();
+        if let Some(lines) = lines {
+            fields.push(format!("x0:{};x1:{lines}", lines - self.standing.len().min(lines)));
+        }
+        if reports {
+            fields.push(format!("eps:{:.3}", self.hold_back));
+        }
+        match fields.is_empty() {
+            true => message,
+            false => message.with(code::REPORT, fields.join(";")),
+        }
     }
 
     fn arrives(&mut self, at: f64, door: usize, peer: u64, message: Message) {
@@ -441,7 +472,7 @@
             kind::SET_UP => {
                 let class = message.text(code::CLASS).unwrap_or_default().to_string();
                 self.saw(at, door, call, &class, What::SetUp);
-                if let Some(started) = self.cold.filter(|started| at - started < 14.0) {
+                if let Some(started) = self.cold.filter(|started| at - started < self.plan.deployment.cold) {
                     let can = self.plan.rate * self.warmth(at) / self.slow;
                     let second = self.cold_load.entry((at - started).max(0.0) as u64).or_insert((0, can));
                     second.0 += 1;
@@ -451,14 +482,23 @@
                     self.saw(at, door, call, &class, What::Reset);
                     return self.say(at, door, peer, release(call, cause::TEMPORARY_FAILURE));
                 }
-                if self.wait(at) > self.plan.most_wait {
+                let wait = self.wait(at);
+                if wait > self.plan.most_wait {
                     self.saw(at, door, call, &class, What::Refused);
                     self.enqueue(at, Job::Refusal);
-                    let refusal = full(call, "throttled").with(code::REPORT, self.report());
-                    return self.say(at, door, peer, refusal);
+                    let mut refusal = full(call, "throttled");
+                    if self.plan.deployment.tells_wait {
+                        refusal = refusal.with(code::FULL_WAIT, format!("{:.0}", wait * 1000.0));
+                    }
+                    return self.say(at, door, peer, self.told(refusal));
+                }
+                let taken = self.standing.len() + self.pending.len();
+                if self.plan.deployment.lines.is_some_and(|lines| taken >= lines) {
+                    self.saw(at, door, call, &class, What::Refused);
+                    return self.say(at, door, peer, self.told(full(call, "congestion")));
                 }
                 self.pending.insert(call, Pending { door, peer, class, given_up: false });
-                self.enqueue(at, Job::SetUp(call));
+                self.enqueue(at, Job::SetUp(call, at));
             }
             kind::RELEASE => {
                 self.given_up(at, call);
@@ -467,8 +507,7 @@
                 }
             }
             kind::TEST => {
-                let passed =
-                    Message::new(kind::TEST_RESULT, call).caused(1).with(code::REPORT, self.report());
+                let passed = self.told(Message::new(kind::TEST_RESULT, call).caused(1));
                 self.say(at, door, peer, passed);
             }
             _ => {}
@@ -476,23 +515,46 @@
     }
 
     fn enqueue(&mut self, at: f64, job: Job) {
-        self.line.push_back(job);
+        // Not ahead of what is being worked on.
+        let ahead = self.line.iter().skip(1).position(|job| matches!(job, Job::SetUp(..)));
+        match (&job, ahead) {
+            (Job::Release(_), Some(place)) if self.plan.deployment.finish_first => {
+                self.line.insert(1 + place, job);
+            }
+            _ => self.line.push_back(job),
+        }
         if !self.busy {
             self.begin(at);
         }
     }
 
     fn begin(&mut self, at: f64) {
+        if self.plan.deployment.cancel_drops {
+            while let Some(Job::SetUp(call, _)) = self.line.front() {
+                match self.pending.get(call) {
+                    Some(pending) if !pending.given_up => break,
+                    _ => drop(self.pending.remove(call)),
+                }
+                self.line.pop_front();
+            }
+        }
         let Some(job) = self.line.front() else { return };
         self.busy = true;
-        let done = at + self.work(job) / self.speed(at);
+        let mut work = self.work(job);
+        let again = self.plan.deployment.retransmit;
+        if let (Job::SetUp(_, came), true) = (job, again > 0.0) {
+            // After one gap, after three, after seven.
+            let repeats = ((at - came) / again + 1.0).log2().floor().max(0.0);
+            work += repeats * REPEAT_WORK / self.plan.rate;
+        }
+        let done = at + work / self.speed(at);
         self.at(done, Step::HeadDone);
     }
 
     fn head_done(&mut self, at: f64) {
         self.busy = false;
         match self.line.pop_front() {
-            Some(Job::SetUp(call)) => {
+            Some(Job::SetUp(call, _)) => {
                 if let Some(Pending { door, peer, class, given_up: false }) = self.pending.remove(&call) {
                     self.saw(at, door, call, &class, What::Stood);
                     self.say(at, door, peer, answer(call));
@@ -505,7 +567,7 @@
             Some(Job::Release(call)) => {
                 if let Some((door, peer, class)) = self.standing.remove(&call) {
                     self.saw(at, door, call, &class, What::Ended);
-                    let end = release(call, cause::NORMAL).with(code::REPORT, self.report());
+                    let end = self.told(release(call, cause::NORMAL));
                     self.say(at, door, peer, end);
                 }
             }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 
 use crate::callers::Callers;
+use crate::deployment::Deployment;
 use crate::resolver::{known, Listed, Resolver};
 use crate::server::{Server, ServerPlan};
 
@@ -63,6 +64,7 @@
 pub struct World {
     /// What it was built by.
     pub plan: Plan,
+    deployment: Deployment,
     /// The session servers, by pool number.
     pub servers: Vec<Server>,
     /// The list as told, with no addresses in it: id, district, drains, started at. By pool number.
@@ -80,12 +82,20 @@
 }
 
 impl World {
-    /// Opens all sockets.
+    /// Opens all sockets, of the usual deployment.
     pub fn open(plan: Plan) -> io::Result<World> {
+        World::open_as(plan, Deployment::default())
+    }
+
+    /// Opens all sockets.
+    pub fn open_as(plan: Plan, deployment: Deployment) -> io::Result<World> {
         let hold: BTreeMap<String, f64> = plan.classes.iter().map(|c| (c.name.to_string(), c.hold)).collect();
         let server = |(n, &(district, rate)): (usize, &(usize, f64))| {
-            let delays: Vec<f64> = plan.fronts.iter().map(|front| WAYS[*front][district]).collect();
-            let plan_of = ServerPlan { district, rate, most_wait: 2.5, hold: hold.clone() };
+            let way = |front: &usize| WAYS[*front][district] * deployment.far;
+            let delays: Vec<f64> = plan.fronts.iter().map(way).collect();
+            let most_wait = deployment.most_wait;
+            let (hold, deployment) = (hold.clone(), deployment.clone());
+            let plan_of = ServerPlan { district, rate, most_wait, hold, deployment };
             Server::open(plan_of, &delays, plan.seed.wrapping_mul(31) + n as u64)
         };
         let servers = plan.servers.iter().enumerate().map(server).collect::<io::Result<Vec<Server>>>()?;
@@ -96,7 +106,19 @@
         let rng = ChaCha8Rng::seed_from_u64(plan.seed);
         let callers = Vec::new();
         let elsewhere = BTreeMap::new();
-        Ok(World { plan, servers, list, position: 1, generation: 0, resolvers, elsewhere, callers, rng, due })
+        Ok(World {
+            plan,
+            deployment,
+            servers,
+            list,
+            position: 1,
+            generation: 0,
+            resolvers,
+            elsewhere,
+            callers,
+            rng,
+            due,
+        })
     }
 
     fn listed(&self, front: usize) -> Vec<Listed> {
@@ -104,7 +126,7 @@
             let (id, district, draining, started_ms) = entry.clone()?;
             let address = self.elsewhere.get(&(front, n)).copied();
             let address = address.unwrap_or_else(|| self.servers[n].address(front));
-            let district = DISTRICTS[district].to_string();
+            let district = self.deployment.districts[district].to_string();
             Some(Listed { id, district, address, number: n as u32, draining, started_ms })
         };
         self.list.iter().enumerate().filter_map(entry).collect()
@@ -113,23 +135,23 @@
     /// The configuration of a gatekeeper, as JSON.
     pub fn config(&self, front: usize) -> io::Result<String> {
         let pools: Vec<usize> = (0..self.servers.len()).collect();
-        let classes = &self.plan.classes;
+        let (classes, d) = (&self.plan.classes, &self.deployment);
         let class = |c: &ClassPlan| {
             json!({"name": c.name, "effect": "read_like", "goalTime": c.goal, "hardLimit": c.wait * 3.0,
                 "lateWorth": 0.2, "value": c.worth})
         };
         let settings = json!({
-            "peersTotal": self.plan.fronts.len(), "period": 0.005,
-            "zones": DISTRICTS, "zone": self.plan.fronts[front],
-            "telemetry": {"names": ["free", "size", "hold_back"]},
-            "familyInfo": {"release": 0.3, "retransmit": 0.4,
+            "peersTotal": d.fronts.map_or(self.plan.fronts.len(), |n| n as usize), "period": 0.005,
+            "zones": d.districts, "zone": self.plan.fronts[front],
+            "telemetry": {"names": d.telemetry()}, "clientHabits": {"marksRetry": d.marks_retry},
+            "familyInfo": {"release": d.release, "retransmit": d.retransmit, "retryHint": d.tells_wait,
                 "holding": classes.iter().map(|c| c.hold).collect::<Vec<f64>>(),
                 "poolsByClass": classes.iter().map(|_| pools.clone()).collect::<Vec<_>>(),
                 "widths": classes.iter().map(|_| 1).collect::<Vec<_>>()},
-            "limits": {"tryLimit": 6, "mayCancel": true, "retryAfter": true, "maxRetryAfter": 2.0,
-                "connectTimeout": 0.5},
+            "limits": {"tryLimit": d.attempts, "mayCancel": true, "retryAfter": d.stay_away.is_some(),
+                "maxRetryAfter": d.stay_away.unwrap_or(0.0), "connectTimeout": 0.5},
             "requestClasses": classes.iter().map(class).collect::<Vec<_>>(),
-            "safety": {"cold": 14.0, "coldFrom": 0.29, "overloadFactor": 3.0},
+            "safety": {"cold": d.cold, "coldFrom": d.cold_from, "overloadFactor": 3.0, "drainGrace": d.drain_grace},
         });
         let known: serde_json::Value =
             serde_json::from_str(&known(u64::from(self.position), &self.listed(front)))?;
@@ -195,6 +217,16 @@
         self.due[front] = f64::NEG_INFINITY;
     }
 
+    /// Whether a server stands in the list, and whether it takes new calls.
+    pub fn is_listed(&self, server: usize) -> bool {
+        self.list.get(server).is_some_and(Option::is_some)
+    }
+
+    /// The latter.
+    pub fn in_service(&self, server: usize) -> bool {
+        self.list.get(server).is_some_and(|entry| matches!(entry, Some((_, _, false, _))))
+    }
+
     /// Marks a server as draining, or as ready again, in the list.
     pub fn drain(&mut self, server: usize, draining: bool) {
         if let Some(entry) = &mut self.list[server] {
@@ -273,4 +305,31 @@
         }
         (offered > 0.0).then(|| kept / offered)
     }
+
+    /// The same, where callers dial again: what further tries bring belongs to the first, and its time runs from that.
+    pub fn service_with_redials(&self, from: f64, to: f64) -> Option<f64> {
+        let mut kept_by_first: BTreeMap<u64, bool> = BTreeMap::new();
+        let all: BTreeMap<u64, &crate::callers::Call> =
+            self.callers.iter().flat_map(|c| c.calls.iter().map(|(id, call)| (*id, call))).collect();
+        let worth = |class: &str| self.plan.classes.iter().find(|p| p.name == class);
+        for (id, call) in &all {
+            let (first_id, first) = match call.further_of.and_then(|first| Some((first, all.get(&first)?))) {
+                Some((first_id, first)) => (first_id, *first),
+                None => (*id, *call),
+            };
+            let Some(plan) = worth(&call.class) else { continue };
+            let cut = matches!(call.end, Some((_, crate::callers::End::Cut)));
+            let in_time = call.stood.is_some_and(|at| at - first.offered <= plan.goal);
+            if first.offered >= from && first.offered < to {
+                *kept_by_first.entry(first_id).or_default() |= in_time && !cut;
+            }
+        }
+        let (mut kept, mut offered) = (0.0, 0.0);
+        for (id, is_kept) in kept_by_first {
+            let worth = worth(&all[&id].class).map_or(0.0, |plan| plan.worth);
+            offered += worth;
+            kept += if is_kept { worth } else { 0.0 };
+        }
+        (offered > 0.0).then(|| kept / offered)
+    }
 }
