Count own delays whole, and probe a full server that tells a long wait

Change: the whole delay; a told wait beyond one unit makes the server one that single calls probe until it answers.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -319,10 +319,10 @@
                 self.reported(now, pool, &report, out);
                 let index = self.index(pool);
                 if let Some(i) = index {
+                    self.attempt_over(now, i, call, outcome, out);
                     if cause == Cause::ProcessorFull {
                         self.pressed(now, i, wait.unwrap_or(0.0));
                     }
-                    self.attempt_over(now, i, call, outcome, out);
                 }
                 let last = |c: &Call| c.attempts == u32::from(attempt) + 1 && c.held_from.is_none();
                 match self.calls.get(&call).is_some_and(last) {
@@ -440,8 +440,7 @@
     fn judge(&mut self, now: f64, i: usize, elapsed: f64, out: &mut Vec<Action>) {
         let figure = self.figure(now, i);
         let step = Q_FOLLOW * (figure - ONSET).min(DISCARD) * elapsed / self.unit;
-        let lasts = self.unit;
-        let told = HOLD_BACK_LASTS * self.unit;
+        let (lasts, told) = (self.unit, HOLD_BACK_LASTS * self.unit);
         let pool = &mut self.pools[i];
         // Answers bring no report, and with few calls that end none comes for seconds: a share asked for
         // back then is no longer the pool's word on now.
@@ -478,11 +477,13 @@
         pool.q = pool.hold_back.unwrap_or(q);
     }
 
-    /// A full answer counts as a figure at R and briefly skips the pool.
+    /// A full answer counts as a figure at R and briefly skips the pool; one that asks for a longer wait is
+    /// probed until it answers: guards against a wait that is told and not there. Harm: more refusals.
     fn pressed(&mut self, now: f64, i: usize, wait: f64) {
+        let gap = if wait > self.unit { PROBE_GAP * (0.5 + self.draw()) } else { 1.0 };
         let pool = &mut self.pools[i];
-        pool.skip_until = now + self.unit.max(wait);
-        (pool.state, pool.since) = (State::Discard, now);
+        pool.skip_until = now + self.unit * gap;
+        (pool.state, pool.since, pool.silent) = (State::Discard, now, wait > self.unit);
         self.sticky.retain(|_, p| *p != i);
     }
 
@@ -498,8 +499,7 @@
     /// it, until it answers. Guards against a pool that has vanished or swallows set-ups. Harm: one that
     /// answers again is found late.
     fn gone_silent(&mut self, now: f64, i: usize, out: &mut Vec<Action>) {
-        let unit = self.unit;
-        let spread = 0.5 + self.draw();
+        let (unit, spread) = (self.unit, 0.5 + self.draw());
         let pool = &mut self.pools[i];
         if !pool.silent {
             out.push(Action::Log(format!("pool {} silent: no word for an attempt that ended", pool.number)));
@@ -898,8 +898,8 @@
         p.base = p.base.min(lag);
         p.served.count(now, FRESH * self.unit);
         p.line.narrow(LINE_GAP * self.unit);
-        // The set-up and the answer each waited in the same line.
-        let wait = (lag - p.base) / 2.0;
+        // All of it: where answers go ahead of set-ups, the answer waited for nothing.
+        let wait = lag - p.base;
         p.own += OWN_WEIGHT * (wait - p.own);
         p.own_at = now;
         self.judge(now, i, 0.0, out);
