--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -338,15 +338,20 @@
         *self.open.entry(origin).or_default() += 1;
         self.calls.insert(call, new);
         self.ids.insert(id, call);
+        self.remember(id);
+        self.effects.push(Effect::Deadline { call, at: deadline });
+        self.events.push(Event::Call { call, class, tenant: 0, time_left: wait, dialled, first_choice });
+        Ok(())
+    }
+
+    /// An id is known from now on, as long as not too many came since.
+    fn remember(&mut self, id: u64) {
         if self.offered.insert(id) {
             self.offered_order.push_back(id);
         }
         if self.offered_order.len() > MOST_REMEMBERED {
             self.offered_order.pop_front().map(|old| self.offered.remove(&old));
         }
-        self.effects.push(Effect::Deadline { call, at: deadline });
-        self.events.push(Event::Call { call, class, tenant: 0, time_left: wait, dialled, first_choice });
-        Ok(())
     }
 
     fn remove(&mut self, call: CallId) -> Option<Call> {
@@ -681,6 +686,9 @@
                 self.effects.push(Effect::EndOfUnknown { pool, id, cut, earlier });
             }
         } else if earlier && over {
+            // A server says an end again on the next connection that is opened. Guards against a second word to a caller
+            // whose call was answered by nobody before the restart: it would take it for a second answer.
+            self.remember(id);
             let reply = Reply::Over { cut };
             self.effects.push(Effect::Caller { origin: NO_ORIGIN, id, class: NO_CLASS, reply });
         }
@@ -916,6 +924,8 @@
         let reply = Reply::Over { cut: false };
         assert_eq!(calls.effects, [Effect::Caller { origin: NO_ORIGIN, id: 7, class: NO_CLASS, reply }]);
         calls.effects.clear();
+        calls.ended(1.5, PoolId(1), 7, End::of(Outcome::Done));
+        assert_eq!(calls.effects, [], "once, though the server says it again");
         calls.caller_release(1.0, 8);
         assert_eq!(calls.effects, [Effect::Stray { id: 8 }]);
         calls.effects.clear();
--- a/crates/gatekeeper/src/node/config.rs
+++ b/crates/gatekeeper/src/node/config.rs
@@ -16,6 +16,9 @@
 const SOCKETS: usize = 1024;
 const MEMORY_MB: f64 = 64.0;
 
+/// The goal time, in seconds, where no class has a shorter one.
+const LONGEST_GOAL: f64 = 3.0;
+
 /// What a gatekeeper is told at its start.
 pub struct Config {
     /// Its name.
@@ -55,6 +58,10 @@
     pub connect_timeout: f64,
     /// Nothing new may reach a server so many seconds after its drain was told.
     pub drain_grace: f64,
+    /// Servers tell their state unasked.
+    pub states: bool,
+    /// The shortest goal time of a class, in seconds.
+    pub goal: f64,
     /// The districts.
     pub districts: Vec<String>,
 }
@@ -283,6 +290,8 @@
             classes: names.zip(settings.classes.iter().map(|c| c.goal_time)).collect(),
             fronts: settings.fronts,
         };
+        let states = telemetry.any();
+        let goal = settings.classes.iter().map(|c| c.goal_time).fold(LONGEST_GOAL, f64::min);
         Ok(Config {
             name,
             platform,
@@ -300,6 +309,8 @@
                 classes: link.request_classes.into_iter().enumerate().map(class).collect(),
                 connect_timeout: link.limits.connect_timeout,
                 drain_grace: link.safety.drain_grace,
+                states,
+                goal,
                 districts: link.zones,
             },
         })
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -23,12 +23,14 @@
 const MOST_CONNECTIONS: usize = 3;
 /// Time between tries to connect, in seconds.
 const RETRY: f64 = 0.25;
-/// A server that said nothing for so long is tried on a new connection. Its states come about once a
-/// second while calls come and go.
+/// A server that said nothing for so long is tried on a new connection, in seconds: where servers tell their state unasked,
+/// about once a second while calls come and go, and where they don't, so that one that vanished is still found in time.
 const QUIET: f64 = 1.5;
+const QUIET_STATELESS: f64 = 3.0;
 /// A connection with a set-up out for so long and no word since is tried beside another one; each such
 /// try that brings no word doubles it. Guards against a connection that has fallen silent, or a machine
-/// that has, while callers wait.
+/// that has, while callers wait. Where servers tell no state unasked, one that is only busy says nothing either: there
+/// it takes the shortest goal time, after which the wait does harm.
 const UNHEARD: f64 = 0.25;
 /// A processor serves first come, first served. A connection is dead if it brought no word since a set-up
 /// went out on it, and one that went out so much later elsewhere was answered.
@@ -97,6 +99,25 @@
     silent_at: Option<f64>,
 }
 
+impl Link {
+    /// See [`QUIET`].
+    fn quiet(&self) -> f64 {
+        if self.states {
+            QUIET
+        } else {
+            QUIET_STATELESS
+        }
+    }
+
+    /// See [`UNHEARD`].
+    fn unheard(&self) -> f64 {
+        match self.states {
+            true => UNHEARD,
+            false => self.goal.max(UNHEARD),
+        }
+    }
+}
+
 /// What is known of a server, to be told to other gatekeepers.
 pub struct Known<'a> {
     /// Its id.
@@ -138,6 +159,7 @@
     /// Takes a whole list. A server missing from it is gone.
     pub fn list(&mut self, list: &Snapshot, kind: ListKind, turn: &mut Turn) {
         let mut entries = Vec::new();
+        let unheard = self.link.unheard();
         for (name, listed) in &list.servers {
             let pool = *self.pools.entry(name.clone()).or_insert_with(|| {
                 self.last_pool += 1;
@@ -146,7 +168,7 @@
             entries.push(entry(pool, listed));
             let server = self.servers.entry(pool).or_insert_with(|| {
                 log::info!(server = name.as_str(), state:? = listed.readiness, address:% = listed.address; "server-listed");
-                Server::new(name.clone(), listed.clone(), turn.now)
+                Server::new(name.clone(), listed.clone(), turn.now, unheard)
             });
             server.relisted(pool, listed.clone(), turn);
         }
@@ -241,7 +263,6 @@
         if !channel.up {
             return server.connected(pool, ready.key, &self.link, turn);
         }
-        let longest = self.link.longest();
         let mut messages = Vec::new();
         let mut end = if ready.writable { channel.connection.flush() } else { Ok(()) };
         if end.is_ok() && ready.readable {
@@ -253,7 +274,7 @@
             (server.word_at, server.silent_at) = (turn.now, None);
         }
         for message in messages {
-            if let Err(reason) = server.heard(pool, ready.key, message, (&self.telemetry, longest), turn) {
+            if let Err(reason) = server.heard(pool, ready.key, message, (&self.telemetry, &self.link), turn) {
                 end = Err(reason);
                 break;
             }
@@ -273,7 +294,7 @@
 }
 
 impl Server {
-    fn new(name: String, listed: Listed, now: f64) -> Self {
+    fn new(name: String, listed: Listed, now: f64, patience: f64) -> Self {
         let (channels, waiting) = (BTreeMap::new(), VecDeque::new());
         let (owed, unreachable, quick_ends) = (Vec::new(), false, 0);
         let (heard_at, retry_at) = (now, now);
@@ -287,7 +308,7 @@
             retry_at,
             unreachable,
             quick_ends,
-            patience: UNHEARD,
+            patience,
             word_at: f64::NEG_INFINITY,
             silent_at: None,
         }
@@ -466,7 +487,8 @@
         }
         let quiet = now - self.heard_at;
         let connecting = self.channels.values().any(|c| !c.up);
-        let idle = self.channels.values().all(|c| now - c.since > QUIET && now - c.heard_at > QUIET);
+        let most = link.quiet();
+        let idle = self.channels.values().all(|c| now - c.since > most && now - c.heard_at > most);
         let unheard = !connecting && self.unheard(now);
         if unheard {
             self.patience *= 2.0;
@@ -572,7 +594,7 @@
         pool: PoolId,
         key: Key,
         message: Message,
-        (telemetry, longest): (&Telemetry, f64),
+        (telemetry, link): (&Telemetry, &Link),
         turn: &mut Turn,
     ) -> Result<(), Over> {
         let id = message.call;
@@ -589,7 +611,7 @@
                 return Err(Over::Improper("an answer without a description, or with a cause"));
             }
             kind::ANSWER => {
-                self.patience = UNHEARD;
+                self.patience = link.unheard();
                 if let Some(sent) = self.closed(id) {
                     self.overtake(pool, sent, turn);
                 }
@@ -605,9 +627,9 @@
                 }
             }
             kind::RELEASE => {
-                self.patience = UNHEARD;
+                self.patience = link.unheard();
                 self.closed(id);
-                turn.calls.ended(turn.now, pool, id, end(&message, report, longest));
+                turn.calls.ended(turn.now, pool, id, end(&message, report, link.longest()));
             }
             kind::STATE | kind::TEST_RESULT if told => turn.calls.load(pool, report),
             kind::TEST => {
@@ -728,7 +750,14 @@
         let address = listener.local_addr().unwrap();
         let (mut watch, mut calls) = (Watch::new().unwrap(), Calls::new(0.0, 0));
         let districts = Vec::new();
-        let link = Link { classes: Vec::new(), connect_timeout: 0.5, drain_grace: 0.25, districts };
+        let link = Link {
+            classes: Vec::new(),
+            connect_timeout: 0.5,
+            drain_grace: 0.25,
+            states: true,
+            goal: 1.0,
+            districts,
+        };
         let (_, telemetry) = hollypaddle_policy::settings::read(
             br#"{"peersTotal":1,"period":0.005,"familyInfo":{"release":0.3},"limits":{"tryLimit":6},
                 "requestClasses":[],"safety":{"cold":14,"coldFrom":0.3,"overloadFactor":3}}"#,
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -15,7 +15,7 @@
 };
 
 // ---- Tuned values: all there are. Times are multiples of the wait unit unless said.
-/// The wait unit is this share of the shortest goal time, and at most the retransmit time.
+/// The wait unit is this share of the shortest goal time; as short as the retransmit time, but at least half.
 const UNIT_OF_GOAL: f64 = 0.25;
 /// Abatement threshold L: below this wait a pool is normal again.
 const ABATE: f64 = 0.3;
@@ -264,7 +264,7 @@
         let goal = settings.classes.iter().map(|c| c.goal_time).filter(|g| *g > 0.0).fold(f64::MAX, f64::min);
         let mut unit = if goal < f64::MAX { goal * UNIT_OF_GOAL } else { 1.0 };
         if settings.retransmit > 0.0 {
-            unit = unit.min(settings.retransmit);
+            unit = unit.min(settings.retransmit.max(unit / 2.0));
         }
         unit = unit.max(settings.period).max(1e-3);
         let tick = (unit * TICK).max(settings.period);
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -94,6 +94,11 @@
 }
 
 impl Telemetry {
+    /// Whether servers tell anything of themselves.
+    pub fn any(&self) -> bool {
+        !self.names.is_empty()
+    }
+
     /// Names the values of one report; values beyond the names and names beyond the values are left out.
     pub fn report(&self, values: &[f32]) -> Report {
         let mut report = Report::default();
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -90,6 +90,37 @@
     assert!(all as f64 > could / 3.0, "{all} of {could:.0}");
 }
 
+/// Some fronts hear late that a pool has started: those who were told keep to their part of what it bears, and take no more
+/// of it for what the others send. N and three roots of it and three is what it bears in the time that the settings name.
+#[test]
+fn fronts_that_were_told_of_a_start_keep_to_their_part_though_others_were_not() {
+    for late in [2, 3, 5] {
+        let mut fleet = Fleet::new();
+        fleet.run(20.0, &[]);
+        let start = fleet.now();
+        let usual = fleet.sent(STRUCK, start - 10.0, start) as f64 / 10.0;
+        let told = |n: usize| !n.is_multiple_of(late);
+        for n in (0..fleet.fronts.len()).filter(|n| told(*n)) {
+            let front = &mut fleet.fronts[n];
+            front.list(ListKind::Changes, vec![entry(1, Readiness::Ready, front.now)]);
+        }
+        fleet.run(4.0, &[(1, 1.5)]);
+        let part = (0..fleet.fronts.len()).filter(|n| told(*n)).count() as f64 / FRONTS as f64;
+        for second in 0..4 {
+            let from = start + f64::from(second);
+            let within = |s: &&front::Sent| s.pool == STRUCK && s.at >= from && s.at < from + 1.0;
+            let by = |n: usize| fleet.fronts[n].sends.iter().filter(within).count();
+            let sent: usize = (0..fleet.fronts.len()).filter(|n| told(*n)).map(by).sum();
+            let n = part * usual * 2.5 * (0.3 + 0.7 * f64::from(second) / 14.0);
+            let bears = n + 3.0 * n.sqrt() + 3.0;
+            assert!(
+                (sent as f64) < bears,
+                "{sent} by {part} in second {second}, {bears:.0} would be its part"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_silent_pool_is_probed_by_a_part_of_its_calls_not_by_one_from_every_front() {
     let mut fleet = Fleet::new();
