Give the loop one seam for its subjects, links typed errors, and budgets a crate above replica

Bad, Passed, Refused and texts in peers.rs became Rejection, StaleIncarnation, PieceError and LinkError by thiserror, each with its cost and what can be done; a test finds each on the page for on-call staff.

--- a/crates/replica/src/shares.rs
+++ b/crates/budgets/src/lib.rs
@@ -1,5 +1,5 @@
 //! What this gatekeeper may use of the fleet's crossing budgets: its own part, less what it lends to other members, and
-//! they lend to it. The decisions are in the crate `lending`; this module stands between them, the budgets and what
+//! they lend to it. The decisions are in the crate `lending`; this crate stands between them, the budgets and what
 //! members tell each other.
 
 use std::collections::BTreeMap;
@@ -8,7 +8,7 @@
 use hollypaddle_crossing::Crossing;
 use hollypaddle_lending::{BudgetKey, Demand, Lending, TERM, WHOLE};
 
-use crate::Member;
+use hollypaddle_replica::Member;
 
 /// Shares of the budgets. It outlives the fleet that it was made for: what was lent is not back before its term.
 #[derive(Clone)]
--- a/crates/faults/src/world.rs
+++ b/crates/faults/src/world.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use hollypaddle_budgets::Shares;
 use hollypaddle_crossing::{
     Amount, BendSettings, ClassInfo, Crossing, District, Rate, Rule, Scope, Settings as Crossings,
 };
@@ -17,7 +18,6 @@
 };
 use hollypaddle_replica::member::{Act, Event, How};
 use hollypaddle_replica::record::{CallFact, Origin, Place, ServerFact, ServerKey};
-use hollypaddle_replica::shares::Shares;
 use hollypaddle_replica::store::{Store, LIVES};
 use hollypaddle_replica::{Member, Settings, Word};
 use rand::Rng;
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -6,26 +6,24 @@
 use std::sync::Arc;
 
 use hollypaddle_config::{Conf, Platform};
-use hollypaddle_crossing::{Crossing, District, Report, Span};
-use hollypaddle_policy::{Action, CallId, Controller, Event, Gate, ListKind, Settings};
+use hollypaddle_crossing::{Crossing, Report, Span};
+use hollypaddle_policy::{Action, CallId, Controller, Event, ListKind, Settings};
 use serde_json::{json, Value};
 
 use super::clients::Clients;
 use super::clock::Clock;
 use super::config::{Config, ConfigError, LinkClass};
-use super::control::{Control, Question};
-use super::fleet::Fleet;
+use super::control::Question;
 use super::gates::Gates;
 use super::http::Http;
 use super::poller::{Key, Watch};
 use super::resolver::{self, Resolver};
 use super::servers::{Servers, Turn};
+use super::subjects::{Room, Subjects};
 use hollypaddle_core::calls::Reply;
 use hollypaddle_core::calls::{Calls, Effect, Order};
 use hollypaddle_core::wheel::Wheel;
 use hollypaddle_policy::ClassSettings;
-use hollypaddle_replica::guard::Guard;
-use hollypaddle_replica::shares::Shares;
 use hollypaddle_service::classes::Table;
 use hollypaddle_service::figures::{Figures, Gauges, Outcome, OTHER};
 use hollypaddle_service::http::{self as control_http, Call};
@@ -62,6 +60,25 @@
 const HELD_SHARE: usize = 8;
 const WAITING_SHARE: usize = 4;
 
+/// What a subject may reach, of a gatekeeper whose subjects are borrowed beside it.
+macro_rules! room {
+    ($node:expr, $now:expr) => {
+        Room {
+            now: $now,
+            watch: &mut $node.watch,
+            calls: &mut $node.calls,
+            servers: &mut $node.servers,
+            clients: &mut $node.clients,
+            resolver: &mut $node.resolver,
+            gates: $node.controller.gate(),
+            list_at: $node.list_at,
+            platform: &$node.platform,
+            seed: $node.seed,
+            class_names: &$node.class_names,
+        }
+    };
+}
+
 enum Timer {
     Module(u32),
     Deadline(CallId),
@@ -92,15 +109,11 @@
     resolver_key: Key,
     /// The settings in force, as the file gave them.
     settings: Settings,
-    /// What the own configuration file builds on and says, and when its account was last logged.
+    /// What the own configuration file builds on and says.
     platform: Platform,
     own: Conf,
-    logged_at: f64,
-    control: Option<Control>,
-    /// The other gatekeepers, where the own configuration names them.
-    fleet: Option<Fleet>,
-    /// What may be used of the fleet's budgets, and what was lent of them.
-    shares: Option<Shares>,
+    /// What takes part beside callers, servers and resolver.
+    subjects: Subjects,
     seed: u64,
     /// When the resolver last told the whole list, or the file did.
     list_at: f64,
@@ -169,10 +182,7 @@
             settings: given,
             platform: config.platform,
             own: Conf::default(),
-            logged_at: now,
-            control: None,
-            fleet: None,
-            shares: None,
+            subjects: Subjects::default(),
             seed: config.seed,
             list_at: now,
             http,
@@ -317,110 +327,13 @@
         }
     }
 
-    /// Takes what the own configuration file says now; returns what has changed in a word.
+    /// Takes what the own configuration file says now, all of it or nothing; returns what has changed in a word.
     fn take_own(&mut self, now: f64, new: Conf) -> io::Result<String> {
-        // The platform's names are those of the start, and a file read since may have others. Guards against
-        // budgets that are dropped without a word.
-        let missing = new.crossings.as_ref().map_or(Vec::new(), |c| c.missing(&self.platform));
-        if !missing.is_empty() {
-            let what = format!("not known before the next start: {}", missing.join(", "));
-            return Err(io::Error::new(io::ErrorKind::InvalidInput, what));
-        }
-        let mut changes = Vec::new();
-        // What can fail comes first.
-        let joined = self.rejoin(now, &new)?;
-        if new.control != self.own.control {
-            let fresh = match &new.control {
-                Some(path) => {
-                    let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
-                    match Control::listen(path, &mut self.watch).map_err(named) {
-                        Ok(control) => Some(control),
-                        Err(error) => {
-                            if let Some(fleet) = joined {
-                                fleet.leave(now, &mut self.calls, &self.watch);
-                            }
-                            return Err(error);
-                        }
-                    }
-                }
-                None => None,
-            };
-            if let Some(old) = std::mem::replace(&mut self.control, fresh) {
-                old.close(&self.watch);
-            }
-            changes.push("control".to_string());
-        }
-        let gate = &mut self.controller.gate().crossing;
-        if new.crossings != self.own.crossings || new.crossings.is_some() != gate.is_some() {
-            let word = match (gate.as_mut(), &new.crossings) {
-                (Some(crossing), Some(conf)) => {
-                    crossing.change(conf.settings(&self.platform), now);
-                    "changed"
-                }
-                (None, Some(conf)) => {
-                    let mut crossing = Crossing::new(conf.settings(&self.platform), now);
-                    // It was not there when the list came.
-                    let entries = self.servers.entries();
-                    crossing.hear(now, &Event::List { kind: ListKind::Full, entries });
-                    *gate = Some(crossing);
-                    "on"
-                }
-                (_, None) => {
-                    *gate = None;
-                    "off"
-                }
-            };
-            // Without it nothing crosses, and budgets that never bite look as if they were kept.
-            if gate.as_ref().is_some_and(|g| g.settings().own == District::UNKNOWN) {
-                log::warn!("own-district-unknown");
-            }
-            let budgets = new.crossings.as_ref().map_or(0, |c| c.budgets.len());
-            changes.push(format!("crossings-{word}-{budgets}-budgets"));
-        }
-        if new.fleet != self.own.fleet {
-            let word = match (&mut self.fleet, joined, &new.fleet) {
-                (old, Some(fresh), _) => {
-                    if let Some(old) = old.replace(fresh) {
-                        old.leave(now, &mut self.calls, &self.watch);
-                        self.calls.note_changes(true);
-                    }
-                    "joined"
-                }
-                (Some(fleet), None, Some(conf)) => {
-                    fleet.change(now, conf, &self.watch);
-                    "changed"
-                }
-                (old, None, _) => {
-                    if let Some(old) = old.take() {
-                        old.leave(now, &mut self.calls, &self.watch);
-                    }
-                    "left"
-                }
-            };
-            self.controller.gate().fleet = self.fleet.as_ref().map(|_| Guard::default());
-            if let Some(fleet) = &mut self.fleet {
-                fleet.set_classes(&self.class_names);
-            }
-            if let Some(conf) = &new.fleet {
-                self.shares.get_or_insert_with(|| Shares::new(now, conf.lend)).change(conf.lend);
-            }
-            changes.push(format!("fleet-{word}"));
-        }
+        let changes = self.subjects.take(&mut room!(self, now), &self.own, &new)?;
         self.own = new;
         Ok(if changes.is_empty() { "none".into() } else { changes.join(",") })
     }
 
-    /// Joins a fleet where the file names another one than before, or another name or address of the own member's.
-    fn rejoin(&mut self, now: f64, new: &Conf) -> io::Result<Option<Fleet>> {
-        let Some(conf) = &new.fleet else { return Ok(None) };
-        let name = &self.platform.name;
-        if conf.own(name).is_some() && self.fleet.as_ref().is_some_and(|f| f.stays(conf, name)) {
-            return Ok(None);
-        }
-        let (calls, watch) = (&mut self.calls, &mut self.watch);
-        Fleet::join(now, conf, name, self.seed, calls, watch).map(Some)
-    }
-
     /// Answers a question of the control socket.
     fn answer(&mut self, now: f64, question: Question) -> Value {
         match question {
@@ -437,16 +350,11 @@
                 json!({"ok": {"name": self.platform.name, "up_s": now - self.started, "open": open,
                     "standing": standing, "servers": servers}})
             }
-            Question::Crossings { span } => match (Span::named(&span), self.crossing()) {
-                (None, _) => json!({"error": format!("no span {span:?}: total, 10s, 1min or 10min")}),
-                (_, None) => json!({"error": "no account: the block `crossings` is not configured"}),
-                (Some(span), Some(crossing)) => json!({"ok": crossing.report(now, span)}),
-            },
-            Question::Members {} | Question::Replica {} => match (&self.fleet, question) {
-                (None, _) => json!({"error": "no fleet: the block `fleet` is not configured"}),
-                (Some(fleet), Question::Members {}) => json!({"ok": fleet.report_members(now)}),
-                (Some(fleet), _) => json!({"ok": fleet.report_replica(&self.calls)}),
-            },
+            question => {
+                let mut room = room!(self, now);
+                let told = self.subjects.all().into_iter().find_map(|s| s.answer(&mut room, &question));
+                told.unwrap_or_else(|| json!({"error": "nobody here answers that"}))
+            }
         }
     }
 
@@ -455,10 +363,10 @@
         let changed = match call {
             Call::Ready => {
                 return match self.life.phase() {
-                    Phase::Serving if self.fleet.as_ref().is_some_and(|fleet| !fleet.ready()) => {
-                        control_http::answer(503, "text/plain", "catching-up\n")
-                    }
-                    Phase::Serving => control_http::answer(200, "text/plain", "ready\n"),
+                    Phase::Serving => match self.subjects.not_ready() {
+                        Some(why) => control_http::answer(503, "text/plain", &format!("{why}\n")),
+                        None => control_http::answer(200, "text/plain", "ready\n"),
+                    },
                     Phase::Lameduck => control_http::answer(503, "text/plain", "lameduck\n"),
                     Phase::Stopping => control_http::answer(503, "text/plain", "stopping\n"),
                 };
@@ -485,18 +393,18 @@
         let mut report = self.figures.report(Gauges { outstanding, discovered, ejected });
         // Written where the servers' sockets are, and counted there.
         report.forwards += self.calls.forwards;
-        report.fleet = self.fleet.as_ref().map(|fleet| fleet.figures(&self.calls));
+        report.fleet = self.subjects.fellows.fleet.as_ref().map(|fleet| fleet.figures(&self.calls));
         report
     }
 
     /// Whether it says that it takes clients.
     pub fn ready(&self) -> bool {
-        self.life.ready() && self.fleet.as_ref().is_none_or(Fleet::ready)
+        self.life.ready() && self.subjects.not_ready().is_none()
     }
 
     /// The reports on members and on what is held of them, where a fleet is configured.
     pub fn fleet_reports(&self) -> Option<(Value, Value)> {
-        let fleet = self.fleet.as_ref()?;
+        let fleet = self.subjects.fellows.fleet.as_ref()?;
         Some((fleet.report_members(self.clock.now()), fleet.report_replica(&self.calls)))
     }
 
@@ -506,34 +414,12 @@
         Some(self.crossing()?.report(now, span))
     }
 
-    /// Writes the account to the log where that is configured and due: a line a cell, of which there are no
-    /// more than classes times districts.
-    fn log_account(&mut self, now: f64) {
-        let every = self.own.crossings.as_ref().and_then(|c| c.log_every);
-        let Some(_) = every.filter(|every| now - self.logged_at >= *every) else { return };
-        self.logged_at = now;
-        let Some(report) = self.report(Span::Total) else { return };
-        for row in report.rows.iter().filter(|r| r.class != "all" && r.to != "all" && r.to != "abroad") {
-            let (class, from, to, c) = (row.class.as_str(), row.from.as_str(), row.to.as_str(), &row.counts);
-            log::info!(
-                class, from, to, sent = c.sent, stood = c.stood, late = c.late, refused = c.refused,
-                failed = c.failed, reset = c.reset, given_up = c.given_up, ended = c.ended, cut = c.cut,
-                bent = c.bent, denied = c.denied, out = row.out, standing = row.standing;
-                "crossings"
-            );
-        }
-    }
-
     fn finish(&mut self, now: f64) -> io::Result<()> {
         let (open, standing) = self.calls.count();
         self.calls.refuse_all();
         self.decide(now);
-        if let Some(fleet) = self.fleet.take() {
-            fleet.leave(now, &mut self.calls, &self.watch);
-        }
-        if let Some(control) = self.control.take() {
-            control.close(&self.watch);
-        }
+        let mut room = room!(self, now);
+        self.subjects.all().into_iter().rev().for_each(|subject| subject.end(&mut room));
         if let Some(http) = self.http.take() {
             http.close(&self.watch);
         }
@@ -547,21 +433,14 @@
             true => {
                 let now = self.clock.now();
                 let wait = self.wheel.next_in(now).unwrap_or(BEAT).min(BEAT);
-                // One that catches up gets a piece a turn, and more turns; what came since the last word follows soon.
-                let gives = self.fleet.as_ref().and_then(Fleet::gives_at);
-                gives.map_or(wait, |at| wait.min((at - now).max(GIVES)))
+                self.subjects.wants_turn_at().map_or(wait, |at| wait.min((at - now).max(GIVES)))
             }
             false => 0.0,
         };
         let all = self.watch.wait(wait)?;
         let now = self.clock.now();
-        if let (Some(fleet), Some(guard)) = (&mut self.fleet, &mut self.controller.gate().fleet) {
-            if fleet.tick(now, guard) {
-                // What waits at the socket was said before or while this process was paused.
-                self.resolver.forget_asked();
-                self.resolver.ask();
-            }
-        }
+        let mut room = room!(self, now);
+        self.subjects.all().into_iter().for_each(|subject| subject.begin(&mut room));
         for ready in all {
             let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
             if ready.key == self.resolver_key {
@@ -573,9 +452,8 @@
                 }
             } else {
                 self.servers.ready(ready, &mut turn);
-                if let Some(fleet) = &mut self.fleet {
-                    fleet.heard(now, ready, &mut self.watch);
-                }
+                let mut room = room!(self, now);
+                self.subjects.all().into_iter().for_each(|subject| subject.heard(&mut room, ready));
                 self.clients.ready(now, ready, &mut self.watch, &mut self.calls);
                 for class in std::mem::take(&mut self.clients.turned_away) {
                     self.count(class, Outcome::Declined);
@@ -587,12 +465,9 @@
                         http.reply(key, bytes, &self.watch);
                     }
                 }
-                let asked = self.control.as_mut().and_then(|c| c.ready(now, ready, &mut self.watch));
-                if let Some((key, question)) = asked {
+                for (key, question) in std::mem::take(&mut self.subjects.control.asked) {
                     let told = self.answer(now, question);
-                    if let Some(control) = &mut self.control {
-                        control.reply(key, &told, &self.watch);
-                    }
+                    self.subjects.control.reply(key, &told, &self.watch);
                 }
             }
         }
@@ -604,11 +479,9 @@
                 Timer::Beat => {
                     let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
                     self.servers.beat(&mut turn);
-                    self.fleet_beat(now);
+                    let mut room = room!(self, now);
+                    self.subjects.all().into_iter().for_each(|subject| subject.due(&mut room, &self.own));
                     self.clients.beat(now, &self.watch, &mut self.calls);
-                    if let Some(control) = &mut self.control {
-                        control.beat(now, &self.watch);
-                    }
                     if let Some(http) = &mut self.http {
                         http.beat(now, &self.watch);
                     }
@@ -616,7 +489,6 @@
                         self.clients.drain(now, &self.life, &self.watch, &mut self.calls);
                     }
                     self.listen_as_told(now);
-                    self.log_account(now);
                     self.wheel.set(now + BEAT, Timer::Beat);
                 }
                 Timer::Ask => {
@@ -626,31 +498,11 @@
             }
         }
         self.decide(now);
-        if let Some(fleet) = &mut self.fleet {
-            fleet.carry_out(now, &mut self.calls, &self.watch);
-        }
+        let mut room = room!(self, now);
+        self.subjects.all().into_iter().for_each(|subject| subject.carry_out(&mut room));
         Ok(())
     }
 
-    /// What others know, for the gate and for the lines of the list, and what may be used of the fleet's budgets.
-    fn fleet_beat(&mut self, now: f64) {
-        self.share(now);
-        let (Some(fleet), Some(guard)) = (&mut self.fleet, &mut self.controller.gate().fleet) else { return };
-        let entries = fleet.beat(now, self.list_at, &self.servers, &mut self.calls, guard, &mut self.watch);
-        fleet.hand_over(now, &mut self.clients);
-        if !entries.is_empty() {
-            self.calls.events.push(Event::List { kind: ListKind::Changes, entries });
-        }
-    }
-
-    fn share(&mut self, now: f64) {
-        let crossing = self.controller.gate().crossing.as_mut();
-        let member = self.fleet.as_mut().map(Fleet::member);
-        if self.shares.as_mut().is_some_and(|shares| !shares.beat(now, member, crossing)) {
-            self.shares = None;
-        }
-    }
-
     /// Hands the module what happened and carries out what it says, until neither brings anything new.
     /// Each round ends attempts or calls, of which there are only so many.
     fn decide(&mut self, now: f64) {
@@ -660,7 +512,8 @@
                 self.effect(now, effect);
             }
             for mut event in std::mem::take(&mut self.calls.events) {
-                if let (Event::List { entries, .. }, Some(fleet)) = (&mut event, &self.fleet) {
+                if let (Event::List { entries, .. }, Some(fleet)) = (&mut event, &self.subjects.fellows.fleet)
+                {
                     fleet.overlay(entries, self.list_at);
                 }
                 self.controller.handle(now, event, &mut actions);
@@ -700,12 +553,13 @@
             Effect::Stray { id } => self.servers.release_anywhere(id, &self.watch),
             Effect::EndOfUnknown { id, cut, earlier, .. } => {
                 // Of a call that another gatekeeper took: whoever hears of its end tells its caller.
-                if self.fleet.as_mut().is_some_and(|fleet| fleet.end(now, id, cut, earlier)) {
+                if self.subjects.fellows.fleet.as_mut().is_some_and(|fleet| fleet.end(now, id, cut, earlier))
+                {
                     self.calls.tell_end(id, cut);
                 }
             }
             Effect::ReleaseOfUnknown { id, stray } => {
-                let Some(fleet) = &self.fleet else { return };
+                let Some(fleet) = &self.subjects.fellows.fleet else { return };
                 match fleet.call(id).and_then(|call| fleet.pool(call.fact.server)) {
                     Some(pool) => {
                         self.calls.released_elsewhere(id);
@@ -739,7 +593,7 @@
         self.clients.set_classes(links.clone());
         self.servers.set_classes(links);
         self.class_names = entries.iter().map(|e| e.name.clone()).collect();
-        if let Some(fleet) = &mut self.fleet {
+        if let Some(fleet) = &mut self.subjects.fellows.fleet {
             fleet.set_classes(&self.class_names);
         }
         self.figures.name(entries.iter().filter(|e| e.live).map(|e| e.name.as_str()));
--- a/crates/gatekeeper/src/node/fleet.rs
+++ b/crates/gatekeeper/src/node/fleet.rs
@@ -146,6 +146,12 @@
         calls.note_changes(false);
     }
 
+    /// One that was joined and is not to count after all: closes its sockets, and touches nothing else.
+    pub fn undo(mut self, now: f64, watch: &Watch) {
+        self.peers.leave(watch);
+        self.peers.shut(now, &mut self.member, watch);
+    }
+
     /// Whether it may be said to be ready.
     pub fn ready(&self) -> bool {
         self.member.ready()
--- a/crates/gatekeeper/src/node/mod.rs
+++ b/crates/gatekeeper/src/node/mod.rs
@@ -14,5 +14,6 @@
 mod poller;
 mod resolver;
 mod servers;
+mod subjects;
 #[cfg(test)]
 mod tests;
--- a/crates/gatekeeper/src/node/peers.rs
+++ b/crates/gatekeeper/src/node/peers.rs
@@ -14,6 +14,7 @@
 
 use hollypaddle_membership::MemberId;
 use hollypaddle_platform::connection::{Connection, Frame, Over};
+use hollypaddle_replica::member::Rejection;
 use hollypaddle_replica::{Member, Word};
 
 use super::clients::bind;
@@ -46,16 +47,42 @@
 struct Framed(Word);
 
 /// A frame that is longer than one may be.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
+#[error("a frame of {0} bytes, of which {MOST} may be")]
 struct TooLong(usize);
 
-impl std::fmt::Display for TooLong {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "a frame of {} bytes is too long", self.0)
-    }
+/// Why a link to another gatekeeper is closed for what came on it. It is made anew by itself; meanwhile that member is not
+/// heard, and is suspected.
+#[derive(Debug, thiserror::Error)]
+pub enum LinkError {
+    /// Both made a link at the same moment, or this one is older.
+    #[error("a second link between the same two: the other one is used; nothing is to be done")]
+    SecondLink,
+    /// Another member answers where one was looked for.
+    #[error(
+        "another member than the one at that address: two members' addresses are mixed up in the block `fleet`; compare the \
+         files"
+    )]
+    AnotherMember,
+    /// Bytes that are no words.
+    #[error("{0}: a stranger, or another version of the program; see who connects to the links' address")]
+    Unreadable(String),
+    /// What a word said.
+    #[error(transparent)]
+    Rejected(#[from] Rejection),
 }
 
-impl Error for TooLong {}
+impl LinkError {
+    /// In a word, for the log and the page for on-call staff.
+    pub fn name(&self) -> &'static str {
+        match self {
+            LinkError::SecondLink => "second-link",
+            LinkError::AnotherMember => "another-member",
+            LinkError::Unreadable(_) => "unreadable",
+            LinkError::Rejected(rejection) => rejection.name(),
+        }
+    }
+}
 
 impl Frame for Framed {
     fn encode(&self, out: &mut Vec<u8>) {
@@ -237,7 +264,10 @@
         match end {
             Ok(()) => {}
             Err(Over::Closed | Over::Broken(_)) => self.drop_link(now, ready.key, member, watch),
-            Err(reason) => self.refuse(now, ready.key, &reason.to_string(), member, watch),
+            Err(reason) => {
+                let error = LinkError::Unreadable(reason.to_string());
+                self.refuse(now, ready.key, &error, member, watch)
+            }
         }
     }
 
@@ -248,10 +278,10 @@
         word: &Word,
         member: &mut Member,
         watch: &Watch,
-    ) -> Result<(), String> {
+    ) -> Result<(), LinkError> {
         let Some(link) = self.links.get_mut(&key) else { return Ok(()) };
         if let (true, Some(from)) = (link.greeted, link.member) {
-            return member.hear(now, from, word).map_err(|bad| bad.to_string());
+            return Ok(member.hear(now, from, word)?);
         }
         // Both may have made a link in one moment: the one of the lower id's stays, at both ends.
         if let Word::Hello { from, .. } = word {
@@ -260,7 +290,7 @@
             let keeps = |old: &Link| by_lower(old.dialed) && now - old.heard_at < STALE;
             let made_here = self.links.get(&key).is_some_and(|l| l.dialed);
             if !by_lower(made_here) && older.is_some_and(keeps) {
-                return Err("a second link".into());
+                return Err(LinkError::SecondLink);
             }
         }
         let Some(link) = self.links.get_mut(&key) else { return Ok(()) };
@@ -271,9 +301,9 @@
                 link.say(key, member.hello(now, *from), watch, &mut self.counts);
             }
         }
-        let from = greeted.map_err(|bad| bad.to_string())?;
+        let from = greeted?;
         if link.member.is_some_and(|to| to != from) {
-            return Err("another member than the one at that address".into());
+            return Err(LinkError::AnotherMember);
         }
         (link.member, link.greeted) = (Some(from), true);
         if let Some(named) = self.members.get_mut(&from) {
@@ -289,10 +319,11 @@
     }
 
     /// Closes a link for what came on it.
-    fn refuse(&mut self, now: f64, key: Key, reason: &str, member: &mut Member, watch: &Watch) {
+    fn refuse(&mut self, now: f64, key: Key, error: &LinkError, member: &mut Member, watch: &Watch) {
         self.counts.refused += 1;
         let name = self.links.get(&key).and_then(|l| l.member).map(|m| self.name(m));
-        log::debug!(member = name.as_deref().unwrap_or("-"), reason; "fleet-link-refused");
+        let reason = error.name();
+        log::debug!(member = name.as_deref().unwrap_or("-"), reason, error:%; "fleet-link-refused");
         self.drop_link(now, key, member, watch);
     }
 
@@ -462,3 +493,38 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hollypaddle_membership::{view, Life};
+    use hollypaddle_replica::catch_up::PieceError;
+
+    /// Each error of the links has a row of its own on the page for on-call staff, and says what can be done.
+    #[test]
+    fn every_error_of_a_link_is_on_the_page_for_on_call_staff() {
+        let page = include_str!("../../../../docs/ONCALL.md");
+        let life = Life { incarnation: 7, nonce: 7 };
+        let rejections = [
+            Rejection::Protocol(1),
+            Rejection::NotForUs,
+            Rejection::OutOfPlace,
+            Rejection::Stranger,
+            Rejection::Membership(view::Rejection::NotAMember),
+            Rejection::Membership(view::Rejection::StaleIncarnation(life)),
+            Rejection::Piece(PieceError::Versions),
+            Rejection::Piece(PieceError::Kind),
+            Rejection::Piece(PieceError::TooMany),
+        ];
+        let own = [LinkError::SecondLink, LinkError::AnotherMember, LinkError::Unreadable("x".into())];
+        let all: Vec<LinkError> = own.into_iter().chain(rejections.map(LinkError::Rejected)).collect();
+        for error in &all {
+            let row = format!("| `{}` |", error.name());
+            assert!(page.contains(&row), "{row} is not in docs/ONCALL.md");
+            let text = error.to_string();
+            assert!(text.contains(';') || text.contains(':'), "{text:?} says nothing of what can be done");
+        }
+        let names: std::collections::BTreeSet<&str> = all.iter().map(LinkError::name).collect();
+        assert_eq!(names.len(), all.len(), "a name of its own for each");
+    }
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -97,26 +97,33 @@
     Woke(f64),
 }
 
-/// Why a beat counts for nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Passed {
+/// Why a beat counts for nothing, and its link is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Rejection {
     /// Nobody of that name is a member.
-    Unknown,
+    #[error(
+        "no member of that name is in the block `fleet` here: it is left out until its name stands in every member's file \
+         and SIGHUP was sent"
+    )]
+    NotAMember,
     /// A later life of the speaker is known: this is an earlier one, or a second process under its name.
-    Outlived(Life),
+    #[error(
+        "a later incarnation of it is known, {0}: this one serves alone and is not told of the fleet; end it, or give it a \
+         name of its own"
+    )]
+    StaleIncarnation(Life),
 }
 
-impl fmt::Display for Passed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Rejection {
+    /// In a word, for the log and the page for on-call staff.
+    pub fn name(&self) -> &'static str {
         match self {
-            Passed::Unknown => write!(f, "no member of that name"),
-            Passed::Outlived(life) => write!(f, "a later life of it is known, {life}"),
+            Rejection::NotAMember => "not-a-member",
+            Rejection::StaleIncarnation(_) => "stale-incarnation",
         }
     }
 }
 
-impl std::error::Error for Passed {}
-
 #[derive(Clone, Debug)]
 struct Peer {
     state: State,
@@ -358,7 +365,7 @@
         member: MemberId,
         life: Life,
         known: Option<(Life, u32)>,
-    ) -> Result<(), Passed> {
+    ) -> Result<(), Rejection> {
         if let Some((known, age_ms)) = known {
             self.known(now, known, age_ms);
         }
@@ -428,10 +435,10 @@
     }
 
     /// A member lives in this life.
-    fn lives(&mut self, now: f64, member: MemberId, life: Life) -> Result<(), Passed> {
-        let peer = self.peers.get_mut(&member).ok_or(Passed::Unknown)?;
+    fn lives(&mut self, now: f64, member: MemberId, life: Life) -> Result<(), Rejection> {
+        let peer = self.peers.get_mut(&member).ok_or(Rejection::NotAMember)?;
         match peer.life {
-            Some(known) if known > life => return Err(Passed::Outlived(known)),
+            Some(known) if known > life => return Err(Rejection::StaleIncarnation(known)),
             Some(known) if known < life => {
                 self.changes.push(Change::Restarted(member, life));
                 let (linked, sent, next_seq) = (peer.linked, std::mem::take(&mut peer.sent), peer.next_seq);
@@ -447,9 +454,9 @@
     // ---- Beats
 
     /// Takes a beat.
-    pub fn hear(&mut self, now: f64, from: MemberId, beat: &Beat) -> Result<(), Passed> {
+    pub fn hear(&mut self, now: f64, from: MemberId, beat: &Beat) -> Result<(), Rejection> {
         self.lives(now, from, beat.life)?;
-        let Some(peer) = self.peers.get_mut(&from) else { return Err(Passed::Unknown) };
+        let Some(peer) = self.peers.get_mut(&from) else { return Err(Rejection::NotAMember) };
         // Repeated or overtaken: on one link they come in order.
         if peer.heard.is_some_and(|(seq, _)| beat.seq <= seq) {
             return Ok(());
--- a/crates/replica/src/catch_up.rs
+++ b/crates/replica/src/catch_up.rs
@@ -10,7 +10,6 @@
 //! else both take what the other has.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::fmt;
 
 use hollypaddle_membership::MemberId;
 use serde::{Deserialize, Serialize};
@@ -60,40 +59,51 @@
     pub records: Vec<Record>,
 }
 
-/// Why a piece was not taken, and its link is of no use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refused {
+/// Why a piece was not taken, and its link is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PieceError {
     /// Its versions make no sense.
+    #[error(
+        "a piece whose versions make no sense: nothing of it was taken, the rest is fetched from others; see whether that \
+         member runs the same version of the program"
+    )]
     Versions,
     /// A value is not of its key's kind.
+    #[error(
+        "a piece with a value that is not of its key's kind: nothing of it was taken, the rest is fetched from others; see \
+         whether that member runs the same version of the program"
+    )]
     Kind,
     /// The stream has more records than may be.
+    #[error(
+        "a stream of more records than `records` allows here: its calls are not known here and cannot be adopted; give all \
+         members the same `records`, above the calls that stand at one"
+    )]
     TooMany,
 }
 
-impl fmt::Display for Refused {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl PieceError {
+    /// In a word, for the log and the page for on-call staff.
+    pub fn name(&self) -> &'static str {
         match self {
-            Refused::Versions => write!(f, "a piece whose versions make no sense"),
-            Refused::Kind => write!(f, "a value that is not of its key's kind"),
-            Refused::TooMany => write!(f, "a stream of more records than may be"),
+            PieceError::Versions => "piece-versions",
+            PieceError::Kind => "piece-kind",
+            PieceError::TooMany => "piece-too-many-records",
         }
     }
 }
 
-impl std::error::Error for Refused {}
-
 impl Piece {
-    fn check(&self) -> Result<(), Refused> {
+    fn check(&self) -> Result<(), PieceError> {
         let versions = self.records.iter().map(|r| r.version);
         let rising = self.records.windows(2).all(|pair| pair[0].version < pair[1].version);
         let within = versions.clone().all(|v| v > self.from && v <= self.upto);
         if !rising || !within || self.upto < self.from || self.records.len() > PIECE {
-            return Err(Refused::Versions);
+            return Err(PieceError::Versions);
         }
         match self.records.iter().all(|r| r.value.is_none_or(|value| value.fits(&r.key))) {
             true => Ok(()),
-            false => Err(Refused::Kind),
+            false => Err(PieceError::Kind),
         }
     }
 }
@@ -385,7 +395,7 @@
         from: MemberId,
         piece: &Piece,
         store: &mut Store,
-    ) -> Result<Taken, Refused> {
+    ) -> Result<Taken, PieceError> {
         piece.check()?;
         let mut taken = Taken::default();
         let most = self.settings.most;
@@ -408,7 +418,7 @@
                 }
                 copy.reaches(piece.upto, 0);
                 if copy.held() > most + crate::stream::TOMBSTONES {
-                    return Err(Refused::TooMany);
+                    return Err(PieceError::TooMany);
                 }
                 if let Some(fetch) = fetch {
                     self.taken += piece.records.len() as u64;
@@ -432,7 +442,7 @@
                 }
                 if incoming.held() > most + crate::stream::TOMBSTONES {
                     self.fetches.remove(&piece.origin);
-                    return Err(Refused::TooMany);
+                    return Err(PieceError::TooMany);
                 }
                 self.taken += piece.records.len() as u64;
                 (fetch.at, fetch.after) = (now, piece.upto);
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -12,7 +12,6 @@
 //! - [`catch_up`]: who lacks what and gets it from whom.
 //! - [`adoption`]: whose the calls of a member that is gone are.
 //! - [`guard`]: what the decision module is told of what others know.
-//! - [`shares`]: what may be used of the fleet's budgets.
 //! - [`member`]: all of it together, words in and words out.
 
 pub mod adoption;
@@ -20,7 +19,6 @@
 pub mod guard;
 pub mod member;
 pub mod record;
-pub mod shares;
 pub mod store;
 pub mod stream;
 
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -9,13 +9,13 @@
 use std::fmt;
 
 use hollypaddle_lending::{BudgetKey, Tell, Want};
-use hollypaddle_membership::view::{Change, Membership, Passed, State};
+use hollypaddle_membership::view::{Change, Membership, State};
 use hollypaddle_membership::{view, Beat, Life, MemberId};
 use hollypaddle_ownership::owner;
 use serde::{Deserialize, Serialize};
 
 use crate::adoption::{self, Adopted};
-use crate::catch_up::{self, Ask, CatchUp, Compared, Held, Piece, Refused, Say};
+use crate::catch_up::{self, Ask, CatchUp, Compared, Held, Piece, PieceError, Say};
 use crate::record::{CallFact, Key, Origin, Place, ServerFact, ServerKey, Value, KINDS};
 use crate::store::{Said, Store};
 use crate::stream::Conflict;
@@ -95,44 +95,54 @@
     Leave,
 }
 
-/// Why a word ends its link.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Bad {
+/// Why a word ends its link. The link is made anew by itself; meanwhile that member is not heard, and is suspected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Rejection {
     /// It is of another version of the protocol.
+    #[error(
+        "version {0} of the protocol, expected {PROTOCOL}: members of different versions do not hear each other; bring all \
+         to one version of the program"
+    )]
     Protocol(u16),
     /// It was meant for another member.
+    #[error(
+        "meant for another member: two members' addresses are mixed up in a block `fleet`; compare the files"
+    )]
     NotForUs,
     /// It comes a second time, or too early.
+    #[error(
+        "a word that has no place there: a stranger, or a fault; if it is a member's address, file the line with the \
+         maintainers"
+    )]
     OutOfPlace,
     /// A stream of nobody in the configuration.
+    #[error(
+        "a stream of no member: the other one's file names a member that this one's does not; send SIGHUP to all after a \
+         change"
+    )]
     Stranger,
     /// Of membership.
-    Passed(Passed),
+    #[error(transparent)]
+    Membership(#[from] view::Rejection),
     /// Of a piece.
-    Piece(Refused),
+    #[error(transparent)]
+    Piece(#[from] PieceError),
 }
 
-impl fmt::Display for Bad {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Rejection {
+    /// In a word, for the log and the page for on-call staff.
+    pub fn name(&self) -> &'static str {
         match self {
-            Bad::Protocol(version) => write!(f, "version {version} of the protocol, expected {PROTOCOL}"),
-            Bad::NotForUs => write!(f, "meant for another member"),
-            Bad::OutOfPlace => write!(f, "a word that has no place there"),
-            Bad::Stranger => write!(f, "a stream of no member"),
-            Bad::Passed(passed) => write!(f, "{passed}"),
-            Bad::Piece(refused) => write!(f, "{refused}"),
+            Rejection::Protocol(_) => "protocol",
+            Rejection::NotForUs => "not-for-us",
+            Rejection::OutOfPlace => "out-of-place",
+            Rejection::Stranger => "stranger",
+            Rejection::Membership(rejection) => rejection.name(),
+            Rejection::Piece(error) => error.name(),
         }
     }
 }
 
-impl std::error::Error for Bad {}
-
-impl From<Passed> for Bad {
-    fn from(passed: Passed) -> Self {
-        Bad::Passed(passed)
-    }
-}
-
 /// How a member came to take calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum How {
@@ -446,13 +456,15 @@
     }
 
     /// Reads the first word on a link: who speaks.
-    pub fn greeted(&mut self, now: f64, word: &Word) -> Result<MemberId, Bad> {
-        let Word::Hello { protocol, from, to, life, known } = *word else { return Err(Bad::OutOfPlace) };
+    pub fn greeted(&mut self, now: f64, word: &Word) -> Result<MemberId, Rejection> {
+        let Word::Hello { protocol, from, to, life, known } = *word else {
+            return Err(Rejection::OutOfPlace);
+        };
         if protocol != PROTOCOL {
-            return Err(Bad::Protocol(protocol));
+            return Err(Rejection::Protocol(protocol));
         }
         if to != self.view.own() || from == to {
-            return Err(Bad::NotForUs);
+            return Err(Rejection::NotForUs);
         }
         self.view.linked(now, from, life, known)?;
         self.catch_up.linked(from);
@@ -474,9 +486,9 @@
     }
 
     /// Takes a word of a member; an error ends its link.
-    pub fn hear(&mut self, now: f64, from: MemberId, word: &Word) -> Result<(), Bad> {
+    pub fn hear(&mut self, now: f64, from: MemberId, word: &Word) -> Result<(), Rejection> {
         match word {
-            Word::Hello { .. } => return Err(Bad::OutOfPlace),
+            Word::Hello { .. } => return Err(Rejection::OutOfPlace),
             Word::Beat(beat) => self.view.hear(now, from, beat)?,
             Word::Digest(held, floors) => self.digest(now, from, held, floors),
             Word::Ask(ask) => self.catch_up.heard_ask(from, ask, &self.store),
@@ -538,12 +550,12 @@
         }
     }
 
-    fn piece(&mut self, now: f64, from: MemberId, piece: &Piece) -> Result<(), Bad> {
+    fn piece(&mut self, now: f64, from: MemberId, piece: &Piece) -> Result<(), Rejection> {
         if self.view.life_of(piece.origin.member).is_none() {
-            return Err(Bad::Stranger);
+            return Err(Rejection::Stranger);
         }
         let lag = self.view.lag(now, from);
-        let taken = self.catch_up.heard_piece(now, lag, from, piece, &mut self.store).map_err(Bad::Piece)?;
+        let taken = self.catch_up.heard_piece(now, lag, from, piece, &mut self.store)?;
         for conflict in taken.conflicts {
             self.counts.conflicts += 1;
             self.tell(Event::Conflict(piece.origin, conflict));
--- a/crates/replica/tests/laws.rs
+++ b/crates/replica/tests/laws.rs
@@ -380,8 +380,8 @@
 /// does no harm.
 #[test]
 fn a_greeting_that_is_not_for_us_is_refused() {
-    use hollypaddle_membership::view::Passed;
-    use hollypaddle_replica::member::{Bad, PROTOCOL};
+    use hollypaddle_membership::view;
+    use hollypaddle_replica::member::{Rejection, PROTOCOL};
     use hollypaddle_replica::{Member, Word};
     let (own, other) = (MemberId(1), MemberId(2));
     let life = Life { incarnation: 1, nonce: 0 };
@@ -389,13 +389,16 @@
     let last = Life { incarnation: u64::MAX, nonce: 0 };
     let hello = |protocol, from, to, known| Word::Hello { protocol, from, to, life, known };
     let none = None;
-    assert_eq!(member.greeted(0.0, &hello(PROTOCOL + 1, other, own, none)), Err(Bad::Protocol(PROTOCOL + 1)));
-    assert_eq!(member.greeted(0.0, &hello(PROTOCOL, other, MemberId(3), none)), Err(Bad::NotForUs));
+    assert_eq!(
+        member.greeted(0.0, &hello(PROTOCOL + 1, other, own, none)),
+        Err(Rejection::Protocol(PROTOCOL + 1))
+    );
+    assert_eq!(member.greeted(0.0, &hello(PROTOCOL, other, MemberId(3), none)), Err(Rejection::NotForUs));
     assert_eq!(
         member.greeted(0.0, &hello(PROTOCOL, MemberId(9), own, none)),
-        Err(Bad::Passed(Passed::Unknown))
+        Err(Rejection::Membership(view::Rejection::NotAMember))
     );
-    assert_eq!(member.greeted(0.0, &Word::Leave), Err(Bad::OutOfPlace));
+    assert_eq!(member.greeted(0.0, &Word::Leave), Err(Rejection::OutOfPlace));
     assert_eq!(member.greeted(0.0, &hello(PROTOCOL, other, own, Some((last, u32::MAX)))), Ok(other));
     assert_eq!(member.view().life().incarnation, u64::MAX, "raised as far as may be");
     let held = Held { origin: member.store().own(), version: 9, hash: 0 };
