Decide who holds a duty: leases from a majority, epochs, fences, an order by weight

Weighed in docs/DUTIES.md: hashing alone (two holders in every split), a consensus crate (a lasting disk), PaxosLease, and one-phase leases after it, which are taken. Change: crates/duties, free of I/O, clock and threads; its world in skipped time and its model in crates/faults; hollypaddle-measure duties; no program uses it yet. Found on the way: 858 words a second at 50, as a refused candidate asked again for ever; it waits a term now.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 	cargo run --release --locked -p hollypaddle-measure -- cores
 	cargo run --release --locked -p hollypaddle-measure -- replication
 	cargo run --release --locked -p hollypaddle-measure -- sites
+	cargo run --release --locked -p hollypaddle-measure -- duties
 
 # Random faults: ROUNDS scripts over real processes, and a hundred times as many in the deterministic world. A script
 # that breaks an invariant is made smaller and written to target/faults.
--- /dev/null
+++ b/crates/duties/src/member.rs
@@ -0,0 +1,394 @@
+//! All duties of a member: what it grants, what it holds, and what it says to others.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+
+use hollypaddle_membership::{Life, MemberId};
+use hollypaddle_ownership::owner;
+
+use crate::acceptor::{Acceptor, Asked};
+use crate::holder::{Holder, Lost, Say};
+use crate::spread::{order, too_many, Candidate};
+use crate::{Duty, DutyKey, Epoch, Kind, Progress, Refusal, Settings, Word, MOST_DUTIES};
+
+/// Words that wait for a member at most; what is lost beyond it is said again.
+const MOST_WAITING: usize = 1024;
+/// Things to be told to the log that are kept until they are taken.
+const MOST_EVENTS: usize = 256;
+
+/// What is to be told to the staff.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// It holds a duty, under an epoch.
+    Taken(Duty, Epoch),
+    /// It holds it no more.
+    Lost(Duty, Epoch, Lost),
+}
+
+#[derive(Clone)]
+struct Own {
+    duty: Duty,
+    holder: Holder,
+    /// Since when nobody holds it, as far as is granted here.
+    free_since: Option<f64>,
+}
+
+/// A member's duties.
+#[derive(Clone)]
+pub struct Duties {
+    own: MemberId,
+    incarnation: u64,
+    settings: Settings,
+    members: Vec<MemberId>,
+    acceptor: Acceptor,
+    duties: BTreeMap<DutyKey, Own>,
+    waiting: BTreeMap<MemberId, VecDeque<Word>>,
+    /// It takes nothing any more, and hands on what it has.
+    leaving: bool,
+    candidates: Vec<Candidate>,
+    events: Vec<Event>,
+}
+
+impl Duties {
+    /// A member that has just started.
+    pub fn new(now: f64, own: MemberId, life: Life, settings: Settings, members: &[MemberId]) -> Duties {
+        Duties {
+            own,
+            incarnation: life.incarnation,
+            settings,
+            members: members.to_vec(),
+            acceptor: Acceptor::new(now, settings),
+            duties: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            leaving: false,
+            candidates: Vec::new(),
+            events: Vec::new(),
+        }
+    }
+
+    /// Takes the duties that the configuration names. One that is named no more is given back.
+    pub fn name(&mut self, now: f64, duties: impl IntoIterator<Item = Duty>) {
+        let named: BTreeMap<DutyKey, Duty> =
+            duties.into_iter().take(MOST_DUTIES).map(|duty| (duty.key(), duty)).collect();
+        let gone: Vec<DutyKey> = self.duties.keys().filter(|key| !named.contains_key(key)).copied().collect();
+        for key in gone {
+            self.give_up(now, key, None);
+            self.duties.remove(&key);
+        }
+        for (key, duty) in named {
+            let (own, incarnation) = (self.own, self.incarnation);
+            self.duties.entry(key).or_insert_with(|| Own {
+                duty,
+                holder: Holder::new(own, incarnation),
+                free_since: None,
+            });
+        }
+    }
+
+    /// The epoch under which this member may act on an exclusive duty now. To be asked right before each act; whoever
+    /// carries the act out passes the epoch through its [`crate::Fence`].
+    pub fn may_act(&self, now: f64, duty: DutyKey) -> Option<Epoch> {
+        self.duties.get(&duty)?.holder.may_act(now)
+    }
+
+    /// Whether a duty that is harmless when doubled is this member's, among the living.
+    pub fn is_mine(&self, duty: DutyKey, living: impl IntoIterator<Item = MemberId>) -> bool {
+        owner(duty.0, living.into_iter().map(|m| (m, m.0))) == Some(self.own)
+    }
+
+    /// How far this member has come with a duty.
+    pub fn progress(&mut self, duty: DutyKey, progress: Progress) {
+        if let Some(own) = self.duties.get_mut(&duty) {
+            own.holder.progress = progress;
+        }
+    }
+
+    /// What is to be told to the staff since this was last asked.
+    pub fn events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    fn tell(&mut self, event: Event) {
+        if self.events.len() < MOST_EVENTS {
+            self.events.push(event);
+        }
+    }
+
+    /// Hands all on, and takes nothing any more: it is about to end.
+    pub fn leave(&mut self, now: f64) {
+        self.leaving = true;
+        let held: Vec<DutyKey> = self.duties.keys().copied().collect();
+        for key in held {
+            let to = self.order(now, key).into_iter().find(|m| *m != self.own);
+            self.give_up(now, key, to);
+        }
+    }
+
+    /// Hands one on, to a member or to whoever comes first.
+    pub fn hand_on(&mut self, now: f64, key: DutyKey, to: Option<MemberId>) {
+        self.give_up(now, key, to);
+    }
+
+    fn give_up(&mut self, now: f64, key: DutyKey, to: Option<MemberId>) {
+        let settings = self.settings;
+        let Some(own) = self.duties.get_mut(&key) else { return };
+        let epoch = own.holder.may_act(now);
+        own.holder.hand_on(now, to, &settings);
+        let duty = own.duty.clone();
+        if let Some(epoch) = epoch {
+            self.tell(Event::Lost(duty, epoch, Lost::HandedOn));
+        }
+        self.speak(now, key);
+    }
+
+    // ---- Words
+
+    /// Takes a word of a member of the configuration.
+    pub fn hear(&mut self, now: f64, from: MemberId, word: &Word) {
+        if !self.members.contains(&from) || from == self.own {
+            return;
+        }
+        match *word {
+            Word::Request { duty, epoch, seq, term_ms, progress, holds, after } => {
+                let term = f64::from(term_ms) / 1000.0;
+                let asked = Asked { by: from, duty, epoch, term, progress, holds, after };
+                // An epoch is its asker's own: nobody asks under another's.
+                if epoch.member != from.0 {
+                    return;
+                }
+                match self.acceptor.asked(now, &asked) {
+                    Some(Ok(())) => self.send(from, Word::Granted { duty, epoch, seq }),
+                    Some(Err((why, highest))) => self.send(from, Word::Refused { duty, epoch, highest, why }),
+                    None => {}
+                }
+            }
+            Word::Granted { duty, epoch, seq } => self.granted(now, from, duty, epoch, seq),
+            Word::Refused { duty, epoch, highest, why } => {
+                self.acceptor.heard_of(duty, highest);
+                self.refused(now, from, duty, epoch, highest, why);
+            }
+            Word::Release { duty, epoch, to, used } => {
+                if epoch.member != from.0 {
+                    return;
+                }
+                self.acceptor.released(now, duty, epoch, to, used);
+                let Some(own) = self.duties.get_mut(&duty) else { return };
+                if used {
+                    own.holder.heard_of(epoch);
+                }
+                if to == Some(self.own) && !self.leaving {
+                    own.holder.ask(now, Some(epoch));
+                    self.speak(now, duty);
+                }
+            }
+        }
+    }
+
+    fn granted(&mut self, now: f64, by: MemberId, key: DutyKey, epoch: Epoch, seq: u32) {
+        let (settings, members) = (self.settings, self.members.len());
+        let Some(own) = self.duties.get_mut(&key) else { return };
+        if own.holder.granted(now, by, epoch, seq, &settings, members) {
+            let duty = own.duty.clone();
+            self.tell(Event::Taken(duty, epoch));
+        }
+    }
+
+    fn refused(&mut self, now: f64, by: MemberId, key: DutyKey, epoch: Epoch, highest: Epoch, why: Refusal) {
+        let (settings, members) = (self.settings, self.members.len());
+        let Some(own) = self.duties.get_mut(&key) else { return };
+        own.holder.heard_of(highest);
+        if let Some(lost) = own.holder.refused(now, (by, epoch, why), &settings, members) {
+            let duty = own.duty.clone();
+            self.tell(Event::Lost(duty, epoch, lost));
+        }
+        self.speak(now, key);
+    }
+
+    /// Says to all acceptors what a holder has to say, the own one among them.
+    fn speak(&mut self, now: f64, key: DutyKey) {
+        // The own acceptor's answer may bring another word: a refusal that ends it.
+        for _ in 0..4 {
+            let Some(own) = self.duties.get_mut(&key) else { return };
+            let says = std::mem::take(&mut own.holder.says);
+            if says.is_empty() {
+                return;
+            }
+            let progress = own.holder.progress;
+            for say in says {
+                self.say_to_all(now, key, say, progress);
+            }
+        }
+    }
+
+    fn say_to_all(&mut self, now: f64, duty: DutyKey, say: Say, progress: Progress) {
+        let holds = self.may_act(now, duty).is_some();
+        let word = match say {
+            Say::Request { epoch, seq, after } => {
+                let term_ms = (self.settings.term * 1000.0) as u32;
+                Word::Request { duty, epoch, seq, term_ms, progress, holds, after }
+            }
+            Say::Release { epoch, to, used } => Word::Release { duty, epoch, to, used },
+        };
+        let others: Vec<MemberId> = self.members.iter().copied().filter(|m| *m != self.own).collect();
+        for member in others {
+            self.send(member, word.clone());
+        }
+        match say {
+            Say::Request { epoch, seq, after } => {
+                let term = self.settings.term;
+                let asked = Asked { by: self.own, duty, epoch, term, progress, holds, after };
+                match self.acceptor.asked(now, &asked) {
+                    Some(Ok(())) => self.granted(now, self.own, duty, epoch, seq),
+                    Some(Err((why, highest))) => {
+                        let (settings, members) = (self.settings, self.members.len());
+                        let Some(own) = self.duties.get_mut(&duty) else { return };
+                        own.holder.heard_of(highest);
+                        let lost = own.holder.refused(now, (self.own, epoch, why), &settings, members);
+                        if let Some(lost) = lost {
+                            let duty = own.duty.clone();
+                            self.tell(Event::Lost(duty, epoch, lost));
+                        }
+                    }
+                    None => {}
+                }
+            }
+            Say::Release { epoch, to, used } => self.acceptor.released(now, duty, epoch, to, used),
+        }
+    }
+
+    fn send(&mut self, to: MemberId, word: Word) {
+        let waiting = self.waiting.entry(to).or_default();
+        if waiting.len() < MOST_WAITING {
+            waiting.push_back(word);
+        }
+    }
+
+    /// The next word to a member for which there is room.
+    pub fn say(&mut self, to: MemberId) -> Option<Word> {
+        self.waiting.get_mut(&to)?.pop_front()
+    }
+
+    /// A link is down: what waits for it is old when it is up again.
+    pub fn unlinked(&mut self, member: MemberId) {
+        self.waiting.remove(&member);
+    }
+
+    // ---- Time
+
+    /// What time brings; the candidates are those of the living that may hold duties, with their weights. Called at least
+    /// every few tens of milliseconds.
+    pub fn tick(&mut self, now: f64, candidates: &[Candidate]) {
+        self.candidates.clear();
+        self.candidates.extend_from_slice(candidates);
+        let settings = self.settings;
+        for key in self.duties.keys().copied().collect::<Vec<_>>() {
+            let Some(own) = self.duties.get_mut(&key) else { continue };
+            if own.duty.kind == Kind::Harmless {
+                continue;
+            }
+            let epoch = own.holder.may_act(now);
+            if let Some(lost) = own.holder.tick(now, &settings) {
+                let (duty, epoch) = (own.duty.clone(), epoch.unwrap_or_default());
+                self.tell(Event::Lost(duty, epoch, lost));
+            }
+            self.speak(now, key);
+            self.try_for(now, key);
+        }
+        self.even_out(now);
+    }
+
+    /// Asks for a duty that nobody holds, when it is this member's turn.
+    fn try_for(&mut self, now: f64, key: DutyKey) {
+        let reserved = self.acceptor.reserved(now, key).is_some_and(|to| to != self.own);
+        let held = reserved || self.acceptor.holder(now, key).is_some();
+        let highest = self.acceptor.highest(key);
+        let Some(own) = self.duties.get_mut(&key) else { return };
+        own.holder.heard_of(highest);
+        own.free_since = match held {
+            true => None,
+            false => own.free_since.or(Some(now)),
+        };
+        let Some(since) = own.free_since.filter(|_| own.holder.is_idle()) else { return };
+        // One that does not grant yet does not know whether others hold it.
+        if self.leaving || !self.acceptor.grants(now) {
+            return;
+        }
+        let Some(rank) = self.order(now, key).iter().position(|m| *m == self.own) else { return };
+        if now - since < self.settings.step * rank as f64 {
+            return;
+        }
+        if let Some(own) = self.duties.get_mut(&key) {
+            own.holder.ask(now, None);
+        }
+        self.speak(now, key);
+    }
+
+    /// The order of candidates of a duty, by what is granted here.
+    fn order(&self, now: f64, key: DutyKey) -> Vec<MemberId> {
+        let exclusive = self.duties.values().filter(|own| own.duty.kind == Kind::Exclusive).count();
+        order(key, &self.candidates, &self.held(now), exclusive)
+    }
+
+    fn held(&self, now: f64) -> BTreeMap<MemberId, usize> {
+        let mut held = BTreeMap::new();
+        for (key, member, _) in self.acceptor.holders(now) {
+            if self.duties.contains_key(&key) {
+                *held.entry(member).or_default() += 1;
+            }
+        }
+        held
+    }
+
+    /// Hands a duty on where this member holds too many for long enough.
+    fn even_out(&mut self, now: f64) {
+        let exclusive = self.duties.values().filter(|own| own.duty.kind == Kind::Exclusive).count();
+        if !too_many(self.own, &self.candidates, &self.held(now), exclusive) {
+            return;
+        }
+        let settled =
+            |own: &&Own| own.holder.since().is_some_and(|since| now - since >= self.settings.settle);
+        let Some(key) = self.duties.values().find(settled).map(|own| own.duty.key()) else { return };
+        let to = self.order(now, key).into_iter().find(|m| *m != self.own);
+        if to.is_some() {
+            self.give_up(now, key, to);
+        }
+    }
+
+    // ---- Reports
+
+    /// Each duty as it is seen here.
+    pub fn snapshot(&self, now: f64) -> Vec<Row> {
+        let row = |(key, own): (&DutyKey, &Own)| Row {
+            duty: own.duty.clone(),
+            holder: self.acceptor.holder(now, *key),
+            acts: own.holder.may_act(now),
+            free_for: own.free_since.map(|since| now - since),
+        };
+        self.duties.iter().map(row).collect()
+    }
+}
+
+/// A duty as an operator or a test sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// Which.
+    pub duty: Duty,
+    /// Who holds it, as far as is granted here.
+    pub holder: Option<(MemberId, Epoch)>,
+    /// The epoch under which this member may act.
+    pub acts: Option<Epoch>,
+    /// For how long nobody holds it, as far as is granted here, in seconds.
+    pub free_for: Option<f64>,
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: ", self.duty)?;
+        match (self.acts, self.holder, self.free_for) {
+            (Some(epoch), ..) => write!(f, "held here under epoch {epoch}"),
+            (_, Some((member, epoch)), _) => write!(f, "held by {:016x} under epoch {epoch}", member.0),
+            (.., Some(free)) => write!(f, "held by nobody for {free:.1} s"),
+            _ => write!(f, "not looked at yet"),
+        }
+    }
+}
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`check`]: what must hold, over the record of events.
 
 pub mod check;
+pub mod duties;
 pub mod real;
 pub mod script;
 pub mod world;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,6 +5,7 @@
 mod crossings;
 mod decisions;
 mod delays;
+mod duties;
 mod replication;
 mod scale;
 mod sites;
@@ -41,6 +42,8 @@
     Crossings,
     /// What gatekeepers lose that share nothing, and what replication gives back.
     Replication,
+    /// Who holds a duty of the fleet, and how long nobody does.
+    Duties,
     /// The loss of a whole site and its return.
     Sites,
     /// Several workers: what the ways to them cost.
@@ -56,6 +59,7 @@
             Vec::new()
         }
         Name::Replication => replication::measure(args.runs.max(1), &args.program, &args.out)?,
+        Name::Duties => duties::measure(args.runs.max(1), &args.out)?,
         Name::Sites => sites::measure(args.runs.max(1), &args.out)?,
         Name::Crossings => crossings::measure(args.runs.max(1), &args.out)?,
     };
