Test that calls with a known end are not adopted

Cause: with the guard in adoption.rs, adopted(), taken out (a call that some stream ends is adopted all the same) the tests of membership, replica, lending and faults passed. Change: a test over two members' views. Measured: it fails without the guard and passes with it.

--- a/crates/replica/tests/laws.rs
+++ b/crates/replica/tests/laws.rs
@@ -444,3 +444,38 @@
     store.copy(origin(2)).unwrap().write(1.0, Key::Call(7), None);
     assert_eq!((store.call(7), store.told(7)), (None, true));
 }
+
+/// Of the calls of one that is gone those are adopted that no stream ends, each by one of the living. Guards against a call
+/// that is seen to after its end was told: its caller would be told again when its server is lost.
+#[test]
+fn calls_with_a_known_end_are_not_adopted() {
+    use hollypaddle_membership::view::{Membership, Settings};
+    use hollypaddle_replica::adoption::adopted;
+    let fact = CallFact { server: ServerKey(1), class: 1 };
+    let life = Life { incarnation: 1, nonce: 0 };
+    let mut seen = BTreeMap::new();
+    for own in [1, 3] {
+        let members = [1, 2, 3].map(MemberId);
+        let mut view = Membership::new(0.0, MemberId(own), life, Settings::default(), members);
+        for member in members.into_iter().filter(|m| m.0 != own) {
+            view.linked(0.0, member, life, None).unwrap();
+        }
+        view.left(1.0, MemberId(2));
+        let mut store = Store::new(origin(own));
+        for id in 0..40 {
+            store.copy(origin(2)).unwrap().write(0.0, Key::Call(id), Some(Value::Call(fact)));
+        }
+        // Every other one is over, as the one or the other of those who live says.
+        for id in (0..40).step_by(2) {
+            let ender = if id % 4 == 0 { 1 } else { 3 };
+            let stream = if ender == own { store.own_stream() } else { store.copy(origin(ender)).unwrap() };
+            stream.write(0.5, Key::Over(id), Some(Value::Over));
+        }
+        for id in adopted(&store, &view).into_keys() {
+            assert_eq!(id % 2, 1, "call {id} is over");
+            assert_eq!(seen.insert(id, own), None, "call {id} is adopted by two");
+        }
+    }
+    assert_eq!(seen.len(), 20, "each that stands has somebody");
+    assert!(seen.values().any(|m| *m == 1) && seen.values().any(|m| *m == 3), "they are divided");
+}
