Test that one refused link is no death

Cause: with the duration in view.rs, judge(), taken out (one link that is refused after 0.3 s of silence counts as the process's end) the tests of membership, replica, lending and faults passed; a process that restarts would be held to be gone. Change: a test of one refusal, of a start after it, and of refusals that go on. Measured: it fails without the guard and passes with it.

--- a/crates/membership/tests/quorum.rs
+++ b/crates/membership/tests/quorum.rs
@@ -137,3 +137,29 @@
     assert!(matches!(group.state(0, 4), State::Suspected(_)));
     assert_eq!(group.state(1, 4), State::Alive);
 }
+
+/// A process that is started anew refuses a link for a moment: that is no death, however long its last word was ago, until it
+/// has refused for a while.
+#[test]
+fn one_link_that_is_refused_is_no_death() {
+    let mut group = Group::of(3);
+    group.pass(1.0);
+    group.split(&[1], &[0, 2]);
+    group.pass(0.34);
+    let now = group.now;
+    group.views[0].refused(now, id(1));
+    group.pass(0.2);
+    assert!(group.gone.is_empty(), "{:?}", group.gone);
+    // It is there again.
+    let life = Life { incarnation: 99, nonce: 1 };
+    let now = group.now;
+    group.views[0].linked(now, id(1), life, None).unwrap();
+    group.pass(0.2);
+    assert!(group.gone.is_empty(), "{:?}", group.gone);
+    // One that goes on refusing has ended.
+    let now = group.now;
+    group.views[0].unlinked(id(1));
+    group.views[0].refused(now, id(1));
+    group.pass(0.5);
+    assert!(group.gone.contains(&(0, id(1), true)), "{:?}", group.gone);
+}
