Test that a beat which was overtaken counts for nothing

Cause: with the look at the number of a beat in view.rs, hear(), taken out the tests of membership, replica, lending and faults passed. Change: a test of one that comes behind a later one. Measured: it fails without the guard and passes with it.

--- a/crates/membership/tests/quorum.rs
+++ b/crates/membership/tests/quorum.rs
@@ -163,3 +163,15 @@
     group.pass(0.5);
     assert!(group.gone.contains(&(0, id(1), true)), "{:?}", group.gone);
 }
+
+/// A beat that comes again, or behind a later one, changes nothing that the later one said.
+#[test]
+fn a_beat_that_was_overtaken_counts_for_nothing() {
+    let mut group = Group::of(2);
+    let first = group.views[1].beat(0.0, id(0), false).unwrap();
+    let second = group.views[1].beat(0.2, id(0), true).unwrap();
+    group.views[0].hear(0.2, id(1), &second).unwrap();
+    assert!(group.views[0].ready(id(1)));
+    group.views[0].hear(0.3, id(1), &first).unwrap();
+    assert!(group.views[0].ready(id(1)), "it has caught up since");
+}
