Let a full fence refuse further duties instead of forgetting one

Cause, on reading the change again: fence.rs, pass(), dropped the duty of the lowest key at 256 and with it its epoch, so that an old order of that duty could have passed.

--- a/crates/duties/src/acceptor.rs
+++ b/crates/duties/src/acceptor.rs
@@ -73,11 +73,6 @@
         now >= self.from
     }
 
-    /// Takes settings read anew. What may have been granted by the old ones is waited for where the term was longer.
-    pub fn change(&mut self, settings: Settings) {
-        self.settings = settings;
-    }
-
     /// Hears a request. Nothing is answered before this acceptor grants at all: `None`.
     pub fn asked(&mut self, now: f64, asked: &Asked) -> Option<Result<(), (Refusal, Epoch)>> {
         if now < self.from {
--- a/crates/duties/src/fence.rs
+++ b/crates/duties/src/fence.rs
@@ -4,17 +4,23 @@
 
 use crate::{DutyKey, Epoch, MOST_DUTIES};
 
-/// An order under an epoch that is over.
+/// Why an order is not carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error(
-    "an order under epoch {given}, while {known} is known: its holder was paused or cut off after its last look; nothing \
-     was done, and the present holder goes on"
-)]
-pub struct StaleEpoch {
-    /// Under which it came.
-    pub given: Epoch,
-    /// Which is known.
-    pub known: Epoch,
+pub enum FenceError {
+    /// It comes under an epoch that is over.
+    #[error(
+        "an order under epoch {given}, while {known} is known: its holder was paused or cut off after its last look; nothing \
+         was done, and the present holder goes on"
+    )]
+    StaleEpoch {
+        /// Under which it came.
+        given: Epoch,
+        /// Which is known.
+        known: Epoch,
+    },
+    /// It is of a duty beyond those that can be kept in mind.
+    #[error("an order of one duty more than the {MOST_DUTIES} that are known here: nothing was done; name fewer duties")]
+    Full,
 }
 
 /// The highest epoch of each duty under which an order came here. Whoever takes orders has one.
@@ -27,15 +33,16 @@
 
 impl Fence {
     /// Lets an order pass, and none of an earlier epoch after it. One that is refused is the fault of nobody here.
-    pub fn pass(&mut self, duty: DutyKey, given: Epoch) -> Result<(), StaleEpoch> {
-        // A bound on what others may name; beyond it the oldest goes, which others that know it still refuse.
+    pub fn pass(&mut self, duty: DutyKey, given: Epoch) -> Result<(), FenceError> {
+        // None is forgotten for another: an old order of that one would pass.
         if self.highest.len() >= MOST_DUTIES && !self.highest.contains_key(&duty) {
-            self.highest.pop_first();
+            self.refused += 1;
+            return Err(FenceError::Full);
         }
         let known = self.highest.entry(duty).or_insert(given);
         if given < *known {
             self.refused += 1;
-            return Err(StaleEpoch { given, known: *known });
+            return Err(FenceError::StaleEpoch { given, known: *known });
         }
         *known = given;
         Ok(())
@@ -57,10 +64,14 @@
         let epoch = |round| Epoch { round, member: 1, incarnation: 0 };
         assert_eq!(fence.pass(duty, epoch(3)), Ok(()));
         assert_eq!(fence.pass(duty, epoch(5)), Ok(()));
-        assert_eq!(fence.pass(duty, epoch(3)), Err(StaleEpoch { given: epoch(3), known: epoch(5) }));
+        assert_eq!(
+            fence.pass(duty, epoch(3)),
+            Err(FenceError::StaleEpoch { given: epoch(3), known: epoch(5) })
+        );
         assert_eq!((fence.pass(duty, epoch(5)), fence.refused), (Ok(()), 1));
         assert_eq!(fence.pass(DutyKey(8), epoch(1)), Ok(()), "of another duty");
-        (100..1100).for_each(|n| fence.pass(DutyKey(n), epoch(1)).unwrap());
-        assert!(fence.highest.len() <= MOST_DUTIES);
+        let passed = (100..1100).filter(|n| fence.pass(DutyKey(*n), epoch(1)).is_ok()).count();
+        assert_eq!(passed, MOST_DUTIES - 2, "bounded, and none is forgotten for another");
+        assert!(fence.pass(duty, epoch(3)).is_err());
     }
 }
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -30,7 +30,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-pub use fence::{Fence, StaleEpoch};
+pub use fence::{Fence, FenceError};
 pub use member::Duties;
 
 /// Duties that a member keeps in mind at most, its own and those that others asked it for.
