--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -237,6 +237,12 @@
         self.clock.now()
     }
 
+    /// Set-ups of which a part is written to a server.
+    #[cfg(test)]
+    pub fn half_written(&self) -> usize {
+        self.servers.half_written()
+    }
+
     /// Lets time pass at once.
     pub fn skip(&mut self, seconds: f64) {
         self.clock.skip(seconds);
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -271,6 +271,13 @@
         }
     }
 
+    /// Set-ups of which a part is written.
+    #[cfg(test)]
+    pub fn half_written(&self) -> usize {
+        let channels = self.servers.values().flat_map(|s| s.channels.values());
+        channels.map(|c| c.open.values().filter(|o| o.end > c.connection.written()).count()).sum()
+    }
+
     /// Releases a call at every server, as it is not known where it stands.
     pub fn release_anywhere(&mut self, id: u64, watch: &Watch) {
         for server in self.servers.values_mut() {
--- a/crates/gatekeeper/src/node/tests/rare.rs
+++ b/crates/gatekeeper/src/node/tests/rare.rs
@@ -27,21 +27,33 @@
         let _ = self.caller.read(&mut self.heard);
     }
 
-    /// Callers' large set-ups until the only connection to the server takes no more. Returns the callers and their ids, of
-    /// which the last one waits for another connection and the one before is half written.
-    fn block(&mut self) -> Vec<(u64, Peer)> {
-        let before = self.node.figures_now().forwards;
-        let mut callers = Vec::new();
+    /// One server whose connection takes little at once.
+    fn narrow(sockets: usize) -> World {
+        let mut w = World::new(1);
+        socket2::SockRef::from(&w.listeners[0]).set_recv_buffer_size(4096).unwrap();
+        let mut config = config(&w.listeners, &w.dns);
+        (config.sockets, config.memory) = (sockets, 512 << 20);
+        // Time stands still, so that the server is not silent.
+        w.node = Gatekeeper::on_clock(config, Clock::still(1e9)).unwrap();
+        w.servers.clear();
+        w.until("another connection", |w| !w.servers.is_empty());
+        w.caller = w.caller();
+        w
+    }
+
+    /// Large set-ups of a few callers in turn, until the only connection to the server takes no more and has half of the last
+    /// one. Returns its id and the callers, its own first.
+    fn block(&mut self) -> (u64, Vec<Peer>) {
+        let mut callers: Vec<Peer> = (0..4).map(|_| self.caller()).collect();
         for id in 1_000..3_000 {
-            let mut caller = self.caller();
-            caller.send(&large(id)).unwrap();
-            callers.push((id, caller));
+            callers.rotate_right(1);
+            callers[0].send(&large(id)).unwrap();
             (0..2).for_each(|_| self.blind_turn());
-            if self.node.figures_now().forwards - before < callers.len() as u64 {
-                return callers;
+            if self.node.half_written() == 1 {
+                return (id, callers);
             }
         }
-        panic!("{} large set-ups and nothing is blocked", callers.len());
+        panic!("nothing is blocked");
     }
 
     fn begun(&self, id: u64) -> usize {
@@ -130,52 +142,35 @@
 /// set-up must not arrive whole. One that waits behind it and whose caller stays is not lost.
 #[test]
 fn a_half_written_set_up_whose_caller_left_never_arrives_whole() {
-    let mut w = World::with(1, |c| c.memory = 512 << 20);
-    let mut callers = w.block();
-    let (waiting, _stays) = callers.pop().unwrap();
-    let (half, leaves) = callers.pop().unwrap();
-    drop(leaves);
-    (0..3).for_each(|_| w.blind_turn());
-    w.pass(0.2);
-    assert_eq!(w.begun(half), 0, "it came all the same");
-    assert!(w.begun(callers[0].0) >= 1, "the first one is whole");
+    let mut w = World::narrow(64);
+    let (half, mut callers) = w.block();
+    // One that comes now waits behind it.
+    w.caller.send(&set_up(1, 9000)).unwrap();
+    w.blind_turn();
+    drop(callers.remove(0));
+    w.blind_turn();
     w.pass(0.5);
-    assert_eq!(w.begun(waiting), 1, "one that waited is sent on another connection");
+    assert_eq!(w.begun(half), 0, "it came all the same");
+    assert_eq!(w.begun(1_000), 1, "the first one is whole");
+    assert_eq!(w.begun(1), 1, "what waited is sent on another connection");
 }
 
 /// With descriptors for one connection to the server, and that one blocked, what waits for it is refused in the time that
 /// a connection has to come up, not at its deadline.
 #[test]
 fn a_set_up_that_no_connection_takes_is_refused_at_once() {
-    let mut w = World::with(1, |c| (c.memory, c.sockets) = (512 << 20, 24));
-    w.caller.send(&Message::new(kind::TEST, 1).caused(0)).unwrap();
-    let mut answers = Vec::new();
-    let mut callers: Vec<Peer> = Vec::new();
-    let before = w.node.figures_now().forwards;
-    for id in 1_000..3_000 {
-        // Few callers, as few may be connected.
-        let n = (id % 4) as usize;
-        if callers.len() <= n {
-            callers.push(w.caller());
-        }
-        callers[n].send(&large(id)).unwrap();
-        (0..3).for_each(|_| w.blind_turn());
-        if w.node.figures_now().forwards - before < id - 999 {
-            let asked = w.node.now();
-            let refused = |c: &mut Peer, answers: &mut Vec<Message>| {
-                let _ = c.read(answers);
-                answers.iter().any(|m| m.call == id && m.kind == kind::RELEASE)
-            };
-            while !refused(&mut callers[n], &mut answers) && w.node.now() - asked < 9.0 {
-                w.node.skip(0.05);
-                w.blind_turn();
-            }
-            let took = w.node.now() - asked;
-            assert!(took < 2.0, "answered after {took} s: {answers:?}");
-            return;
-        }
+    // Callers may hold seven then.
+    let mut w = World::narrow(24);
+    let _callers = w.block();
+    w.caller.send(&set_up(1, 9000)).unwrap();
+    w.blind_turn();
+    let asked = w.node.now();
+    while w.heard.is_empty() && w.node.now() - asked < 9.0 {
+        w.node.skip(0.05);
+        w.blind_turn();
     }
-    panic!("nothing is blocked");
+    let took = w.node.now() - asked;
+    assert!(took < 1.5, "answered after {took} s: {:?}", w.heard);
 }
 
 /// A caller that connects makes the gatekeeper close the one that was of no use for longest, which has just sent a
