--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -199,6 +199,16 @@
     }
 }
 
+/// One less of an origin's.
+fn less(of: &mut HashMap<Origin, usize>, origin: Origin) {
+    if let Some(count) = of.get_mut(&origin) {
+        *count -= 1;
+        if *count == 0 {
+            of.remove(&origin);
+        }
+    }
+}
+
 /// A call that stands, or no longer does, to be told to other gatekeepers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[expect(missing_docs, reason = "the variants tell what their fields are")]
@@ -228,6 +238,8 @@
     strays: (f64, f64),
     /// Calls without a final answer, by origin; an origin without any is not there.
     open: HashMap<Origin, usize>,
+    /// Calls that stand, by the origin whose caller is to hear of their end; an origin without any is not there.
+    standing: HashMap<Origin, usize>,
     calls: HashMap<CallId, Call>,
     ids: HashMap<u64, CallId>,
     next: CallId,
@@ -256,6 +268,7 @@
             earlier_for: EARLIER,
             strays: (STRAYS, now),
             open: HashMap::new(),
+            standing: HashMap::new(),
             calls: HashMap::new(),
             ids: HashMap::new(),
             next: 0,
@@ -294,26 +307,22 @@
     /// A call has its final answer, or is owed none any more.
     fn settled(&mut self, origin: Origin, bytes: usize) {
         self.held_bytes -= bytes;
-        if let Some(open) = self.open.get_mut(&origin) {
-            *open -= 1;
-            if *open == 0 {
-                self.open.remove(&origin);
-            }
-        }
+        less(&mut self.open, origin);
     }
 
-    /// Calls that stand, by the origin whose caller is to hear of their end.
-    pub fn standing_by_origin(&self) -> HashMap<Origin, usize> {
-        let mut by = HashMap::new();
-        for call in self.calls.values().filter(|c| matches!(c.state, State::Standing { .. })) {
-            *by.entry(call.origin).or_insert(0) += 1;
-        }
-        by
+    /// How many calls of an origin stand.
+    pub fn standing_from(&self, origin: Origin) -> usize {
+        self.standing.get(&origin).copied().unwrap_or(0)
+    }
+
+    /// Whether a call stands, here or in place of another gatekeeper, whose origin is none of these.
+    pub fn stands_elsewhere(&self, here: impl Fn(Origin) -> bool) -> bool {
+        !self.adopted.is_empty() || self.standing.keys().any(|origin| !here(*origin))
     }
 
     /// Calls that still need their final answer, and calls that stand.
     pub fn count(&self) -> (usize, usize) {
-        let standing = self.calls.values().filter(|c| matches!(c.state, State::Standing { .. })).count();
+        let standing = self.standing.values().sum::<usize>();
         (self.calls.len() - standing, standing)
     }
 
@@ -358,6 +367,7 @@
         let gone = self.calls.remove(&call)?;
         self.ids.remove(&gone.id);
         if matches!(gone.state, State::Standing { .. }) {
+            less(&mut self.standing, gone.origin);
             self.note(Change::Over { id: gone.id });
         } else {
             self.settled(gone.origin, gone.bytes());
@@ -644,6 +654,7 @@
                     let attempt = c.attempts.saturating_sub(1);
                     self.events.push(Event::Stood { call, pool, lag: now - sent_at, attempt });
                     self.settled(origin, bytes);
+                    *self.standing.entry(origin).or_default() += 1;
                     self.note(change);
                     let reply = Reply::Stands(description);
                     self.effects.push(Effect::Caller { origin, id, class, reply });
--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -141,10 +141,11 @@
 
     /// Closes connections that are of no use to anyone, and carries on after a pause. Called now and then.
     pub fn beat(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
-        let keys: Vec<Key> = self.connections.keys().copied().collect();
+        let (keys, heir) = (self.connections.keys().copied().collect::<Vec<Key>>(), self.kept(calls));
         for key in keys {
             let idle = |c: &mut Client, calls: &Calls| {
-                calls.open_from(key) == 0 && c.unused(now, MUTE, IDLE) || c.connection.stalled(now, MUTE)
+                let unused = c.unused(now, MUTE, IDLE) && !carries(key, heir, calls);
+                unused || c.connection.stalled(now, MUTE)
             };
             if self.connections.get_mut(&key).is_some_and(|c| idle(c, calls)) {
                 self.close_if(now, key, idle, watch, calls);
@@ -202,17 +203,7 @@
     /// While drained, closes the connections that the lifecycle lets go: those that wait for nothing and
     /// have been quiet a while.
     pub fn drain(&mut self, now: f64, life: &Lifecycle, watch: &Watch, calls: &mut Calls) {
-        let standing = calls.standing_by_origin();
-        // Calls that stand for callers whose own connection is gone have their end told on the connection
-        // that `reply` picks; while drained no new one comes, so that one stays.
-        // Ends that are owed go to the newest connection, so that one stays too.
-        let orphans = standing.keys().any(|origin| !self.connections.contains_key(origin));
-        let newest = self.connections.keys().next_back().copied();
-        let heir = match (orphans, self.owed.is_empty()) {
-            (_, false) => newest,
-            (true, true) => self.heir().or(newest),
-            (false, true) => None,
-        };
+        let heir = self.kept(calls);
         let quiet = |(key, c): (&Key, &Client)| {
             if Some(*key) == heir {
                 return None;
@@ -222,7 +213,7 @@
                 used_at: c.used_at,
                 told: c.told != Told::Nothing,
                 open: calls.open_from(*key),
-                standing: standing.get(key).copied().unwrap_or(0),
+                standing: calls.standing_from(*key),
                 writing: c.connection.blocked(),
             };
             life.closes(now, &state).then_some(*key)
@@ -365,14 +356,16 @@
             if let Some(first) = self.closing.keys().next().copied() {
                 return self.drop_closing(first, watch);
             }
+            let heir = self.kept(calls);
             let idle = |key: Key, c: &Client, calls: &Calls| {
-                calls.open_from(key) == 0 && c.unused(now, MUTE_SHORT, MUTE_SHORT)
+                calls.open_from(key) == 0 && Some(key) != heir && c.unused(now, MUTE_SHORT, MUTE_SHORT)
             };
             let unused = self.connections.iter().filter(|(key, client)| idle(**key, client, calls));
-            let order = |c: &Client| (c.told != Told::Nothing, c.used_at);
+            let order =
+                |key: &Key, c: &Client| (calls.standing_from(*key) > 0, c.told != Told::Nothing, c.used_at);
             let oldest = unused.min_by(|a, b| {
-                let (a, b) = (order(a.1), order(b.1));
-                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+                let (a, b) = (order(a.0, a.1), order(b.0, b.1));
+                (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
             });
             let Some(key) = oldest.map(|(key, _)| *key) else { return };
             self.close_if(now, key, |c, calls| idle(key, c, calls), watch, calls);
@@ -480,6 +473,17 @@
         self.owed.drain(..).map(|(_, id, cut)| (id, cut))
     }
 
+    /// The connection that stays for the ends of calls whose caller's own connection is gone, and for those that are owed.
+    /// Guards against ends that nobody is there to hear of any more, as this side has closed the last connection.
+    fn kept(&self, calls: &Calls) -> Option<Key> {
+        let newest = || self.connections.keys().next_back().copied();
+        match calls.stands_elsewhere(|origin| self.connections.contains_key(&origin)) {
+            _ if !self.owed.is_empty() => newest(),
+            true => self.heir().or_else(newest),
+            false => None,
+        }
+    }
+
     /// The connection on which the end of a call is told whose caller's own connection is gone: one that was
     /// told of a call that stands, the newest of them as the least likely to be closing.
     fn heir(&self) -> Option<Key> {
@@ -524,6 +528,12 @@
     }
 }
 
+/// Whether a connection has to stay: set-ups are open on it, calls stand that came on it, as their callers wait for the end
+/// there, or it is the one that stays for others.
+fn carries(key: Key, heir: Option<Key>, calls: &Calls) -> bool {
+    calls.open_from(key) > 0 || calls.standing_from(key) > 0 || Some(key) == heir
+}
+
 impl Client {
     /// Whether it was of no use for so long: one that was told nothing, counted from its connect, and any
     /// other, counted from the last word.
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -512,6 +512,7 @@
                 }
             }
         }
+        let mut beat = false;
         for timer in self.wheel.advance(now) {
             match timer {
                 Timer::Module(token) => self.calls.events.push(Event::Timer { token }),
@@ -522,14 +523,10 @@
                     self.servers.beat(&mut turn);
                     let mut room = room!(self, now);
                     self.subjects.all().into_iter().for_each(|subject| subject.due(&mut room, &self.own));
-                    self.clients.beat(now, &self.watch, &mut self.calls);
                     if let Some(http) = &mut self.http {
                         http.beat(now, &self.watch);
                     }
-                    if self.life.phase() == Phase::Lameduck {
-                        self.clients.drain(now, &self.life, &self.watch, &mut self.calls);
-                    }
-                    self.listen_as_told(now);
+                    beat = true;
                     self.wheel.set(now + BEAT, Timer::Beat);
                 }
                 Timer::Ask => {
@@ -539,6 +536,16 @@
             }
         }
         self.decide(now);
+        if beat {
+            // Only now is all said that this turn brought. Guards against a connection closed as idle while the end of the
+            // call that kept it is on its way there.
+            self.clients.beat(now, &self.watch, &mut self.calls);
+            if self.life.phase() == Phase::Lameduck {
+                self.clients.drain(now, &self.life, &self.watch, &mut self.calls);
+            }
+            self.listen_as_told(now);
+            self.decide(now);
+        }
         let mut room = room!(self, now);
         self.subjects.all().into_iter().for_each(|subject| subject.carry_out(&mut room));
         Ok(())
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -365,7 +365,11 @@
     assert!(others.iter_mut().all(|c| c.read(&mut got).is_err()), "each is closed in time");
     w.servers_say(&answer(1));
     w.heard(1, kind::ANSWER, None);
-    // Nor are those kept for good that ask for nothing more.
+    // Nor are those kept for good that ask for nothing more, but for one whose caller waits for the end of a call.
+    w.pass(9.0);
+    assert!(late.read(&mut got).is_err() && w.caller.read(&mut got).is_ok());
+    w.servers_say(&release(1, cause::NORMAL));
+    w.heard(1, kind::RELEASE, Some(cause::NORMAL));
     w.pass(9.0);
     assert!(late.read(&mut got).is_err() && w.caller.read(&mut got).is_err());
 }
--- a/crates/gatekeeper/src/node/tests/rare.rs
+++ b/crates/gatekeeper/src/node/tests/rare.rs
@@ -334,3 +334,24 @@
     assert_eq!(w.begun(1), 0, "{:?}", w.at_servers);
     w.heard(1, kind::RELEASE, None);
 }
+
+/// A call stands for long and nothing else is said, on its caller's own connection or, as that is gone, on the one that is
+/// left: this side does not close it, as the end would find nobody.
+#[test]
+fn a_connection_that_the_end_of_a_call_needs_is_not_idle() {
+    for own_is_gone in [false, true] {
+        let mut w = World::new(1);
+        w.stand(1);
+        if own_is_gone {
+            w.caller = w.caller();
+            w.stand(2);
+            w.servers_say(&release(2, cause::NORMAL));
+            w.heard(2, kind::RELEASE, Some(cause::NORMAL));
+        }
+        w.pass(20.0);
+        w.servers_say(&release(1, cause::NORMAL));
+        w.pass(0.9);
+        let told = w.heard.iter().any(|m| m.call == 1 && m.kind == kind::RELEASE);
+        assert!(told, "own is gone: {own_is_gone}, {:?}", w.heard);
+    }
+}
