--- a/crates/gatekeeper/tests/rare.rs
+++ b/crates/gatekeeper/tests/rare.rs
@@ -172,7 +172,7 @@
 fn idle_callers_leave_descriptors_to_servers_and_to_a_reload() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("n0.json");
-    let (listeners, silent) = (listeners(12), UdpSocket::bind("127.0.0.1:0").unwrap());
+    let (listeners, silent) = (listeners(16), UdpSocket::bind("127.0.0.1:0").unwrap());
     std::fs::write(&path, config(&listeners, &silent, 64)).unwrap();
     let listen = free_addresses(1).unwrap()[0];
     let program = Program::start(&path, listen, 64);
@@ -189,7 +189,7 @@
             std::thread::sleep(Duration::from_millis(1));
         }
     };
-    until("a connection to each server", &mut |up| up >= 12);
+    until("a connection to each server", &mut |up| up >= 16);
     let mut asking = peer(TcpStream::connect(listen).unwrap()).unwrap();
     asking.send(&Message::new(kind::TEST, 1).caused(0)).unwrap();
     asking.send(&set_up("meter-read", 3, 2, 2000)).unwrap();
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -147,7 +147,8 @@
         value: class.value,
         late_worth: class.late_worth,
         pools: pools.get(i).cloned().unwrap_or_default(),
-        repeatable: class.effect.is_empty() || class.effect == "read_like",
+        // What does not say so may not be repeated; nor is a class with a key, within its window and group or not.
+        repeatable: class.effect == "read_like",
     });
     let limits = profile.limits;
     let settings = Settings {
