--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -348,12 +348,13 @@
         self.connections.len() + self.closing.len()
     }
 
-    /// Drops the connection that was closed here first; where there is none, closes the one that has been of no use for
+    /// Drops the connection that was closed here first, one with nothing to write if there is one; where there is none, closes the one that has been of no use for
     /// longest, the ones that were told nothing first. Guards against callers locked out by others that connect by
     /// hundreds and say nothing, or ask once and keep their connection for good.
     fn make_room(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
         for _ in 0..LOOKS {
-            if let Some(first) = self.closing.keys().next().copied() {
+            let order = |(key, c): &(&Key, &Closing)| (c.connection.blocked(), **key);
+            if let Some(first) = self.closing.iter().min_by_key(order).map(|(key, _)| *key) {
                 return self.drop_closing(first, watch);
             }
             let heir = self.kept(calls);
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -461,6 +461,12 @@
             }
             for ready in all {
                 self.clients.ready(self.clock.now(), ready, &mut self.watch, &mut self.calls);
+                // What servers and the resolver still say is read away: what is ready would be so again at once.
+                let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
+                self.servers.ready(ready, &mut turn);
+                if ready.key == self.resolver_key {
+                    self.resolver.read();
+                }
             }
         }
         log::info!(refused = open, standing; "stopped");
