--- a/crates/drive/src/cold.rs
+++ b/crates/drive/src/cold.rs
@@ -84,6 +84,21 @@
     pub cold: f64,
 }
 
+/// Two kinds of deployment: three times the capacity in 1 s, and twice in 1.5 s with servers a sixth as large.
+pub const KINDS: [(&str, f64, f64, f64, f64); 2] = [
+    ("3 times in 1 s, 65 calls/s", 3.0, 1.0, 0.29, 65.0),
+    ("2 times in 1.5 s, 11 calls/s", 2.0, 1.5, 0.34, 11.0),
+];
+
+impl Figures {
+    /// Those of a kind, with so many fronts before four servers at 88% of what they can do.
+    pub fn of(kind: (&str, f64, f64, f64, f64), fronts: usize) -> Figures {
+        let (_, overload_factor, tip_after, cold_from, capacity) = kind;
+        let (servers, load, cold) = (4, 0.88, 14.0);
+        Figures { fronts, servers, capacity, load, overload_factor, tip_after, cold_from, cold }
+    }
+}
+
 /// What a run showed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Shown {
--- a/crates/drive/tests/cold.rs
+++ b/crates/drive/tests/cold.rs
@@ -1,24 +1,14 @@
 //! The cold budget as a sum: a few of the runs of `hollypaddle-measure cold`, with fixed seeds.
 
-use hollypaddle_drive::cold::{play, Case, Figures};
+use hollypaddle_drive::cold::{play, Case, Figures, KINDS};
 
 /// What fronts send to a cold server that were told of its start stays within what the settings allow in any window, and
 /// two roots of it and two, whoever else is pressed, redials, restarts or drains; and the server is not left idle.
 #[test]
 fn a_cold_server_bears_what_all_fronts_send_in_sum() {
-    for (overload_factor, tip_after, cold_from, capacity) in [(3.0, 1.0, 0.29, 65.0), (2.0, 1.5, 0.34, 11.0)]
-    {
+    for kind in KINDS {
         for fronts in [1, 8, 30] {
-            let figures = Figures {
-                fronts,
-                servers: 4,
-                capacity,
-                load: 0.88,
-                overload_factor,
-                tip_after,
-                cold_from,
-                cold: 14.0,
-            };
+            let figures = Figures::of(kind, fronts);
             for case in Case::ALL {
                 for seed in 1..=2 {
                     let shown = play(figures, case, seed);
--- a/crates/measure/src/cold.rs
+++ b/crates/measure/src/cold.rs
@@ -5,18 +5,13 @@
 use std::path::Path;
 use std::thread;
 
-use hollypaddle_drive::cold::{play, Case, Figures, Shown};
+use hollypaddle_drive::cold::{play, Case, Figures, Shown, KINDS};
 use minijinja::{context, Environment};
 use serde::Serialize;
 
 const SIZES: [usize; 5] = [1, 8, 20, 30, 300];
 /// Seeds of each case for one run that is asked for.
 const SEEDS: u64 = 40;
-/// Deployments of two kinds: three times the capacity in 1 s, and twice in 1.5 s with servers a sixth as large.
-const KINDS: [(&str, f64, f64, f64, f64); 2] = [
-    ("3 times in 1 s, 65 calls/s", 3.0, 1.0, 0.29, 65.0),
-    ("2 times in 1.5 s, 11 calls/s", 2.0, 1.5, 0.34, 11.0),
-];
 /// Of what a cold server could do, so much is used at the least, in the median run: a ramp that sends nothing passes nothing.
 const LEAST_USED: f64 = 0.2;
 
@@ -42,17 +37,7 @@
 }
 
 fn line(kind: (&'static str, f64, f64, f64, f64), case: Case, fronts: usize, seeds: u64) -> Line {
-    let (name, overload_factor, tip_after, cold_from, capacity) = kind;
-    let figures = Figures {
-        fronts,
-        servers: 4,
-        capacity,
-        load: 0.88,
-        overload_factor,
-        tip_after,
-        cold_from,
-        cold: 14.0,
-    };
+    let figures = Figures::of(kind, fronts);
     let workers = thread::available_parallelism().map_or(1, usize::from) as u64;
     let shown: Vec<Shown> = thread::scope(|scope| {
         let part =
@@ -63,7 +48,7 @@
     let of = |f: fn(&Shown) -> f64| shown.iter().map(f).collect::<Vec<f64>>();
     let mut roots = of(|s| s.most_roots);
     Line {
-        kind: name,
+        kind: kind.0,
         case: format!("{case:?}").to_lowercase(),
         fronts,
         median: at(&mut roots, 0.5),
