Call the fault proxy of the stand-ins a fault proxy, so that a relay is one thing

The file and the type are renamed, with the variables and comments that used the old word; nothing else changes.

--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! - [`script`]: `at 2.5s kill g3`, `at 3s cut g1 -> g2`, `at 4s heal`; drawn by a seed, made smaller when one fails.
 //! - [`world`]: members, links, clocks of their own and servers, stepped by one queue in skipped time.
-//! - [`real`]: real processes of the program, with relays between them, by the same scripts.
+//! - [`real`]: real processes of the program, with fault proxies between them, by the same scripts.
 //! - [`check`]: what must hold, over the record of events.
 
 pub mod check;
--- a/crates/faults/src/real.rs
+++ b/crates/faults/src/real.rs
@@ -1,4 +1,4 @@
-//! Real processes of the program under a script: a group of gatekeepers with relays between any two of them, against
+//! Real processes of the program under a script: a group of gatekeepers with fault proxies between any two of them, against
 //! stand-in callers, servers and resolvers in this process. What is checked is what those saw.
 
 use std::collections::BTreeMap;
@@ -9,7 +9,7 @@
 
 use hollypaddle_standin::free_addresses;
 use hollypaddle_standin::program::{unix_time, Program};
-use hollypaddle_standin::relay::{Relay, Way};
+use hollypaddle_standin::proxy::{FaultProxy, Way};
 use hollypaddle_standin::server::What as Saw;
 use hollypaddle_standin::world::{classes, Plan as WorldPlan, World};
 
@@ -72,8 +72,8 @@
     programs: Vec<Option<Program>>,
     paused: Vec<bool>,
     /// On the way from one to another, and from one to a server.
-    relays: BTreeMap<(usize, usize), Relay>,
-    server_relays: BTreeMap<(usize, usize), Relay>,
+    proxies: BTreeMap<(usize, usize), FaultProxy>,
+    server_proxies: BTreeMap<(usize, usize), FaultProxy>,
     /// Ways between a gatekeeper and a server that were cut, slow or reset, and since when.
     troubled: BTreeMap<(usize, usize), f64>,
     begun: f64,
@@ -94,15 +94,15 @@
         let mut world = World::open(WorldPlan { fronts, servers, classes, seed })?;
         world.servers.iter_mut().for_each(|server| server.ends_anywhere = plan.ends_anywhere);
         let (listen, links) = (free_addresses(n)?, free_addresses(n)?);
-        let mut relays = BTreeMap::new();
+        let mut proxies = BTreeMap::new();
         for (a, b) in (0..n).flat_map(|a| (0..n).map(move |b| (a, b))).filter(|(a, b)| a != b) {
-            relays.insert((a, b), Relay::open(free_addresses(1)?[0], links[b])?);
+            proxies.insert((a, b), FaultProxy::open(free_addresses(1)?[0], links[b])?);
         }
-        let mut server_relays = BTreeMap::new();
+        let mut server_proxies = BTreeMap::new();
         for (g, s) in (0..n).flat_map(|g| (0..plan.servers).map(move |s| (g, s))) {
-            let relay = Relay::open(free_addresses(1)?[0], world.servers[s].address(g))?;
-            world.serve_at(g, s, relay.address());
-            server_relays.insert((g, s), relay);
+            let proxy = FaultProxy::open(free_addresses(1)?[0], world.servers[s].address(g))?;
+            world.serve_at(g, s, proxy.address());
+            server_proxies.insert((g, s), proxy);
         }
         world.connect(&listen);
         let mut group = Group {
@@ -113,8 +113,8 @@
             links,
             programs: (0..n).map(|_| None).collect(),
             paused: vec![false; n],
-            relays,
-            server_relays,
+            proxies,
+            server_proxies,
             troubled: BTreeMap::new(),
             begun: unix_time(),
             history: History::default(),
@@ -136,9 +136,9 @@
         if self.programs[n].is_some() {
             return Ok(());
         }
-        // Each reaches the others through relays of its own.
+        // Each reaches the others through proxies of its own.
         let member = |g: usize| {
-            let address = if g == n { self.links[n] } else { self.relays[&(n, g)].address() };
+            let address = if g == n { self.links[n] } else { self.proxies[&(n, g)].address() };
             format!("    member n{g} {address}\n")
         };
         let members: String = (0..self.plan.gatekeepers).map(member).collect();
@@ -167,8 +167,8 @@
     }
 
     fn to_target(&self, n: usize, down: bool) {
-        let here = self.relays.iter().filter(|((_, to), _)| *to == n);
-        here.for_each(|(_, relay)| relay.down(down));
+        let here = self.proxies.iter().filter(|((_, to), _)| *to == n);
+        here.for_each(|(_, proxy)| proxy.down(down));
     }
 
     fn caught_up(&self, n: usize) -> bool {
@@ -176,19 +176,19 @@
         self.programs[n].as_ref().is_some_and(told)
     }
 
-    /// The relays that carry what one says to another, with the way through each.
-    fn ways(&self, from: End, to: End) -> Vec<(&Relay, Way)> {
+    /// The proxies that carry what one says to another, with the way through each.
+    fn ways(&self, from: End, to: End) -> Vec<(&FaultProxy, Way)> {
         match (from, to) {
             (End::Gatekeeper(a), End::Gatekeeper(b)) => {
-                let there = self.relays.get(&(a, b)).map(|r| (r, Way::There));
-                let back = self.relays.get(&(b, a)).map(|r| (r, Way::Back));
+                let there = self.proxies.get(&(a, b)).map(|r| (r, Way::There));
+                let back = self.proxies.get(&(b, a)).map(|r| (r, Way::Back));
                 there.into_iter().chain(back).collect()
             }
             (End::Gatekeeper(g), End::Server(s)) => {
-                self.server_relays.get(&(g, s)).map(|r| (r, Way::There)).into_iter().collect()
+                self.server_proxies.get(&(g, s)).map(|r| (r, Way::There)).into_iter().collect()
             }
             (End::Server(s), End::Gatekeeper(g)) => {
-                self.server_relays.get(&(g, s)).map(|r| (r, Way::Back)).into_iter().collect()
+                self.server_proxies.get(&(g, s)).map(|r| (r, Way::Back)).into_iter().collect()
             }
             _ => Vec::new(),
         }
@@ -236,19 +236,19 @@
                 self.history.push(now, What::Faulted);
             }
             Fault::Throttle(a, b, rate) => {
-                self.ways(a, b).iter().for_each(|(relay, way)| relay.throttle(*way, Some(rate)));
+                self.ways(a, b).iter().for_each(|(proxy, way)| proxy.throttle(*way, Some(rate)));
                 self.history.push(now, What::Faulted);
             }
             Fault::Cut(a, b) => {
-                self.ways(a, b).iter().for_each(|(relay, way)| relay.cut(*way, true));
+                self.ways(a, b).iter().for_each(|(proxy, way)| proxy.cut(*way, true));
                 self.history.push(now, What::Faulted);
             }
             Fault::Delay(a, b, seconds) => {
-                self.ways(a, b).iter().for_each(|(relay, way)| relay.delay(*way, seconds));
+                self.ways(a, b).iter().for_each(|(proxy, way)| proxy.delay(*way, seconds));
                 self.history.push(now, What::Faulted);
             }
             Fault::Drop(a, b) => {
-                self.ways(a, b).iter().for_each(|(relay, _)| relay.drop_all());
+                self.ways(a, b).iter().for_each(|(proxy, _)| proxy.drop_all());
                 self.history.push(now, What::Faulted);
             }
             Fault::Silence(s) | Fault::Speak(s) if s < self.plan.servers => {
@@ -266,11 +266,11 @@
                 self.drained.entry(s).or_insert(unix);
             }
             Fault::Heal => {
-                for relay in self.relays.values().chain(self.server_relays.values()) {
+                for proxy in self.proxies.values().chain(self.server_proxies.values()) {
                     for way in [Way::There, Way::Back] {
-                        relay.cut(way, false);
-                        relay.delay(way, 0.0);
-                        relay.throttle(way, None);
+                        proxy.cut(way, false);
+                        proxy.delay(way, 0.0);
+                        proxy.throttle(way, None);
                     }
                 }
                 self.world.resolvers_silent(false);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod callers;
 pub mod deployment;
 pub mod program;
-pub mod relay;
+pub mod proxy;
 pub mod resolver;
 pub mod server;
 pub mod world;
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/proxy.rs
@@ -1,7 +1,7 @@
-//! A relay between two processes: what it is told to do to the connections through it is what a network would.
+//! A fault proxy between two processes: what it is told to do to the connections through it is what a network would.
 //!
 //! A cut way holds what is said, as a connection does whose packets are lost; a delayed one passes it on later, a throttled
-//! one slowly; dropped connections are reset. While its target is down the relay's own address refuses connections as the target's would.
+//! one slowly; dropped connections are reset. While its target is down the proxy's own address refuses connections as the target's would.
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -26,7 +26,7 @@
     over: AtomicBool,
 }
 
-/// Which way through a relay.
+/// Which way through a fault proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
     /// From whoever connects to the target.
@@ -35,20 +35,20 @@
     Back = 1,
 }
 
-/// A relay. Its threads end when this is dropped.
-pub struct Relay {
+/// A fault proxy. Its threads end when this is dropped.
+pub struct FaultProxy {
     address: SocketAddr,
     told: Arc<Told>,
 }
 
-impl Relay {
+impl FaultProxy {
     /// Listens at an address and passes connections on to the target.
-    pub fn open(address: SocketAddr, target: SocketAddr) -> io::Result<Relay> {
+    pub fn open(address: SocketAddr, target: SocketAddr) -> io::Result<FaultProxy> {
         let listener = listen(address)?;
         let told = Arc::new(Told::default());
         let shared = Arc::clone(&told);
         std::thread::spawn(move || accept(address, target, listener, &shared));
-        Ok(Relay { address, told })
+        Ok(FaultProxy { address, told })
     }
 
     /// Where it listens.
@@ -82,7 +82,7 @@
     }
 }
 
-impl Drop for Relay {
+impl Drop for FaultProxy {
     fn drop(&mut self) {
         self.told.over.store(true, Ordering::Relaxed);
     }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -277,7 +277,7 @@
         self.resolvers.iter_mut().for_each(|r| r.silent = silent);
     }
 
-    /// Lists a server at another address, for one gatekeeper: a relay's, or a server's of the caller's own.
+    /// Lists a server at another address, for one gatekeeper: a fault proxy's, or a server's of the caller's own.
     pub fn serve_at(&mut self, front: usize, server: usize, address: SocketAddr) {
         self.elsewhere.insert((front, server), address);
         self.position += 1;
