Decide who is at which relay and who hears what: leaves, feeds, settings (no program yet)

Need: every gatekeeper links to every other and is told all of them say; 750 of them do not fit 8 KB a second. Change: crates/relay, free of I/O and clock: roles of relay and leaf behind one trait, placement by zone, region and rendezvous hashing with bounded load, a stream of own records a leaf, feeds a topic, settings with one writer and a majority, byte budgets by rank; records of relays in crates/replica.

--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,221 @@
+//! A tier of relays between the gatekeepers of a large fleet.
+//!
+//! In a small fleet every member has a link to every other and is told all of them say. The bytes of that grow with the
+//! square of the fleet, so at large size a few *relays* know each other in full, as the members of a small fleet do, and
+//! gatekeepers are *leaves*: each is attached to one relay and keeps a warm link to a second.
+//!
+//! - A leaf writes one stream of records (what its own list says of servers, which of them are silent) and tells it to its
+//!   relay as differences. A relay joins what its leaves of one *topic* (a service) say, and writes that, with which
+//!   leaves it has, into its own stream, which the other relays copy by the ways of `replica`. From all relays' streams it
+//!   writes, for each topic, two *feeds*: servers, and leaves. A leaf holds a copy of its own topic's feeds and of nothing
+//!   else, so what it hears does not grow with the fleet.
+//! - The *settings* of the fleet are a set of entries under one version. One relay, the writer, changes it; a change is
+//!   accepted once a majority of relays has stored it, and goes to leaves as differences after the version that they hold.
+//! - What is said on one link is held to a rate of bytes, by rank: servers first, then settings, then leaves. Nothing is
+//!   queued for a link: a message is made of the newest state when there is room for it.
+//! - A leaf that hears no relay keeps all that it has, with its age, and goes on serving by it. The silence of its relay is
+//!   never the death of a peer.
+//!
+//! No I/O, no clock, no threads: times are seconds on the own clock, handed in, and the front makes, reads and writes
+//! the links that a [`Node`] asks for.
+//!
+//! - [`message`]: what is said, and its frames.
+//! - [`placement`]: which relay, in which order, and how many leaves one takes.
+//! - [`budget`]: bytes a second.
+//! - [`copying`]: a stream told on one link as differences, both ends.
+//! - [`settings`]: the set of settings, its versions and differences.
+//! - [`leaf`], [`relay`]: the two roles.
+
+pub mod budget;
+pub mod copying;
+pub mod leaf;
+pub mod message;
+pub mod placement;
+pub mod relay;
+pub mod settings;
+
+pub use leaf::Leaf;
+pub use message::Message;
+pub use relay::Relay;
+
+use hollypaddle_membership::MemberId;
+
+/// A link, as its node numbers it. A number is never used twice in one life of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
+
+/// Why a link is closed for what came on it. It is made anew by itself.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum LinkError {
+    /// The other one speaks a version of the protocol that is not understood here.
+    #[error(
+        "versions {least} to {most} of the relays' protocol, expected {}: bring relays and leaves to versions of the program \
+         that overlap, relays first",
+        message::PROTOCOL
+    )]
+    Protocol {
+        /// The oldest that it speaks.
+        least: u16,
+        /// The newest.
+        most: u16,
+    },
+    /// It was meant for another relay, or came from one that was not looked for there.
+    #[error(
+        "meant for another node: two relays' addresses are mixed up in a block `fleet`; compare the files"
+    )]
+    NotForUs,
+    /// It comes too early, a second time, or from the wrong side.
+    #[error(
+        "a message that has no place there: a stranger, or a fault; if the address is a relay's or a gatekeeper's, file the \
+         line with the maintainers"
+    )]
+    OutOfPlace,
+    /// An earlier life of the speaker, while a later one is known.
+    #[error("an earlier life of a gatekeeper whose later one is attached: end the old process, or give one of them another name")]
+    StaleLife,
+    /// The relay has no room for one more.
+    #[error("no room for another link: raise `leaves`, or add a relay")]
+    Full,
+    /// Records or entries that contradict what they say of themselves.
+    #[error("{0}: nothing of it was taken and it is asked for anew; see whether both run the same version of the program")]
+    Malformed(&'static str),
+    /// The other relay's word was refused.
+    #[error(transparent)]
+    Mesh(#[from] hollypaddle_replica::member::Rejection),
+    /// Both relays made a link in one moment.
+    #[error("a second link between the same two relays: the other one is used; nothing is to be done")]
+    SecondLink,
+}
+
+impl LinkError {
+    /// In a word, for the log and the page for on-call staff.
+    pub fn name(&self) -> &'static str {
+        match self {
+            LinkError::Protocol { .. } => "relay-protocol",
+            LinkError::NotForUs => "relay-not-for-us",
+            LinkError::OutOfPlace => "relay-out-of-place",
+            LinkError::StaleLife => "relay-stale-life",
+            LinkError::Full => "relay-full",
+            LinkError::Malformed(_) => "relay-malformed",
+            LinkError::Mesh(rejection) => rejection.name(),
+            LinkError::SecondLink => "second-link",
+        }
+    }
+}
+
+/// A relay or a leaf, as the front that has its sockets sees it.
+pub trait Node {
+    /// Links that are to be made now, and to whom.
+    fn dials(&mut self, now: f64) -> Vec<(LinkId, MemberId)>;
+
+    /// A link was taken from somebody who has not said who it is.
+    fn accepted(&mut self, now: f64) -> LinkId;
+
+    /// A link that was to be made is up.
+    fn up(&mut self, now: f64, link: LinkId);
+
+    /// A link is down, or could not be made; whether its address refused it. Not called for those that [`Node::closes`]
+    /// names.
+    fn down(&mut self, now: f64, link: LinkId, refused: bool);
+
+    /// Takes a message; after an error the front closes the link and calls [`Node::down`].
+    fn hear(&mut self, now: f64, link: LinkId, message: &Message) -> Result<(), LinkError>;
+
+    /// Links on which something may be said now. Called in every turn; each is asked by [`Node::say`] until it has nothing
+    /// more, or the link has no room.
+    fn due(&mut self, now: f64) -> Vec<LinkId>;
+
+    /// The next message for a link that has room.
+    fn say(&mut self, now: f64, link: LinkId) -> Option<Message>;
+
+    /// A link that had no room has some again.
+    fn writable(&mut self, now: f64, link: LinkId);
+
+    /// Links that are to be closed, once what was said on them is written.
+    fn closes(&mut self) -> Vec<LinkId>;
+
+    /// What time brings. Called before anything that came is taken, and when [`Node::next_at`] says.
+    fn tick(&mut self, now: f64);
+
+    /// When the next turn is wanted at the latest.
+    fn next_at(&self) -> f64;
+}
+
+/// Times and bounds, in seconds and bytes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Timing {
+    /// Between two pings of a leaf to its relay.
+    pub ping: f64,
+    /// The same while its answers are missing: that it is gone is to be certain soon.
+    pub ping_suspect: f64,
+    /// Answers count as missing after this.
+    pub suspect: f64,
+    /// Between two pings to the second choice.
+    pub ping_second: f64,
+    /// A relay that answers nothing for so long is left.
+    pub silent: f64,
+    /// A leaf attaches elsewhere by chance so much later, so that not all of a relay's come in one moment.
+    pub spread: f64,
+    /// A link that does not come up, or on which nobody says who it is, for so long is closed.
+    pub greeting: f64,
+    /// An attachment that is not answered for so long is tried anew.
+    pub answer: f64,
+    /// Between two tries of a link, the first and the longest.
+    pub dial: f64,
+    /// The longest.
+    pub dial_most: f64,
+    /// A better placed relay must have been there for so long before a leaf goes back to it, and by chance up to twice as
+    /// long: what comes back does not get all its leaves at once.
+    pub home: f64,
+    /// Between two digests to a leaf.
+    pub digest: f64,
+    /// A leaf of which nothing is heard for so long is gone.
+    pub gone: f64,
+    /// A leaf whose link was closed and that is attached nowhere after so long is gone.
+    pub closed: f64,
+    /// A leaf that is gone is told of for so long, so that those who were away hear of it.
+    pub forget: f64,
+    /// Bytes a second that a relay says to a leaf, packet headers counted, and in one burst.
+    pub leaf_rate: f64,
+    /// The same, of a leaf to its relay.
+    pub report_rate: f64,
+    /// What may be said at once after a pause, in seconds of the rate.
+    pub burst: f64,
+    /// Most leaves of a relay.
+    pub leaves: usize,
+    /// A relay takes at most this many times what an even spread would give it.
+    pub bound: f64,
+    /// What a leaf that is refused is told to wait before it asks the same relay again.
+    pub retry: f64,
+    /// A change of the settings that no majority has stored after so long is told as undecided.
+    pub undecided: f64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing {
+            ping: 0.4,
+            ping_suspect: 0.08,
+            suspect: 0.55,
+            ping_second: 2.0,
+            silent: 1.4,
+            spread: 0.3,
+            greeting: 1.0,
+            answer: 0.5,
+            dial: 0.1,
+            dial_most: 2.0,
+            home: 30.0,
+            digest: 2.0,
+            gone: 5.0,
+            closed: 3.0,
+            forget: 120.0,
+            leaf_rate: 6144.0,
+            report_rate: 1536.0,
+            burst: 2.0,
+            leaves: 400,
+            bound: 1.25,
+            retry: 5.0,
+            undecided: 3.0,
+        }
+    }
+}
--- a/crates/replica/src/catch_up.rs
+++ b/crates/replica/src/catch_up.rs
@@ -94,7 +94,8 @@
 }
 
 impl Piece {
-    fn check(&self) -> Result<(), PieceError> {
+    /// Whether its versions rise and its values are of their keys' kinds.
+    pub fn check(&self) -> Result<(), PieceError> {
         let versions = self.records.iter().map(|r| r.version);
         let rising = self.records.windows(2).all(|pair| pair[0].version < pair[1].version);
         let within = versions.clone().all(|v| v > self.from && v <= self.upto);
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -365,6 +365,14 @@
         self.adopted.get(&id)
     }
 
+    /// Writes a record of a relay's into the own stream, or withdraws it.
+    pub fn publish(&mut self, at: f64, key: Key, value: Option<Value>) {
+        match value {
+            Some(value) => self.write(at, key, value),
+            None => _ = self.store.own_stream().write(at, key, None),
+        }
+    }
+
     fn write(&mut self, at: f64, key: Key, value: Value) {
         let most = self.settings.catch_up.most;
         let stream = self.store.own_stream();
--- a/crates/replica/src/record.rs
+++ b/crates/replica/src/record.rs
@@ -55,10 +55,28 @@
     Want(BudgetKey),
     /// What the origin lends of its part to a member.
     Lent(BudgetKey, MemberId),
+    /// What a relay's leaves of a topic say of a server, joined.
+    TopicServer(Topic, ServerKey),
+    /// A relay's leaf of a topic finds that server silent.
+    TopicSilent(Topic, ServerKey),
+    /// A leaf of a topic, as the relay knows it that it is, or was last, attached to.
+    Leaf(Topic, MemberId),
+}
+
+/// What leaves have in common that need the same records: a hash of a service's name.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Topic(pub u32);
+
+impl Topic {
+    /// The topic of a service.
+    pub fn of(service: &str) -> Topic {
+        Topic(xxh3_64(service.as_bytes()) as u32)
+    }
 }
 
 /// The kinds, for reports.
-pub const KINDS: [&str; 7] = ["server", "silent", "call", "over", "owed", "want", "lent"];
+pub const KINDS: [&str; 10] =
+    ["server", "silent", "call", "over", "owed", "want", "lent", "topic-server", "topic-silent", "leaf"];
 
 impl Key {
     /// Its kind, an index into [`KINDS`].
@@ -71,6 +89,9 @@
             Key::Owed(_) => 4,
             Key::Want(_) => 5,
             Key::Lent(..) => 6,
+            Key::TopicServer(..) => 7,
+            Key::TopicSilent(..) => 8,
+            Key::Leaf(..) => 9,
         }
     }
 }
@@ -105,6 +126,33 @@
     pub class: u32,
 }
 
+/// How a relay finds a leaf that is, or was last, attached to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Presence {
+    /// It is attached and heard.
+    Here,
+    /// Its link is open and nothing comes: it is paused, its machine has vanished, or the way is cut.
+    Silent,
+    /// Its link was closed or reset, and it has not attached anywhere since.
+    Closed,
+    /// It said that it ends.
+    Left,
+    /// Silent or closed for longer than may be.
+    Gone,
+}
+
+/// What a relay says of a leaf.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct LeafFact {
+    /// Its life.
+    pub life: Life,
+    /// The leaf's own count of its attachments in that life: of two relays' words the one of the later attachment counts,
+    /// and nobody but that relay writes under it.
+    pub moves: u32,
+    /// How it is found.
+    pub presence: Presence,
+}
+
 /// What a record says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Value {
@@ -122,6 +170,8 @@
     Want(u32),
     /// A lease.
     Lent(Lease),
+    /// Of a leaf.
+    Leaf(LeafFact),
 }
 
 impl Value {
@@ -136,6 +186,9 @@
                 | (Key::Owed(_), Value::Owed(_))
                 | (Key::Want(_), Value::Want(_))
                 | (Key::Lent(..), Value::Lent(_))
+                | (Key::TopicServer(..), Value::Server(_))
+                | (Key::TopicSilent(..), Value::Silent(_))
+                | (Key::Leaf(..), Value::Leaf(_))
         )
     }
 }
--- a/crates/replica/src/stream.rs
+++ b/crates/replica/src/stream.rs
@@ -184,9 +184,14 @@
     /// What changed after a version, in the order of versions: a piece of it, up to which version that goes, and
     /// whether it is the last. Tombstones go with it.
     pub fn piece(&self, now: f64, after: u64) -> (Vec<Record>, u64, bool) {
+        self.piece_of(now, after, PIECE)
+    }
+
+    /// The same, of so many records at most.
+    pub fn piece_of(&self, now: f64, after: u64, most: usize) -> (Vec<Record>, u64, bool) {
         let mut left = self.order.range(after.saturating_add(1)..);
         let mut records = Vec::new();
-        for (&version, key) in left.by_ref().take(PIECE) {
+        for (&version, key) in left.by_ref().take(most) {
             if let Some(entry) = self.records.get(key) {
                 let age_ms = ((now - entry.at).max(0.0) * 1000.0).min(f64::from(u32::MAX)) as u32;
                 records.push(Record { key: *key, version, age_ms, value: entry.value });
