--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,10 +4,11 @@
 //! braces, `include` with patterns, units written out. All mistakes are reported in one run, each with file,
 //! line, column, what is wrong and what was expected. docs/CONFIGURATION.md lists every directive.
 //!
-//! [`load`] reads a file and what it includes; nothing else here touches the disk.
+//! [`load`], [`entries`] and [`OwnFile::read`] read a file and what it includes; nothing else here touches the disk.
 
 mod check;
 mod crossings;
+mod entries;
 mod fleet;
 mod problem;
 mod syntax;
@@ -16,7 +17,9 @@
 use std::path::{Path, PathBuf};
 
 pub use crossings::{Crossings, Platform, RuleConf};
-pub use fleet::{Fleet, MemberConf};
+pub use entries::{entries, OwnFile};
+pub use fleet::{Fleet, Location, MemberConf, RelayConf, Tier};
+pub use fleet::{LONGEST_NAME, MOST_LEAVES, MOST_MEMBERS, MOST_RELAYS};
 pub use problem::{Place, Problem};
 
 /// The names that the platform's settings give; one that is not there cannot be held against the file.
@@ -50,3 +53,8 @@
         false => Err(problem::in_order(problems)),
     }
 }
+
+/// Reads a file as [`load`] does, with the fleet's entries in its blocks, checked as one.
+pub fn load_with(path: &Path, entries: &[(String, String)], names: &Names) -> Result<Conf, Vec<Problem>> {
+    OwnFile::read(path, names)?.with(entries, names)
+}
--- a/crates/config/src/syntax.rs
+++ b/crates/config/src/syntax.rs
@@ -1,5 +1,6 @@
 //! Lines, words and blocks; files and what they include.
 
+use std::fmt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
@@ -51,6 +52,49 @@
     reader.file(path, &Place { file: name, line: 1, column: 1 })
 }
 
+/// Reads a text that is no file. An `include` in it stays a line.
+pub(crate) fn parse(name: &str, text: &str, problems: &mut Vec<Problem>) -> Vec<Directive> {
+    Parser::new(name.into(), text, problems).lines()
+}
+
+impl fmt::Display for Directive {
+    /// As it may be read again, a word of its own for each word.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.write(f, 0)
+    }
+}
+
+impl Directive {
+    fn write(&self, f: &mut fmt::Formatter<'_>, depth: usize) -> fmt::Result {
+        let indent = "    ".repeat(depth);
+        write!(f, "{indent}{}", quoted(&self.name.text))?;
+        self.args.iter().try_for_each(|arg| write!(f, " {}", quoted(&arg.text)))?;
+        if let Some(block) = &self.block {
+            writeln!(f, " {{")?;
+            block.iter().try_for_each(|inner| inner.write(f, depth + 1))?;
+            write!(f, "{indent}}}")?;
+        }
+        writeln!(f)
+    }
+}
+
+/// A word in quotes where it needs them.
+fn quoted(text: &str) -> String {
+    let plain = |c: char| c.is_alphanumeric() || "-_./:%+=,@".contains(c);
+    if !text.is_empty() && text.chars().all(plain) {
+        return text.to_string();
+    }
+    let mut quoted = String::from('\'');
+    for c in text.chars() {
+        match c {
+            '\'' => quoted.push_str("'\"'\"'"),
+            c => quoted.push(c),
+        }
+    }
+    quoted.push('\'');
+    quoted
+}
+
 struct Reader<'p> {
     /// Files that are being read, from the outermost.
     open: Vec<PathBuf>,
--- a/crates/config/src/values.rs
+++ b/crates/config/src/values.rs
@@ -50,13 +50,23 @@
 /// Bytes a second, as `4MiB/s`.
 pub(crate) fn bytes_rate(text: &str) -> Read<f64> {
     const EXPECTED: &str = "expected bytes a second from 16KiB/s to 1GiB/s, as 4MiB/s";
-    let bytes = text.strip_suffix("/s").ok_or(EXPECTED)?;
+    let value = bytes_per_s(text).ok_or(EXPECTED)?;
+    (16384.0..=1073741824.0).contains(&value).then_some(value).ok_or(EXPECTED)
+}
+
+/// Bytes a second that are said to one leaf, as `6KiB/s`.
+pub(crate) fn leaf_rate(text: &str) -> Read<f64> {
+    const EXPECTED: &str = "expected bytes a second from 1KiB/s to 16MiB/s, as 6KiB/s";
+    let value = bytes_per_s(text).ok_or(EXPECTED)?;
+    (1024.0..=16777216.0).contains(&value).then_some(value).ok_or(EXPECTED)
+}
+
+fn bytes_per_s(text: &str) -> Option<f64> {
+    let bytes = text.strip_suffix("/s")?;
     let unit = |suffix: &str| bytes.strip_suffix(suffix).and_then(number);
-    let value = (unit("KiB").map(|v| v * 1024.0))
+    (unit("KiB").map(|v| v * 1024.0))
         .or(unit("MiB").map(|v| v * 1048576.0))
         .or(unit("GiB").map(|v| v * 1073741824.0))
-        .ok_or(EXPECTED)?;
-    (16384.0..=1073741824.0).contains(&value).then_some(value).ok_or(EXPECTED)
 }
 
 /// A whole number.
