Tell relays the names of leaves, so that an operator reads names

A relay knew its leaves by a hash of their names alone, and so did the writer that hears that one turned a change down. Hello and TurnedDown carry the name, of 64 bytes at most; Leaf::named sets it, Relay::leaf_name tells it.

--- a/crates/relay/src/leaf.rs
+++ b/crates/relay/src/leaf.rs
@@ -17,7 +17,9 @@
 
 use crate::budget::Budget;
 use crate::copying::{Copy, Cursor, NotTaken};
-use crate::message::{cut, Attach, Digest, Feed, Hello, Message, Refusal, PROTOCOL, PROTOCOL_LEAST, REASON};
+use crate::message::{
+    cut, Attach, Digest, Feed, Hello, Message, Refusal, NAME, PROTOCOL, PROTOCOL_LEAST, REASON,
+};
 use crate::placement::{chance, order, Place, RelayPlace};
 use crate::settings::{Incoming, Mark, PartError, Set};
 use crate::{LinkError, LinkId, Node, Timing};
@@ -148,6 +150,7 @@
 /// A leaf.
 pub struct Leaf {
     identity: Identity,
+    name: String,
     timing: Timing,
     relays: Vec<RelayPlace>,
     order: Vec<MemberId>,
@@ -192,6 +195,7 @@
         Leaf {
             budget: Budget::new(now, timing.report_rate, timing.burst),
             identity,
+            name: String::new(),
             timing,
             relays,
             order,
@@ -224,6 +228,11 @@
         }
     }
 
+    /// The same, with a name for operators.
+    pub fn named(self, name: &str) -> Leaf {
+        Leaf { name: cut(name, NAME), ..self }
+    }
+
     /// Takes relays and times read anew; links to those that are none any more are closed.
     pub fn change(&mut self, now: f64, relays: Vec<RelayPlace>, timing: Timing) {
         self.order = order(self.identity.own, &self.identity.place, &relays);
@@ -671,6 +680,7 @@
                 to: link.relay,
                 life: identity.life,
                 topic: identity.topic,
+                name: self.name.clone(),
             }));
         }
     }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -19,6 +19,8 @@
 /// Longest frame, with its length.
 pub const MOST: usize = 64 * 1024;
 const LENGTH: usize = 4;
+/// Bytes of a leaf's name at most.
+pub const NAME: usize = 64;
 /// Bytes of a reason at most.
 pub const REASON: usize = 400;
 
@@ -35,6 +37,8 @@
     pub life: Life,
     /// Which records it needs.
     pub topic: Topic,
+    /// Its name, for operators; the relays need none. Bytes beyond [`NAME`] are cut.
+    pub name: String,
 }
 
 /// Which stream of records a message is about.
@@ -166,6 +170,8 @@
     TurnedDown {
         /// Which leaf.
         leaf: MemberId,
+        /// Its name.
+        name: String,
         /// Which version.
         version: u64,
         /// Why.
@@ -275,7 +281,7 @@
             Message::Mesh(word) => bytes(word),
             Message::Holds { in_force, proposed } => bytes(&(in_force, proposed)),
             Message::Want { proposed, held } => bytes(&(proposed, held)),
-            Message::TurnedDown { leaf, version, reason } => bytes(&(leaf, version, reason)),
+            Message::TurnedDown { leaf, name, version, reason } => bytes(&(leaf, name, version, reason)),
             Message::Detach | Message::Leave | Message::Unknown(_) => Ok(Vec::new()),
         }
     }
@@ -349,8 +355,8 @@
                 Message::Want { proposed, held }
             }
             19 => {
-                let (leaf, version, reason) = read(kind, body)?;
-                Message::TurnedDown { leaf, version, reason }
+                let (leaf, name, version, reason) = read(kind, body)?;
+                Message::TurnedDown { leaf, name, version, reason }
             }
             unknown => Message::Unknown(unknown),
         };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -21,7 +21,7 @@
 use crate::budget::Budget;
 use crate::copying::{Copy, Cursor, NotTaken};
 use crate::message::{
-    cut, Attach, Copied, Digest, Feed, Hello, Message, Refusal, PROTOCOL, PROTOCOL_LEAST, REASON,
+    cut, Attach, Copied, Digest, Feed, Hello, Message, Refusal, NAME, PROTOCOL, PROTOCOL_LEAST, REASON,
 };
 use crate::placement::{chance, limit, RelayPlace};
 use crate::settings::{Incoming, Mark, Outgoing, PartError, Set, SetError};
@@ -272,6 +272,8 @@
     next_link: u64,
     wakes: BTreeSet<(u64, LinkId)>,
     leaves: BTreeMap<MemberId, Attached>,
+    /// Their names, and those of leaves that turned a change down elsewhere, for operators.
+    names: BTreeMap<MemberId, String>,
     topics: BTreeMap<Topic, TopicFeeds>,
     /// A feed that begins now begins above this, so that no version means two things.
     floor: u64,
@@ -310,6 +312,7 @@
             next_link: 1,
             wakes: BTreeSet::new(),
             leaves: BTreeMap::new(),
+            names: BTreeMap::new(),
             topics: BTreeMap::new(),
             floor: 0,
             absorbed: BTreeMap::new(),
@@ -378,6 +381,21 @@
         self.leaves.iter().map(row).collect()
     }
 
+    /// The name of a leaf, as it, or another relay, told it.
+    pub fn leaf_name(&self, leaf: MemberId) -> Option<&str> {
+        self.names.get(&leaf).map(String::as_str).filter(|name| !name.is_empty())
+    }
+
+    fn learn_name(&mut self, leaf: MemberId, name: &str) {
+        if self.names.len() >= 2 * self.timing.leaves + STRANGERS {
+            let (leaves, links) = (&self.leaves, &self.links);
+            let linked =
+                |m: &MemberId| links.values().any(|l| matches!(l.who, Who::Leaf(of, ..) if of == *m));
+            self.names.retain(|m, _| leaves.contains_key(m) || linked(m));
+        }
+        self.names.insert(leaf, cut(name, NAME));
+    }
+
     /// Leaves that are attached.
     pub fn attached(&self) -> usize {
         self.leaves.values().filter(|a| a.link.is_some()).count()
@@ -678,6 +696,7 @@
         if let Some(link) = self.links.get_mut(&id) {
             link.who = Who::Leaf(leaf, hello.life, hello.topic);
         }
+        self.learn_name(leaf, &hello.name);
         let welcome = Message::Welcome { relay: self.identity.own, life: self.identity.life };
         self.queue(now, id, welcome);
         Ok(())
@@ -1095,7 +1114,8 @@
             return Some(Message::Settings { proposed, part });
         }
         if let Some((leaf, version, reason)) = peer.turned_down.pop_front() {
-            return Some(Message::TurnedDown { leaf, version, reason });
+            let name = self.names.get(&leaf).cloned().unwrap_or_default();
+            return Some(Message::TurnedDown { leaf, name, version, reason });
         }
         self.member.say(now, relay).map(Message::Mesh)
     }
@@ -1250,8 +1270,9 @@
                 }
             }
             Message::Settings { proposed, part } => self.part(now, relay, *proposed, part)?,
-            Message::TurnedDown { leaf, version, reason } => {
+            Message::TurnedDown { leaf, name, version, reason } => {
                 let (leaf, version, reason) = (*leaf, *version, cut(reason, REASON));
+                self.learn_name(leaf, name);
                 self.tell(Event::TurnedDown { leaf, version, reason });
             }
             _ => return Err(LinkError::OutOfPlace),
