--- a/crates/gatekeeper/src/ctl.rs
+++ b/crates/gatekeeper/src/ctl.rs
@@ -88,6 +88,7 @@
     for (at, column) in columns.iter().enumerate() {
         let words = [
             "class", "from", "to", "scope", "name", "state", "district", "bending", "member", "life", "hash",
+            "zone", "region", "reason",
         ]
         .contains(&column.0);
         if let (false, Some(column)) = (words, table.column_mut(at)) {
@@ -153,8 +154,13 @@
     text
 }
 
-/// Who of the fleet is alive, as text.
+/// Who of the fleet is alive, as text: of a small fleet, or by its role in a tier of relays.
 pub fn members(report: &Value) -> String {
+    match report["role"].as_str() {
+        Some("leaf") => return leaf(report),
+        Some(_) => return relay(report),
+        None => {}
+    }
     let columns = [
         ("name", "member"),
         ("state", "state"),
@@ -178,6 +184,77 @@
     )
 }
 
+/// What a leaf of a tier knows, as text.
+fn leaf(report: &Value) -> String {
+    let relays = [("name", "relay"), ("state", "state"), ("zone", "zone"), ("region", "region")];
+    let members = [("name", "member"), ("state", "state"), ("life", "life"), ("moves", "moves")];
+    let settings = &report["settings"];
+    let refused = match &settings["refused"] {
+        Value::Null => String::new(),
+        version => format!("\nsettings {version} refused: {}", cell(settings, "reason")),
+    };
+    format!(
+        "leaf {}, life {}, zone {}, caught up {}, relay {}, second {}, heard {:.1} s ago, settings {} held, {} in \
+         force{refused}\n\n{}\n\n{}\n",
+        cell(report, "name"),
+        cell(report, "life"),
+        cell(report, "zone"),
+        cell(report, "ready"),
+        cell(report, "relay"),
+        cell(report, "second"),
+        report["age_s"].as_f64().unwrap_or_default(),
+        cell(settings, "version"),
+        cell(settings, "in_force"),
+        table(&report["relays"], &relays),
+        table(&report["members"], &members)
+    )
+}
+
+/// What a relay of a tier knows, as text.
+fn relay(report: &Value) -> String {
+    let relays = [
+        ("name", "relay"),
+        ("state", "state"),
+        ("life", "life"),
+        ("silent_ms", "silent ms"),
+        ("linked", "linked"),
+        ("hears_us", "hears us"),
+        ("ready", "caught up"),
+    ];
+    let leaves = [
+        ("name", "leaf"),
+        ("state", "state"),
+        ("since_s", "for s"),
+        ("moves", "moves"),
+        ("in_force", "settings"),
+        ("refused", "refused"),
+        ("reason", "why"),
+    ];
+    let settings = &report["settings"];
+    let refused = match &settings["refused"] {
+        Value::Null => String::new(),
+        why => format!("\nthe last change was refused here: {}", why.as_str().unwrap_or_default()),
+    };
+    format!(
+        "relay {}, life {}, caught up {}, writer {}, {} of {} relays heard, majority {}, {} leaves of at most {}, \
+         settings {} with {} entries in force, {} proposed{refused}\n\n{}\n\n{}\n",
+        cell(report, "name"),
+        cell(report, "life"),
+        cell(report, "ready"),
+        cell(report, "writer"),
+        cell(report, "heard"),
+        cell(report, "all"),
+        cell(report, "majority"),
+        cell(report, "attached"),
+        cell(report, "limit"),
+        cell(settings, "version"),
+        cell(settings, "entries"),
+        cell(settings, "proposed"),
+        table(&report["relays"], &relays),
+        table(&report["members"], &leaves)
+    )
+}
+
 /// What is held of each member, as text.
 pub fn replica(report: &Value) -> String {
     let columns = [
--- a/crates/gatekeeper/src/node/config.rs
+++ b/crates/gatekeeper/src/node/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use hollypaddle_config::{Conf, Names, Platform, Problem};
+use hollypaddle_config::{Conf, Names, OwnFile, Platform, Problem};
 use hollypaddle_policy::settings::{self, Telemetry};
 use hollypaddle_policy::Settings;
 use serde::Deserialize;
@@ -49,6 +49,8 @@
     pub platform: Platform,
     /// What the own configuration file says.
     pub own: Conf,
+    /// The file itself, for the fleet's settings to be read with it.
+    pub own_file: OwnFile,
 }
 
 /// What the sockets need of the settings.
@@ -283,7 +285,9 @@
 
     /// Reads the own configuration file and checks it against the platform's names.
     pub fn with_own(mut self, path: &Path) -> Result<Config, ConfigError> {
-        self.own = hollypaddle_config::load(path, &self.names()).map_err(ConfigError::Own)?;
+        let names = self.names();
+        self.own_file = OwnFile::read(path, &names).map_err(ConfigError::Own)?;
+        self.own = self.own_file.with(&[], &names).map_err(ConfigError::Own)?;
         Ok(self)
     }
 
@@ -334,6 +338,7 @@
             name,
             platform,
             own: Conf::default(),
+            own_file: OwnFile::default(),
             listen: address("PROXY_LISTEN", listen)?,
             control: file.control.as_deref().map(|c| address("control", c)).transpose()?,
             dns: address("dns", &file.dns)?,
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
-use hollypaddle_config::{Conf, Platform};
+use hollypaddle_config::{Conf, Names, OwnFile, Platform, Problem};
 use hollypaddle_crossing::{Crossing, Report, Span};
 use hollypaddle_policy::{Action, CallId, Controller, Event, ListKind, Settings};
 use serde_json::{json, Value};
@@ -24,6 +24,7 @@
 use hollypaddle_core::calls::{Calls, Effect, Order};
 use hollypaddle_core::wheel::Wheel;
 use hollypaddle_policy::ClassSettings;
+use hollypaddle_relay::settings::Set;
 use hollypaddle_service::classes::Table;
 use hollypaddle_service::descriptors::{self, Descriptors};
 use hollypaddle_service::figures::{Figures, Gauges, Outcome, OTHER};
@@ -80,6 +81,15 @@
     };
 }
 
+/// The first mistake, and how many there are.
+fn first_of(problems: &[Problem]) -> String {
+    let first = problems.first().map(Problem::to_string).unwrap_or_default();
+    match problems.len() {
+        0 | 1 => first,
+        all => format!("{first} (and {} more)", all - 1),
+    }
+}
+
 enum Timer {
     Module(u32),
     Deadline(CallId),
@@ -113,6 +123,11 @@
     /// What the own configuration file builds on and says.
     platform: Platform,
     own: Conf,
+    /// The own configuration file as it was last read, the names that it was held against, and the fleet's settings that
+    /// are in force beside it.
+    own_file: OwnFile,
+    names: Names,
+    fleet_entries: Vec<(String, String)>,
     /// What takes part beside callers, servers and resolver.
     subjects: Subjects,
     seed: u64,
@@ -150,7 +165,7 @@
         let resolver_key = watch.add(resolver.socket(), false)?;
         // The links to other gatekeepers come off what callers share with the rest, and so does the control address.
         let links =
-            config.own.fleet.as_ref().map_or(0, |fleet| super::peers::most_links(fleet.members.len()));
+            config.own.fleet.as_ref().map_or(0, |fleet| super::tier::descriptors(fleet, &config.name));
         let control = config.control.map_or(0, |_| super::http::MOST_CONNECTIONS + 1);
         let fixed = descriptors::FIXED + control;
         let descriptors = Descriptors { all: config.sockets.saturating_sub(links), fixed };
@@ -174,6 +189,7 @@
         let both = config.settings.classes.iter().cloned().zip(config.link.classes.iter().cloned());
         let classes = Table::new(class_names.iter().cloned().zip(both));
         let figures = Figures::new(class_names.iter().map(String::as_str));
+        let names = config.names();
         let given = config.settings;
         let mut settings = given.clone();
         settings.release += SOCKET_SLACK;
@@ -190,6 +206,9 @@
             resolver,
             resolver_key,
             settings: given,
+            names,
+            own_file: config.own_file,
+            fleet_entries: Vec::new(),
             platform: config.platform,
             own: Conf::default(),
             subjects: Subjects::default(),
@@ -290,19 +309,21 @@
         let now = self.clock.now();
         let new = match read {
             Ok(new) => new,
-            Err(ConfigError::Own(problems)) => {
-                self.figures.reloaded(false);
-                for problem in &problems {
-                    let (place, what) = (problem.place.to_string(), problem.what.as_str());
-                    log::warn!(place = place.as_str(), what; "configuration-problem");
-                }
-                return log::warn!(problems = problems.len(); "configuration-rejected");
-            }
+            Err(ConfigError::Own(problems)) => return self.own_rejected(&problems),
             Err(error) => {
                 self.figures.reloaded(false);
                 return log::warn!(error:%; "configuration-rejected");
             }
         };
+        // The fleet's settings stay in force beside the own file, as long as that has a tier.
+        let mut own = new.own.clone();
+        let kept = own.fleet.as_ref().is_some_and(|fleet| fleet.tier.is_some());
+        if kept && !self.fleet_entries.is_empty() {
+            match new.own_file.with(&self.fleet_entries, &new.names()) {
+                Ok(merged) => own = merged,
+                Err(problems) => return self.own_rejected(&problems),
+            }
+        }
         // What can fail comes first, so that all of the new configuration counts or nothing.
         let opened = resolver::open(new.dns).and_then(|socket| Ok((self.watch.add(&socket, false)?, socket)));
         let (key, socket) = match opened {
@@ -321,7 +342,8 @@
                 return log::warn!(error:% = full; "configuration-rejected");
             }
         };
-        let changes = match self.take_own(now, new.own) {
+        let names = new.names();
+        let changes = match self.take_own(now, own) {
             Ok(changes) => changes,
             Err(error) => {
                 self.watch.remove(&socket);
@@ -329,6 +351,10 @@
                 return log::warn!(error:%; "configuration-rejected");
             }
         };
+        (self.own_file, self.names) = (new.own_file, names);
+        if !kept {
+            self.fleet_entries.clear();
+        }
         self.watch.remove(&self.resolver.move_to(socket));
         self.resolver_key = key;
         if self.resolver.accept(new.known.position) {
@@ -347,6 +373,44 @@
             // The districts and the classes that budgets name count from the next start on.
             log::warn!("platform-changed");
         }
+        // What did not fit the file as it was may fit it now.
+        if let Some(set) = self.subjects.tier.turned_down() {
+            self.take_settings(now, &set);
+        }
+    }
+
+    /// Notes that the own configuration file was turned down, with each mistake.
+    fn own_rejected(&mut self, problems: &[Problem]) {
+        self.figures.reloaded(false);
+        for problem in problems {
+            let (place, what) = (problem.place.to_string(), problem.what.as_str());
+            log::warn!(place = place.as_str(), what; "configuration-problem");
+        }
+        log::warn!(problems = problems.len(); "configuration-rejected");
+    }
+
+    /// Takes settings of the fleet, beside the own file as it was last read: all of them or none, as at a reading anew. The
+    /// relay hears what came of it.
+    fn take_settings(&mut self, now: f64, set: &Set) {
+        let version = set.mark().version;
+        let entries: Vec<(String, String)> =
+            set.entries().map(|(name, text)| (name.to_string(), text.to_string())).collect();
+        let merged = self.own_file.with(&entries, &self.names);
+        let taken = match merged {
+            Ok(conf) => self.take_own(now, conf).map_err(|error| error.to_string()),
+            Err(problems) => Err(first_of(&problems)),
+        };
+        match &taken {
+            Ok(changes) => {
+                self.fleet_entries = entries;
+                self.decide(now);
+                log::info!(version, changes = changes.as_str(); "fleet-settings-taken");
+            }
+            Err(reason) => {
+                log::warn!(version, reason = reason.as_str(); "fleet-settings-not-taken");
+            }
+        }
+        self.subjects.tier.verdict(version, taken.map(drop));
     }
 
     /// Takes what the own configuration file says now, all of it or nothing; returns what has changed in a word.
@@ -541,6 +605,9 @@
                 }
             }
         }
+        if let Some(set) = self.subjects.tier.offered() {
+            self.take_settings(now, &set);
+        }
         self.decide(now);
         if beat {
             // Only now is all said that this turn brought. Guards against a connection closed as idle while the end of the
@@ -573,9 +640,8 @@
             let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
             self.servers.send_waiting(&mut turn);
             for mut event in std::mem::take(&mut self.calls.events) {
-                if let (Event::List { entries, .. }, Some(fleet)) = (&mut event, &self.subjects.fellows.fleet)
-                {
-                    fleet.overlay(entries, self.list_at);
+                if let Event::List { entries, .. } = &mut event {
+                    self.subjects.overlay(entries, self.list_at);
                 }
                 self.controller.handle(now, event, &mut actions);
             }
--- a/crates/gatekeeper/src/node/fleet.rs
+++ b/crates/gatekeeper/src/node/fleet.rs
@@ -2,25 +2,25 @@
 //! they tell. The decisions are in the crates `membership` and `replica`; this module stands between them, the links
 //! ([`super::peers`]) and the rest of the gatekeeper.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 
 use hollypaddle_config::Fleet as Conf;
 use hollypaddle_core::calls::{Calls, Change};
 use hollypaddle_membership::{Life, MemberId};
-use hollypaddle_platform::list::Readiness;
 use hollypaddle_policy::{PoolEntry, PoolId};
 use hollypaddle_replica::adoption::Adopted;
-use hollypaddle_replica::guard::{overlay, Guard};
+use hollypaddle_replica::guard::Guard;
 use hollypaddle_replica::member::{Act, Event};
-use hollypaddle_replica::record::{class_key, CallFact, Place, ServerFact, ServerKey, KINDS};
-use hollypaddle_replica::store::Said;
+use hollypaddle_replica::record::{class_key, CallFact, ServerKey, KINDS};
 use hollypaddle_replica::Member;
 use hollypaddle_service::figures::FleetFigures;
 use serde_json::{json, Value};
 
 use super::clients::Clients;
 use super::clock::Clock;
+use super::events::{log_member_event, Lines};
+use super::hearsay::{Hearsay, Told};
 use super::peers::Peers;
 use super::poller::{Ready, Watch};
 use super::servers::Servers;
@@ -30,41 +30,13 @@
 /// the caller was told. It is owed within 1 s. Of so many at most; beyond that they are told at once.
 const KEPT_FOR: f64 = 0.5;
 const MOST_KEPT: usize = 4096;
-/// Events written to the log at once, and a second; more are counted. A link that flaps must not fill the log.
-const LINES: f64 = 40.0;
-const LINES_PER_S: f64 = 2.0;
-
-/// How much may be written to the log.
-struct Lines {
-    left: f64,
-    at: f64,
-    dropped: u64,
-}
-
-impl Lines {
-    /// Whether a line may be written; how many were not, before it.
-    fn take(&mut self, now: f64) -> Option<u64> {
-        self.left = (self.left + (now - self.at).max(0.0) * LINES_PER_S).min(LINES);
-        self.at = now;
-        if self.left < 1.0 {
-            self.dropped += 1;
-            return None;
-        }
-        self.left -= 1.0;
-        Some(std::mem::take(&mut self.dropped))
-    }
-}
-
 /// This gatekeeper as a member of a fleet.
 pub struct Fleet {
     conf: Conf,
     member: Member,
     peers: Peers,
-    /// What was told of each server, to tell what changes.
-    told: BTreeMap<PoolId, (ServerKey, ServerFact, bool)>,
-    /// What others say of each server, and when the own list was heard, as it was last looked at.
-    said: HashMap<PoolId, Said>,
-    list_at: f64,
+    told: Told,
+    hearsay: Hearsay,
     /// Calls of members that are gone whose server is not known here, and since when: the list may name it late. After that
     /// the server counts as gone, and the call as cut.
     unplaced: BTreeMap<u64, (Adopted, f64)>,
@@ -93,26 +65,22 @@
             return Err(io::Error::new(io::ErrorKind::InvalidInput, what));
         };
         let id = MemberId::of(&own.name);
-        // The seed is new with each start, and so is the process.
-        let nonce = seed ^ u64::from(std::process::id()).rotate_left(40) ^ Clock::new().now().to_bits();
-        let life = Life { incarnation: (now.max(0.0) * 1e6) as u64, nonce };
+        let life = new_life(now, seed);
         let members: Vec<MemberId> = conf.members.iter().map(|m| MemberId::of(&m.name)).collect();
         let mut member = Member::new(now, id, life, conf.settings, members);
         let mut peers = Peers::listen(id, conf.listen.unwrap_or(own.address), watch)?;
         peers.members(now, named(conf), &mut member, watch);
         calls.note_changes(true);
-        let lines = Lines { left: LINES, at: now, dropped: 0 };
         log::info!(name = own.name.as_str(), listen:% = peers.address(), members = conf.members.len(), life:%; "fleet-joined");
         Ok(Fleet {
             conf: conf.clone(),
             member,
             peers,
-            told: BTreeMap::new(),
-            said: HashMap::new(),
-            list_at: now,
+            told: Told::default(),
+            hearsay: Hearsay::new(now),
             unplaced: BTreeMap::new(),
             kept: VecDeque::new(),
-            lines,
+            lines: Lines::new(now),
             classes: Vec::new(),
             woken: false,
         })
@@ -196,7 +164,7 @@
 
     /// Where a call's server is here.
     pub fn pool(&self, server: ServerKey) -> Option<PoolId> {
-        self.told.iter().find(|(_, told)| told.0 == server).map(|(pool, _)| *pool)
+        self.told.pool(server)
     }
 
     /// Hands the ends for which no caller is here to members that have some.
@@ -244,11 +212,12 @@
         if self.member.view().superseded() {
             self.peers.shut(now, &mut self.member, watch);
         }
-        self.tell_servers(now, servers);
+        self.told.tell(now, servers, &mut self.member);
         self.acts(now, calls);
         self.place(now, calls);
         self.tell_kept(now, calls);
-        self.listen(now, list_at, servers, guard)
+        let late = self.conf.settings.lists_late;
+        self.hearsay.listen(now, &self.member.hearsay(), (list_at, late), servers, guard)
     }
 
     /// Carries out: tells what has become of calls, and says what is due on every link that has room.
@@ -264,11 +233,8 @@
         for change in calls.changes() {
             match change {
                 Change::Stands { id, class, pool, since } => {
-                    if let Some((server, ..)) = self.told.get(&pool) {
-                        let fact = CallFact {
-                            server: *server,
-                            class: self.classes.get(class).copied().unwrap_or(0),
-                        };
+                    if let Some(server) = self.told.server(pool) {
+                        let fact = CallFact { server, class: self.classes.get(class).copied().unwrap_or(0) };
                         self.member.stands(since, id, fact);
                     }
                 }
@@ -280,62 +246,11 @@
         }
     }
 
-    fn tell_servers(&mut self, now: f64, servers: &Servers) {
-        let mut gone: Vec<PoolId> = self.told.keys().copied().collect();
-        for known in servers.known() {
-            gone.retain(|pool| *pool != known.pool);
-            let server = ServerKey::of(known.name);
-            let place = match known.listed.readiness {
-                Readiness::Ready => Place::Ready,
-                Readiness::Draining => Place::Draining,
-            };
-            let started_ms = (known.listed.started.max(0.0) * 1000.0) as u64;
-            let (fact, silent) = (ServerFact { started_ms, place }, known.silent_at.is_some());
-            let old = self.told.insert(known.pool, (server, fact, silent));
-            if old.is_none_or(|(_, told, _)| told != fact) {
-                self.member.server(now, server, fact);
-            }
-            if old.map_or(silent, |(_, told, was)| was != silent || silent && told != fact) {
-                // The time counts at which what was not answered was sent.
-                self.member.silent(now, server, started_ms, known.silent_at);
-            }
-        }
-        for pool in gone {
-            let Some((server, fact, _)) = self.told.remove(&pool) else { continue };
-            self.member.server(now, server, ServerFact { place: Place::Gone, ..fact });
-            self.member.silent(now, server, fact.started_ms, None);
-        }
-    }
-
     // ---- What is heard
 
-    /// Takes over what others say of the servers; returns the lines of the list that change by it.
-    fn listen(&mut self, now: f64, list_at: f64, servers: &Servers, guard: &mut Guard) -> Vec<PoolEntry> {
-        let hearsay = self.member.hearsay();
-        let mut said = HashMap::new();
-        for known in servers.known() {
-            let of = hearsay.get(&ServerKey::of(known.name));
-            let started_ms = (known.listed.started.max(0.0) * 1000.0) as u64;
-            let silent = of.filter(|s| s.fact.started_ms >= started_ms).and_then(|s| s.silent);
-            guard.silence(now, known.pool, silent.map(|(at, _)| at), known.word_at);
-            said.extend(of.map(|of| (known.pool, *of)));
-        }
-        let ready = servers.known().filter(|k| k.listed.readiness == Readiness::Ready).map(|k| k.pool);
-        guard.in_service(&ready.collect::<Vec<PoolId>>());
-        let old = std::mem::replace(&mut self.said, said);
-        let old_at = std::mem::replace(&mut self.list_at, list_at);
-        let entries = servers.entries().into_iter();
-        let late = self.conf.settings.lists_late;
-        let was = |e: &PoolEntry| overlay(*e, old.get(&e.pool), old_at, late);
-        let is = |e: &PoolEntry| overlay(*e, self.said.get(&e.pool), list_at, late);
-        entries.filter(|e| was(e) != is(e)).map(|e| is(&e)).collect()
-    }
-
     /// The lines of a list, with what others know.
     pub fn overlay(&self, entries: &mut [PoolEntry], list_at: f64) {
-        for entry in entries {
-            *entry = overlay(*entry, self.said.get(&entry.pool), list_at, self.conf.settings.lists_late);
-        }
+        self.hearsay.overlay(entries, list_at, self.conf.settings.lists_late);
     }
 
     fn acts(&mut self, now: f64, calls: &mut Calls) {
@@ -379,53 +294,8 @@
         let mut woke = false;
         for event in self.member.events() {
             woke |= matches!(event, Event::Member(Seen::Woke(_)));
-            let Some(dropped) = self.lines.take(now) else { continue };
-            if dropped > 0 {
-                log::info!(events = dropped; "fleet-events-left-out");
-            }
-            let name = |id: MemberId| self.peers.name(id);
-            match event {
-                Event::Member(seen) => match seen {
-                    Seen::Alive(m) => log::info!(member = name(m).as_str(); "member-alive"),
-                    Seen::Suspected(m, silent_s) => {
-                        log::info!(member = name(m).as_str(), silent_s; "member-suspected");
-                    }
-                    Seen::Gone(m, refused) => {
-                        log::warn!(member = name(m).as_str(), refused; "member-gone");
-                    }
-                    Seen::Returned(m) => log::info!(member = name(m).as_str(); "member-returned"),
-                    Seen::Restarted(m, life) => {
-                        log::info!(member = name(m).as_str(), life:%; "member-restarted");
-                    }
-                    Seen::Deaf(m) => log::warn!(member = name(m).as_str(); "member-does-not-hear-us"),
-                    Seen::Hears(m) => log::info!(member = name(m).as_str(); "member-hears-us"),
-                    Seen::Raised(life) => log::info!(life:%; "fleet-life-raised"),
-                    Seen::Superseded(life) => log::error!(life:%; "fleet-superseded"),
-                    Seen::Woke(paused_s) => log::warn!(paused_s; "fleet-woke"),
-                },
-                Event::CaughtUp(how, after_s) => {
-                    let how = format!("{how:?}").to_lowercase();
-                    log::info!(how = how.as_str(), after_s; "fleet-caught-up");
-                }
-                Event::Conflict(origin, c) => {
-                    log::warn!(
-                        member = name(origin.member).as_str(), life:% = origin.life, version = c.version,
-                        key:? = c.key, held:? = c.held, told:? = c.told; "replica-conflict"
-                    );
-                }
-                Event::Differs(origin, from) => {
-                    log::warn!(
-                        member = name(origin.member).as_str(), life:% = origin.life, from = name(from).as_str();
-                        "replica-differs"
-                    );
-                }
-                Event::Mended(origin) => {
-                    log::info!(member = name(origin.member).as_str(), life:% = origin.life; "replica-mended");
-                }
-                Event::Forgotten(origin, records) => {
-                    log::info!(member = name(origin.member).as_str(), life:% = origin.life, records; "replica-forgotten");
-                }
-                Event::LeftOut(records) => log::warn!(records; "replica-full"),
+            if self.lines.take(now) {
+                log_member_event(&event, |id| self.peers.name(id));
             }
         }
         woke
@@ -495,6 +365,13 @@
     }
 }
 
+/// The life that begins now.
+pub fn new_life(now: f64, seed: u64) -> Life {
+    // The seed is new with each start, and so is the process.
+    let nonce = seed ^ u64::from(std::process::id()).rotate_left(40) ^ Clock::new().now().to_bits();
+    Life { incarnation: (now.max(0.0) * 1e6) as u64, nonce }
+}
+
 fn named(conf: &Conf) -> impl Iterator<Item = (MemberId, String, std::net::SocketAddr)> + '_ {
     conf.members.iter().map(|m| (MemberId::of(&m.name), m.name.clone(), m.address))
 }
--- a/crates/gatekeeper/src/node/subjects.rs
+++ b/crates/gatekeeper/src/node/subjects.rs
@@ -11,7 +11,7 @@
 use hollypaddle_config::{Conf, Platform};
 use hollypaddle_core::calls::Calls;
 use hollypaddle_crossing::{Crossing, District, Span};
-use hollypaddle_policy::{Event, Gate, ListKind};
+use hollypaddle_policy::{Event, Gate, ListKind, PoolEntry};
 use hollypaddle_replica::guard::Guard;
 use serde_json::{json, Value};
 
@@ -22,6 +22,7 @@
 use super::poller::{Key, Ready, Watch};
 use super::resolver::Resolver;
 use super::servers::Servers;
+use super::tier::InTier;
 
 /// What a subject may reach in a step.
 pub struct Room<'a> {
@@ -104,12 +105,27 @@
     pub account: Account,
     /// The other gatekeepers.
     pub fellows: Fellows,
+    /// The tier of relays.
+    pub tier: InTier,
 }
 
 impl Subjects {
     /// Each, in order.
-    pub fn all(&mut self) -> [&mut dyn Subject; 3] {
-        [&mut self.control, &mut self.account, &mut self.fellows]
+    pub fn all(&mut self) -> [&mut dyn Subject; 4] {
+        [&mut self.control, &mut self.account, &mut self.fellows, &mut self.tier]
+    }
+
+    /// The same, to be looked at.
+    fn each(&self) -> [&dyn Subject; 4] {
+        [&self.control, &self.account, &self.fellows, &self.tier]
+    }
+
+    /// The lines of a list, with what others know.
+    pub fn overlay(&self, entries: &mut [PoolEntry], list_at: f64) {
+        if let Some(fleet) = &self.fellows.fleet {
+            fleet.overlay(entries, list_at);
+        }
+        self.tier.overlay(entries, list_at);
     }
 
     /// Takes a configuration read anew, all of it or nothing; returns what changed, in words.
@@ -130,14 +146,12 @@
 
     /// When the next turn is wanted at the latest.
     pub fn wants_turn_at(&self) -> Option<f64> {
-        let all: [&dyn Subject; 3] = [&self.control, &self.account, &self.fellows];
-        all.into_iter().filter_map(Subject::wants_turn_at).min_by(f64::total_cmp)
+        self.each().into_iter().filter_map(Subject::wants_turn_at).min_by(f64::total_cmp)
     }
 
     /// Why the gatekeeper is not ready yet.
     pub fn not_ready(&self) -> Option<&'static str> {
-        let all: [&dyn Subject; 3] = [&self.control, &self.account, &self.fellows];
-        all.into_iter().find_map(Subject::not_ready)
+        self.each().into_iter().find_map(Subject::not_ready)
     }
 }
 
@@ -294,6 +308,11 @@
     }
 }
 
+/// The fleet of a file whose members have links to each other.
+fn meshed(conf: &Conf) -> Option<&hollypaddle_config::Fleet> {
+    conf.fleet.as_ref().filter(|fleet| fleet.tier.is_none())
+}
+
 /// The other gatekeepers, where the own configuration names them, and what may be used of the fleet's budgets.
 #[derive(Default)]
 pub struct Fellows {
@@ -308,7 +327,7 @@
 impl Subject for Fellows {
     /// Joins a fleet where the file names another one than before, or another name or address of the own member's.
     fn prepare(&mut self, room: &mut Room, _: &Conf, new: &Conf) -> io::Result<()> {
-        let Some(conf) = &new.fleet else { return Ok(()) };
+        let Some(conf) = meshed(new) else { return Ok(()) };
         let name = &room.platform.name;
         if conf.own(name).is_none() || !self.fleet.as_ref().is_some_and(|f| f.stays(conf, name)) {
             self.fresh = Some(Fleet::join(room.now, conf, name, room.seed, room.calls, room.watch)?);
@@ -327,10 +346,10 @@
     }
 
     fn commit(&mut self, room: &mut Room, old: &Conf, new: &Conf) -> Option<String> {
-        if new.fleet == old.fleet {
+        if new.fleet == old.fleet || meshed(old).or(meshed(new)).is_none() {
             return None;
         }
-        let word = match (&mut self.fleet, self.fresh.take(), &new.fleet) {
+        let word = match (&mut self.fleet, self.fresh.take(), meshed(new)) {
             (old, Some(fresh), _) => {
                 if let Some(old) = old.replace(fresh) {
                     old.leave(room.now, room.calls, room.watch);
@@ -353,7 +372,7 @@
         if let Some(fleet) = &mut self.fleet {
             fleet.set_classes(room.class_names);
         }
-        if let Some(conf) = &new.fleet {
+        if let Some(conf) = meshed(new) {
             self.shares.get_or_insert_with(|| Shares::new(room.now, conf.lend)).change(conf.lend);
         }
         Some(format!("fleet-{word}"))
@@ -417,10 +436,11 @@
             Question::Replica {} => false,
             _ => return None,
         };
-        Some(match &self.fleet {
-            None => json!({"error": "no fleet: the block `fleet` is not configured"}),
-            Some(fleet) if members => json!({"ok": fleet.report_members(room.now)}),
-            Some(fleet) => json!({"ok": fleet.report_replica(room.calls)}),
+        // Without one the tier answers.
+        let fleet = self.fleet.as_ref()?;
+        Some(match members {
+            true => json!({"ok": fleet.report_members(room.now)}),
+            false => json!({"ok": fleet.report_replica(room.calls)}),
         })
     }
 }
--- /dev/null
+++ b/crates/gatekeeper/src/node/tier.rs
@@ -0,0 +1,674 @@
+//! This gatekeeper in a tier of relays: as a relay, or as a leaf of one. The decisions are in the crate `relay`; this module
+//! stands between them, the links ([`super::relays`]) and the rest of the gatekeeper.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use hollypaddle_config::{Conf, Fleet as FleetConf, Location, Tier as TierConf};
+use hollypaddle_membership::view::State;
+use hollypaddle_membership::MemberId;
+use hollypaddle_policy::{Event as ModuleEvent, ListKind, PoolEntry};
+use hollypaddle_relay::leaf::{self, Leaf};
+use hollypaddle_relay::placement::{Place, RelayPlace};
+use hollypaddle_relay::relay::{self, Relay, SettingsError};
+use hollypaddle_relay::settings::{Mark, Set};
+use hollypaddle_relay::{Message, Node, Timing};
+use hollypaddle_replica::guard::Guard;
+use hollypaddle_replica::record::{ServerKey, Topic};
+use serde_json::{json, Value};
+
+use super::control::Question;
+use super::events::{log_member_event, Lines};
+use super::fleet::new_life;
+use super::hearsay::{Hearsay, Told};
+use super::poller::Ready;
+use super::relays::{most_links, most_links_of_leaf, Links};
+use super::subjects::{Room, Subject};
+
+/// A start waits so long at most for what a relay knows, in seconds, until it says that it is ready.
+const CATCH_UP: f64 = 1.0;
+/// A turn so long after the one before: this process was paused.
+const WOKE: f64 = 1.0;
+/// At a start the fleet's settings are proposed for so long, until a majority of relays is heard.
+const PROPOSE: f64 = 10.0;
+/// Mistakes in the file with the fleet's settings that are logged one by one.
+const MOST_PROBLEMS: usize = 20;
+
+/// Descriptors that the links of a fleet may take, in its role.
+pub fn descriptors(conf: &FleetConf, platform_name: &str) -> usize {
+    match &conf.tier {
+        None => super::peers::most_links(conf.members.len()),
+        Some(tier) => links(tier, conf.own_name(platform_name)),
+    }
+}
+
+fn links(tier: &TierConf, own: &str) -> usize {
+    match tier.relay(own) {
+        Some(_) => most_links(tier.leaves, tier.relays.len()),
+        None => most_links_of_leaf(),
+    }
+}
+
+/// Why the file with the fleet's settings was not proposed or not accepted. Nothing of it is in force anywhere.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsFileError {
+    /// The file is not what it should be.
+    #[error("{0} mistakes in the file: mend it and send SIGHUP; `fleet-settings-problem` has each")]
+    File(usize),
+    /// The relay refuses.
+    #[error(transparent)]
+    Refused(#[from] SettingsError),
+}
+
+impl SettingsFileError {
+    /// In a word, for the log and the page for on-call staff.
+    pub fn name(&self) -> &'static str {
+        match self {
+            SettingsFileError::File(_) => "settings-file",
+            SettingsFileError::Refused(error) => error.name(),
+        }
+    }
+}
+
+enum Role {
+    Leaf(Box<Leaf>),
+    Relay(Box<Relay>),
+}
+
+impl Role {
+    fn node(&mut self) -> &mut dyn Node {
+        match self {
+            Role::Leaf(leaf) => leaf.as_mut(),
+            Role::Relay(relay) => relay.as_mut(),
+        }
+    }
+}
+
+/// What decides whether a configuration read anew needs another life.
+#[derive(Clone, PartialEq)]
+struct Identity {
+    name: String,
+    /// Where a relay listens.
+    listen: Option<SocketAddr>,
+    place: Place,
+    topic: Topic,
+}
+
+impl Identity {
+    fn of(conf: &FleetConf, tier: &TierConf, platform: &hollypaddle_config::Platform) -> Identity {
+        let name = conf.own_name(&platform.name).to_string();
+        let relay = tier.relay(&name);
+        // A leaf stands in the platform's district where its file says nothing.
+        let district = || platform.own.and_then(|own| platform.districts.get(own)).cloned();
+        let own = Location {
+            zone: tier.location.zone.clone().or_else(district),
+            region: tier.location.region.clone(),
+        };
+        Identity {
+            listen: relay.map(|relay| conf.listen.unwrap_or(relay.address)),
+            place: place(relay.map_or(&own, |relay| &relay.location), &tier.relays),
+            topic: Topic::of(tier.service.as_deref().unwrap_or_default()),
+            name,
+        }
+    }
+}
+
+/// A place in the words of the crate `relay`. Where the region is not told it is that of the zone's relays, if they have one.
+fn place(location: &Location, relays: &[hollypaddle_config::RelayConf]) -> Place {
+    let of_zone = || {
+        let same = |l: &&Location| l.zone.is_some() && l.zone == location.zone;
+        relays.iter().map(|r| &r.location).filter(same).find_map(|l| l.region.clone())
+    };
+    Place {
+        zone: location.zone.clone().unwrap_or_default(),
+        region: location.region.clone().or_else(of_zone).unwrap_or_default(),
+    }
+}
+
+/// This gatekeeper in its tier.
+struct Joined {
+    conf: FleetConf,
+    tier: TierConf,
+    identity: Identity,
+    role: Role,
+    links: Links,
+    names: BTreeMap<MemberId, String>,
+    joined: f64,
+    ticked: f64,
+    // Of a leaf.
+    told: Told,
+    /// Servers that are gone from the list, and since when: told of as that for a while.
+    gone: VecDeque<(f64, ServerKey)>,
+    hearsay: Hearsay,
+    /// The settings that came last.
+    held: Option<Arc<Set>>,
+    // Of a relay.
+    /// What is to be proposed, and until when that is tried.
+    proposal: Option<(Vec<(String, String)>, f64)>,
+    /// What became of the last proposal that was refused.
+    refused: Option<String>,
+    lines: Lines,
+}
+
+impl Joined {
+    fn join(room: &mut Room, conf: &FleetConf, tier: &TierConf) -> io::Result<Joined> {
+        let now = room.now;
+        let identity = Identity::of(conf, tier, room.platform);
+        let own = MemberId::of(&identity.name);
+        let life = new_life(now, room.seed);
+        let relays = places(tier);
+        let mut role = match tier.relay(&identity.name) {
+            Some(_) => {
+                let writer = MemberId::of(&tier.writer);
+                let known = relay::Identity { own, life, relays, writer };
+                Role::Relay(Box::new(Relay::new(now, known, conf.settings, timing(tier))))
+            }
+            None => {
+                let (topic, place) = (identity.topic, identity.place.clone());
+                let known = leaf::Identity { own, life, topic, place };
+                Role::Leaf(Box::new(Leaf::new(now, known, relays, timing(tier)).named(&identity.name)))
+            }
+        };
+        let most = links(tier, &identity.name);
+        let mut links = Links::open(identity.listen, most, room.watch)?;
+        links.change(now, most, addresses(tier), role.node(), room.watch);
+        let name = identity.name.as_str();
+        match links.address() {
+            Some(listen) => log::info!(name, listen:%, relays = tier.relays.len(), life:%; "relay-joined"),
+            None => log::info!(name, relays = tier.relays.len(), life:%; "leaf-joined"),
+        }
+        Ok(Joined {
+            conf: conf.clone(),
+            tier: tier.clone(),
+            names: names(tier, &identity.name),
+            identity,
+            role,
+            links,
+            joined: now,
+            ticked: now,
+            told: Told::default(),
+            gone: VecDeque::new(),
+            hearsay: Hearsay::new(now),
+            held: None,
+            proposal: None,
+            refused: None,
+            lines: Lines::new(now),
+        })
+    }
+
+    /// Takes relays, times and bounds read anew.
+    fn change(&mut self, room: &mut Room, conf: &FleetConf, tier: &TierConf) {
+        let now = room.now;
+        match &mut self.role {
+            Role::Leaf(leaf) => leaf.change(now, places(tier), timing(tier)),
+            Role::Relay(relay) => {
+                let writer = MemberId::of(&tier.writer);
+                let known = relay::Identity { relays: places(tier), writer, ..relay.identity().clone() };
+                relay.change(now, known, conf.settings, timing(tier));
+            }
+        }
+        let most = links(tier, &self.identity.name);
+        self.links.change(now, most, addresses(tier), self.role.node(), room.watch);
+        self.names = names(tier, &self.identity.name);
+        (self.conf, self.tier) = (conf.clone(), tier.clone());
+    }
+
+    /// Says that it ends, and closes all links.
+    fn leave(mut self, room: &mut Room) {
+        match &mut self.role {
+            Role::Leaf(_) => self.links.say_to_all(&Message::Leave),
+            Role::Relay(relay) => {
+                relay.end(room.now);
+                self.links.carry_out(room.now, self.role.node(), room.watch);
+            }
+        }
+        self.links.shut(room.watch);
+    }
+
+    fn name(&self, member: MemberId) -> String {
+        name(&self.names, member)
+    }
+
+    // ---- Settings
+
+    /// Reads the file with the fleet's settings, to propose what it says.
+    fn read_settings(&mut self, now: f64, path: &Path, at_start: bool) {
+        let wanted = match hollypaddle_config::entries(path) {
+            Ok(wanted) => wanted,
+            Err(problems) => {
+                for problem in problems.iter().take(MOST_PROBLEMS) {
+                    let (place, what) = (problem.place.to_string(), problem.what.as_str());
+                    log::warn!(place = place.as_str(), what; "fleet-settings-problem");
+                }
+                return self.settings_refused(&SettingsFileError::File(problems.len()));
+            }
+        };
+        if let Role::Relay(relay) = &self.role {
+            let writer = relay.identity().writer == relay.identity().own;
+            // One file may serve all relays: what is in force already is no change, and at a start only the writer's counts.
+            let as_in_force = relay.settings().entries().eq(sorted(&wanted).iter().map(|(n, t)| (*n, *t)));
+            if !writer && (at_start || as_in_force) {
+                return;
+            }
+        }
+        let until = if at_start { now + PROPOSE } else { now };
+        self.proposal = Some((wanted, until));
+        self.propose(now);
+    }
+
+    /// Proposes what was read. At a start that waits until the other relays are heard.
+    fn propose(&mut self, now: f64) {
+        let Role::Relay(relay) = &mut self.role else { return };
+        let Some((wanted, until)) = self.proposal.take() else { return };
+        match relay.propose(now, &wanted) {
+            Ok(mark) => {
+                self.refused = None;
+                let in_force = relay.settings().mark().version;
+                log::info!(version = mark.version, in_force, entries = wanted.len(); "fleet-settings-proposed");
+            }
+            Err(SettingsError::CatchingUp | SettingsError::NoMajority { .. }) if now < until => {
+                self.proposal = Some((wanted, until));
+            }
+            Err(error) => self.settings_refused(&error.into()),
+        }
+    }
+
+    fn settings_refused(&mut self, error: &SettingsFileError) {
+        let reason = error.name();
+        log::warn!(reason, error:%; "fleet-settings-refused");
+        self.refused = Some(error.to_string());
+    }
+
+    // ---- A turn
+
+    /// Returns whether this process was paused.
+    fn tick(&mut self, now: f64) -> bool {
+        let woke = now - std::mem::replace(&mut self.ticked, now) >= WOKE;
+        self.role.node().tick(now);
+        self.log(now);
+        woke
+    }
+
+    fn due(&mut self, room: &mut Room) -> Vec<PoolEntry> {
+        let now = room.now;
+        self.links.beat(now, self.role.node(), room.watch);
+        self.propose(now);
+        let Role::Leaf(leaf) = &mut self.role else { return Vec::new() };
+        for server in self.told.tell(now, room.servers, leaf.as_mut()) {
+            self.gone.push_back((now, server));
+        }
+        let forget = self.conf.settings.forget;
+        while let Some((_, server)) = self.gone.pop_front_if(|(at, _)| now - *at >= forget) {
+            let listed =
+                self.told.pool(server).is_some() || self.gone.iter().any(|(_, again)| *again == server);
+            if !listed {
+                leaf.server(now, server, None);
+            }
+        }
+        let Some(guard) = &mut room.gates.fleet else { return Vec::new() };
+        let late = self.conf.settings.lists_late;
+        self.hearsay.listen(now, &leaf.hearsay(now), (room.list_at, late), room.servers, guard)
+    }
+
+    /// Settings that came and were not offered before.
+    fn offered(&mut self) -> Option<Arc<Set>> {
+        let Role::Leaf(leaf) = &mut self.role else { return None };
+        let offered = leaf.offered()?;
+        self.held = Some(Arc::clone(&offered));
+        Some(offered)
+    }
+
+    fn ready(&self, now: f64) -> bool {
+        let late = now - self.joined >= CATCH_UP;
+        match &self.role {
+            Role::Leaf(leaf) => late || leaf.level(),
+            Role::Relay(relay) => relay.ready(),
+        }
+    }
+
+    // ---- The log
+
+    fn log(&mut self, now: f64) {
+        match &mut self.role {
+            Role::Leaf(leaf) => {
+                for event in leaf.events() {
+                    if self.lines.take(now) {
+                        log_leaf_event(&event, &self.names);
+                    }
+                }
+            }
+            Role::Relay(relay) => {
+                for event in relay.events() {
+                    if self.lines.take(now) {
+                        let name =
+                            |id| relay.leaf_name(id).map_or_else(|| name(&self.names, id), String::from);
+                        log_relay_event(&event, name);
+                    }
+                }
+            }
+        }
+    }
+
+    // ---- Reports
+
+    fn report(&self, now: f64) -> Value {
+        match &self.role {
+            Role::Leaf(leaf) => self.report_leaf(now, leaf),
+            Role::Relay(relay) => self.report_relay(now, relay),
+        }
+    }
+
+    fn report_leaf(&self, now: f64, leaf: &Leaf) -> Value {
+        let status = leaf.status(now);
+        let place = |l: &Place| (!l.zone.is_empty()).then(|| l.zone.clone());
+        let row = |r: &hollypaddle_config::RelayConf| {
+            let id = MemberId::of(&r.name);
+            let state = match () {
+                () if status.relay == Some(id) => "own",
+                () if status.second == Some(id) => "second",
+                () => "other",
+            };
+            json!({"name": r.name, "state": state, "zone": r.location.zone, "region": r.location.region})
+        };
+        let peer = |(member, fact): (MemberId, hollypaddle_replica::record::LeafFact)| {
+            json!({"name": self.name(member), "state": presence(fact.presence), "life": fact.life.to_string(),
+                "moves": fact.moves})
+        };
+        json!({
+            "role": "leaf", "name": self.identity.name, "life": leaf.identity().life.to_string(),
+            "ready": self.ready(now), "zone": place(&self.identity.place),
+            "relay": status.relay.map(|r| self.name(r)), "second": status.second.map(|r| self.name(r)),
+            "age_s": status.age, "moves": status.moves,
+            "settings": {"version": status.settings.version, "hash": hash(status.settings),
+                "in_force": status.in_force,
+                "refused": status.turned_down.as_ref().map(|(version, _)| version),
+                "reason": status.turned_down.as_ref().map(|(_, reason)| reason)},
+            "relays": self.tier.relays.iter().map(row).collect::<Vec<_>>(),
+            "members": leaf.peers().map(peer).collect::<Vec<_>>(),
+            "links": self.links.counts,
+        })
+    }
+
+    fn report_relay(&self, now: f64, relay: &Relay) -> Value {
+        let view = relay.mesh().view();
+        let heard = 1 + view.peers().filter(|m| matches!(view.state(*m), State::Alive)).count();
+        let row = |r: &hollypaddle_membership::view::Row| {
+            json!({
+                "name": self.name(r.member), "state": r.state.name(), "life": r.life.map(|l| l.to_string()),
+                "silent_ms": r.silent.map(|s| (s * 1000.0).round()), "linked": r.linked,
+                "hears_us": !r.deaf, "ready": r.ready,
+            })
+        };
+        let leaf = |r: relay::LeafRow| {
+            json!({
+                "name": relay.leaf_name(r.leaf).map_or_else(|| self.name(r.leaf), String::from), "state": presence(r.presence), "since_s": r.since, "moves": r.moves,
+                "in_force": r.in_force, "refused": r.turned_down.as_ref().map(|(version, _)| version),
+                "reason": r.turned_down.as_ref().map(|(_, reason)| reason),
+            })
+        };
+        let mark = relay.settings().mark();
+        json!({
+            "role": "relay", "name": self.identity.name, "life": relay.identity().life.to_string(),
+            "ready": relay.ready(), "writer": self.tier.writer, "heard": heard, "all": self.tier.relays.len(),
+            "majority": 2 * heard > self.tier.relays.len(),
+            "attached": relay.attached(), "limit": relay.limit(),
+            "settings": {"version": mark.version, "hash": hash(mark),
+                "entries": relay.settings().entries().count(),
+                "proposed": relay.proposed().map(|p| p.version), "refused": self.refused},
+            "relays": view.snapshot(now).iter().map(row).collect::<Vec<_>>(),
+            "members": relay.rows(now).into_iter().map(leaf).collect::<Vec<_>>(),
+            "counts": relay.counts, "links": self.links.counts,
+        })
+    }
+}
+
+fn sorted(entries: &[(String, String)]) -> BTreeMap<&str, &str> {
+    entries.iter().map(|(name, text)| (name.as_str(), text.as_str())).collect()
+}
+
+fn hash(mark: Mark) -> String {
+    format!("{:016x}", mark.hash)
+}
+
+fn presence(presence: hollypaddle_replica::record::Presence) -> String {
+    format!("{presence:?}").to_lowercase()
+}
+
+fn name(names: &BTreeMap<MemberId, String>, member: MemberId) -> String {
+    names.get(&member).cloned().unwrap_or_else(|| format!("{:016x}", member.0))
+}
+
+fn names(tier: &TierConf, own: &str) -> BTreeMap<MemberId, String> {
+    let relays = tier.relays.iter().map(|r| r.name.as_str());
+    relays.chain([own]).map(|name| (MemberId::of(name), name.to_string())).collect()
+}
+
+fn places(tier: &TierConf) -> Vec<RelayPlace> {
+    let of = |r: &hollypaddle_config::RelayConf| RelayPlace {
+        relay: MemberId::of(&r.name),
+        place: place(&r.location, &tier.relays),
+    };
+    tier.relays.iter().map(of).collect()
+}
+
+fn addresses(tier: &TierConf) -> BTreeMap<MemberId, SocketAddr> {
+    tier.relays.iter().map(|r| (MemberId::of(&r.name), r.address)).collect()
+}
+
+fn timing(tier: &TierConf) -> Timing {
+    Timing { leaf_rate: tier.leaf_rate, leaves: tier.leaves, ..Timing::default() }
+}
+
+fn log_leaf_event(event: &leaf::Event, names: &BTreeMap<MemberId, String>) {
+    let name = |member: MemberId| name(names, member);
+    match event {
+        leaf::Event::Attached(relay, after_s) => {
+            let after_s = after_s.unwrap_or(0.0);
+            log::info!(relay = name(*relay).as_str(), after_s; "relay-attached");
+        }
+        leaf::Event::Returned(relay) => log::info!(relay = name(*relay).as_str(); "relay-returned"),
+        leaf::Event::Lost(relay, how) => {
+            log::warn!(relay = name(*relay).as_str(), how = how.name(); "relay-lost");
+        }
+        leaf::Event::Refused(relay, why, retry_s) => {
+            let reason = refusal(*why);
+            log::info!(relay = name(*relay).as_str(), reason = reason.as_str(), retry_s; "relay-refused");
+        }
+        leaf::Event::Settings(mark) => log::debug!(version = mark.version; "fleet-settings-came"),
+        leaf::Event::Resync(feed) => {
+            let feed = format!("{feed:?}").to_lowercase();
+            log::info!(feed = feed.as_str(); "relay-told-anew");
+        }
+    }
+}
+
+fn log_relay_event(event: &relay::Event, name: impl Fn(MemberId) -> String) {
+    match event {
+        relay::Event::Mesh(event) => log_member_event(event, name),
+        relay::Event::Leaf(leaf, found) => {
+            let state = presence(*found);
+            log::info!(leaf = name(*leaf).as_str(), state = state.as_str(); "leaf-found");
+        }
+        relay::Event::Refused(leaf, why) => {
+            let reason = refusal(*why);
+            log::info!(leaf = name(*leaf).as_str(), reason = reason.as_str(); "leaf-refused");
+        }
+        relay::Event::Proposed(mark) => log::debug!(version = mark.version; "fleet-settings-stored"),
+        relay::Event::InForce(mark) => log::info!(version = mark.version; "fleet-settings-in-force"),
+        relay::Event::Undecided(mark) => log::warn!(version = mark.version; "fleet-settings-undecided"),
+        relay::Event::TurnedDown { leaf, version, reason } => {
+            let reason = reason.as_str();
+            log::warn!(leaf = name(*leaf).as_str(), version, reason; "fleet-settings-turned-down");
+        }
+        relay::Event::SecondWriter(relay) => {
+            log::warn!(relay = name(*relay).as_str(); "fleet-settings-second-writer");
+        }
+    }
+}
+
+fn refusal(why: hollypaddle_relay::message::Refusal) -> String {
+    use hollypaddle_relay::message::Refusal;
+    match why {
+        Refusal::Full => "full",
+        Refusal::Shedding => "shedding",
+        Refusal::CatchingUp => "catching-up",
+    }
+    .into()
+}
+
+/// This gatekeeper in a tier, where the own configuration has one.
+#[derive(Default)]
+pub struct InTier {
+    joined: Option<Joined>,
+    /// One that was joined and does not count yet.
+    fresh: Option<Joined>,
+}
+
+impl InTier {
+    /// The lines of a list, with what others know.
+    pub fn overlay(&self, entries: &mut [PoolEntry], list_at: f64) {
+        if let Some(joined) = &self.joined {
+            joined.hearsay.overlay(entries, list_at, joined.conf.settings.lists_late);
+        }
+    }
+
+    /// Settings of the fleet that came and were not offered before.
+    pub fn offered(&mut self) -> Option<Arc<Set>> {
+        self.joined.as_mut().and_then(Joined::offered)
+    }
+
+    /// Settings of the fleet that were turned down, to be tried again as the own configuration has changed.
+    pub fn turned_down(&self) -> Option<Arc<Set>> {
+        let joined = self.joined.as_ref()?;
+        let Role::Leaf(leaf) = &joined.role else { return None };
+        let held = joined.held.as_ref()?;
+        (leaf.status(joined.ticked).in_force < held.mark().version).then(|| Arc::clone(held))
+    }
+
+    /// Settings of this version are in force here, or why they are not.
+    pub fn verdict(&mut self, version: u64, verdict: Result<(), String>) {
+        let Some(Joined { role: Role::Leaf(leaf), .. }) = &mut self.joined else { return };
+        leaf.verdict(version, verdict);
+    }
+}
+
+fn of(conf: &Conf) -> Option<(&FleetConf, &TierConf)> {
+    let fleet = conf.fleet.as_ref()?;
+    Some((fleet, fleet.tier.as_ref()?))
+}
+
+impl Subject for InTier {
+    fn prepare(&mut self, room: &mut Room, _: &Conf, new: &Conf) -> io::Result<()> {
+        let Some((conf, tier)) = of(new) else { return Ok(()) };
+        let identity = Identity::of(conf, tier, room.platform);
+        if self.joined.as_ref().is_none_or(|joined| joined.identity != identity) {
+            self.fresh = Some(Joined::join(room, conf, tier)?);
+        }
+        Ok(())
+    }
+
+    fn abandon(&mut self, room: &mut Room) {
+        if let Some(fresh) = self.fresh.take() {
+            fresh.links.shut(room.watch);
+        }
+    }
+
+    fn commit(&mut self, room: &mut Room, old: &Conf, new: &Conf) -> Option<String> {
+        let (fresh, at_start) = (self.fresh.take(), self.joined.is_none());
+        let word = match (&mut self.joined, fresh, of(new)) {
+            (old, Some(fresh), _) => {
+                if let Some(old) = old.replace(fresh) {
+                    old.leave(room);
+                }
+                Some("joined")
+            }
+            (Some(joined), None, Some((conf, tier))) if new.fleet != old.fleet => {
+                joined.change(room, conf, tier);
+                Some("changed")
+            }
+            (Some(_), None, Some(_)) | (None, None, _) => None,
+            (old, None, None) => {
+                if let Some(old) = old.take() {
+                    old.leave(room);
+                }
+                Some("left")
+            }
+        };
+        if let Some(joined) = &mut self.joined {
+            if word.is_some() {
+                room.gates.fleet = matches!(joined.role, Role::Leaf(_)).then(Guard::default);
+            }
+            // Every reading of the configuration at a relay reads the fleet's settings, too.
+            if let (Role::Relay(_), Some(path)) = (&joined.role, joined.tier.settings.clone()) {
+                joined.read_settings(room.now, &path, at_start);
+            }
+        }
+        word.map(|word| format!("tier-{word}"))
+    }
+
+    fn begin(&mut self, room: &mut Room) {
+        if let Some(joined) = &mut self.joined {
+            if joined.tick(room.now) {
+                // What waits at the socket was said before or while this process was paused.
+                room.resolver.forget_asked();
+                room.resolver.ask();
+            }
+        }
+    }
+
+    fn heard(&mut self, room: &mut Room, ready: Ready) {
+        if let Some(joined) = &mut self.joined {
+            joined.links.ready(room.now, ready, joined.role.node(), room.watch);
+        }
+    }
+
+    fn due(&mut self, room: &mut Room, _: &Conf) {
+        let Some(joined) = &mut self.joined else { return };
+        let entries = joined.due(room);
+        if !entries.is_empty() {
+            room.calls.events.push(ModuleEvent::List { kind: ListKind::Changes, entries });
+        }
+    }
+
+    fn carry_out(&mut self, room: &mut Room) {
+        if let Some(joined) = &mut self.joined {
+            joined.links.carry_out(room.now, joined.role.node(), room.watch);
+        }
+    }
+
+    fn end(&mut self, room: &mut Room) {
+        if let Some(joined) = self.joined.take() {
+            joined.leave(room);
+        }
+    }
+
+    fn wants_turn_at(&self) -> Option<f64> {
+        self.joined.as_ref().map(|joined| match &joined.role {
+            Role::Leaf(leaf) => leaf.next_at(),
+            Role::Relay(relay) => relay.next_at(),
+        })
+    }
+
+    fn not_ready(&self) -> Option<&'static str> {
+        self.joined.as_ref().filter(|joined| !joined.ready(joined.ticked)).map(|_| "catching-up")
+    }
+
+    fn answer(&mut self, room: &mut Room, question: &Question) -> Option<Value> {
+        Some(match (question, &self.joined) {
+            (Question::Members {}, Some(joined)) => json!({"ok": joined.report(room.now)}),
+            (Question::Replica {}, Some(_)) => {
+                json!({"error": "no copies of other members are held in a tier of relays: ask `members`"})
+            }
+            (Question::Members {} | Question::Replica {}, None) => {
+                json!({"error": "no fleet: the block `fleet` is not configured"})
+            }
+            _ => return None,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gatekeeper/src/node/tier/tests.rs
@@ -0,0 +1,50 @@
+use hollypaddle_relay::settings::SetError;
+
+use super::*;
+
+/// Each reason for which settings of the fleet are refused has a row on the page for on-call staff, and says what can be
+/// done.
+#[test]
+fn every_refusal_of_settings_is_on_the_page_for_on_call_staff() {
+    let page = include_str!("../../../../../docs/ONCALL.md");
+    let refused = [
+        SettingsError::NotWriter,
+        SettingsError::CatchingUp,
+        SettingsError::NoMajority { heard: 1, all: 3 },
+        SettingsError::Set(SetError::Entries(9)),
+        SettingsError::Set(SetError::Entry { name: "x".into(), bytes: 9 }),
+        SettingsError::Set(SetError::Bytes(9)),
+        SettingsError::Set(SetError::Twice("x".into())),
+    ];
+    let all = refused.into_iter().map(SettingsFileError::Refused).chain([SettingsFileError::File(3)]);
+    for error in all {
+        let row = format!("| `{}` |", error.name());
+        assert!(page.contains(&row), "{row} is not in docs/ONCALL.md");
+        assert!(error.to_string().contains(':'), "{error} says nothing of what can be done");
+    }
+}
+
+/// Each event of a tier has a row on that page.
+#[test]
+fn every_event_is_on_the_page_for_on_call_staff() {
+    let page = include_str!("../../../../../docs/ONCALL.md");
+    let sources =
+        [include_str!("../tier.rs"), include_str!("../relays.rs"), include_str!("../event_loop.rs")];
+    let mut found = 0;
+    for source in sources {
+        // The name stands behind the fields, or alone.
+        for line in source.split("log::").skip(1) {
+            let after = |mark: &str| line.split_once(mark).map(|(before, name)| (before.len(), name));
+            let level = |at: usize| !line[..at].contains(");");
+            let name = [after("; \""), after("!(\"")].into_iter().flatten().filter(|(at, _)| level(*at));
+            let Some((_, name)) = name.min_by_key(|(at, _)| *at) else { continue };
+            let name = name.split('"').next().unwrap();
+            assert!(
+                ['`', ' '].iter().any(|end| page.contains(&format!("`{name}{end}"))),
+                "the event {name:?} is not in docs/ONCALL.md"
+            );
+            found += 1;
+        }
+    }
+    assert!(found > 30, "only {found} events were found");
+}
