--- a/crates/gatekeeper/tests/relays.rs
+++ b/crates/gatekeeper/tests/relays.rs
@@ -8,6 +8,7 @@
 use hollypaddle::node::control::Question;
 use hollypaddle_standin::free_addresses;
 use hollypaddle_standin::program::{unix_time, Program};
+use hollypaddle_standin::server::What;
 use hollypaddle_standin::world::{classes, Plan, World, DISTRICTS};
 use serde_json::Value;
 
@@ -30,6 +31,8 @@
     conf: String,
     own: Vec<&'static str>,
     traffic_until: f64,
+    /// Where all calls would go, if to one server.
+    first_choice: Option<u32>,
 }
 
 impl Group {
@@ -53,7 +56,7 @@
         own[LEAVES - 1] = "crossings {\n urgent valve-set\n}\n";
         let folder = tempfile::tempdir().unwrap();
         let programs = (0..STANDS.len()).map(|_| None).collect();
-        let mut group = Group { folder, world, programs, conf, own, traffic_until: 0.0 };
+        let mut group = Group { folder, world, programs, conf, own, traffic_until: 0.0, first_choice: None };
         group.settings("");
         // Relays that have just started take no leaves yet, and one that was sent elsewhere comes home late.
         RELAYS.into_iter().for_each(|n| group.start_one(n));
@@ -109,10 +112,10 @@
     fn until(&mut self, what: &str, mut holds: impl FnMut(&Group) -> bool) -> f64 {
         let (begun, mut looked) = (Instant::now(), Instant::now());
         loop {
-            let now = unix_time();
+            let (now, first) = (unix_time(), self.first_choice);
             (0..LEAVES).for_each(|leaf| {
                 if now < self.traffic_until {
-                    self.world.traffic(now, leaf, 20.0, |a, _| (a * 3.0) as u32);
+                    self.world.traffic(now, leaf, 20.0, |a, _| first.unwrap_or((a * 3.0) as u32));
                 }
             });
             self.world.turn(now);
@@ -230,6 +233,29 @@
     let took = g.until("the settings everywhere again", |g| all(g, version));
     assert!(took <= IN_FORCE, "in force everywhere after {took:.2} s");
 
+    // A relay that is paused answers nothing, and its leaves move; one that ends tells them.
+    g.program(WRITER).signal("-STOP").unwrap();
+    let took =
+        g.until("the paused relay's leaves to move", |g| (0..LEAVES).all(|leaf| g.relay(leaf) == "n6"));
+    assert!(took <= MOVED, "moved after {took:.2} s");
+    g.program(WRITER).signal("-CONT").unwrap();
+    g.until("second choices again", |g| (0..LEAVES).all(|leaf| g.members(leaf)["second"] == "n4"));
+    g.program(6).signal("-TERM").unwrap();
+    g.until("the end of a relay", |g| (0..LEAVES).all(|leaf| g.relay(leaf) == "n4"));
+    let how = |leaf: usize| g.logged(leaf, "relay-lost").last().map(|event| event["how"].clone());
+    (0..LEAVES).for_each(|leaf| assert_eq!(how(leaf), Some("left".into())));
+
+    // All relays are gone: leaves serve on by what they have, and take the next change once relays are back.
+    [WRITER, 6].into_iter().for_each(|n| g.kill(n));
+    g.until("no relay", |g| (0..LEAVES).all(|leaf| g.members(leaf)["relay"].is_null()));
+    assert!(all(&g, version));
+    g.settings(SECOND);
+    RELAYS.into_iter().for_each(|n| g.start_one(n));
+    let later = |g: &Group| g.members(WRITER)["settings"]["version"].as_u64().filter(|v| *v > version);
+    g.until("the relays", |g| later(g).is_some());
+    let took = later(&g).map(|later| g.until("the settings of the new relays", |g| all(g, later))).unwrap();
+    assert!(took <= IN_FORCE, "in force everywhere after {took:.2} s");
+
     // All of it touched no call.
     g.traffic_until = 0.0;
     g.until("the ends", |g| g.world.callers[..LEAVES].iter().all(|c| c.unanswered() + c.standing() == 0));
@@ -237,3 +263,26 @@
         assert!(callers.calls.values().all(|c| c.answers == 1) && callers.calls.len() > 20);
     }
 }
+
+/// The resolver of one says nothing of a drain; it hears of it from the others of its service, through their relays.
+#[test]
+fn a_leaf_hears_of_a_drain_from_the_others() {
+    let mut g = Group::start();
+    g.until("all leaves to be attached", |g| (0..LEAVES).all(|leaf| !g.relay(leaf).is_empty()));
+    g.world.resolver_silent(0, true);
+    let sent = |g: &Group, server: usize, since: f64| {
+        let seen = g.world.servers[server].seen.iter();
+        seen.filter(|s| s.door == 0 && s.what == What::SetUp && s.at >= since).count()
+    };
+    let begun = unix_time();
+    g.first_choice = Some(0);
+    g.traffic_until = begun + 60.0;
+    g.until("its first choice", |g| sent(g, 0, begun) > 5);
+    let drained = unix_time();
+    g.world.drain(0, true);
+    g.until("other servers", |g| sent(g, 1, drained) + sent(g, 2, drained) > 5);
+    let since = unix_time();
+    g.until("a second of it", |_| unix_time() > since + 1.0);
+    assert_eq!(sent(&g, 0, since), 0, "it was told {:.2} s after the drain", since - drained);
+    assert!(since - drained < MOVED, "it was told {:.2} s after the drain", since - drained);
+}
