--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`script`]: `at 2.5s kill g3`, `at 3s cut g1 -> g2`, `at 4s heal`; drawn by a seed, made smaller when one fails.
 //! - [`world`]: members, links, clocks of their own and servers, stepped by one queue in skipped time.
+//! - [`tier`]: relays and leaves, in skipped time by a queue of events.
 //! - [`real`]: real processes of the program, with relays between them, by the same scripts.
 //! - [`check`]: what must hold, over the record of events.
 
@@ -10,4 +11,5 @@
 pub mod duties;
 pub mod real;
 pub mod script;
+pub mod tier;
 pub mod world;
