--- a/crates/faults/src/tier.rs
+++ b/crates/faults/src/tier.rs
@@ -372,6 +372,9 @@
     pub stuck: u64,
     /// Between two looks at all leaves, in seconds.
     pub scan_every: f64,
+    /// Changes that were refused.
+    pub refused: usize,
+    measured_from: f64,
     last_scan: f64,
     lives: u64,
     /// What relays have said of leaves: gone, after so many attachments.
@@ -388,7 +391,7 @@
 }
 
 impl World {
-    /// All start within half a second, the relays first.
+    /// The relays start, and two seconds later the leaves.
     pub fn new(plan: Plan, seed: u64) -> World {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let count = plan.relays + plan.leaves;
@@ -444,6 +447,8 @@
             turned_down: BTreeSet::new(),
             stuck: 0,
             scan_every: 0.5,
+            refused: 0,
+            measured_from: 0.0,
             last_scan: 0.0,
             lives: 0,
             stated_gone: BTreeSet::new(),
@@ -458,7 +463,7 @@
             }
         }
         (0..world.plan.relays).for_each(|n| world.start(n));
-        world.pass(0.2);
+        world.pass(2.0);
         world.leaf_nodes().for_each(|n| world.start(n));
         world
     }
@@ -1589,3 +1594,354 @@
 pub fn entries(n: u64) -> Vec<(String, String)> {
     (0..20).map(|k| (format!("entry {k}"), format!("text {}", if k == n % 20 { n } else { k }))).collect()
 }
+
+/// What a long run came to.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    /// Relays and leaves.
+    pub relays: usize,
+    /// The latter.
+    pub leaves: usize,
+    /// Which run.
+    pub name: String,
+    /// With which seed.
+    pub seed: u64,
+    /// Seconds that were played, and seconds that it took.
+    pub played_s: f64,
+    /// The latter.
+    pub took_s: f64,
+    /// Bytes a second to and from a leaf, packet headers counted: the mean over all leaves and seconds.
+    pub mean_bytes_s: f64,
+    /// The same: 99 in 100 seconds of leaves are under this.
+    pub p99_bytes_s: f64,
+    /// The same: the worst leaf's worst 10 s, a second.
+    pub worst_bytes_s: f64,
+    /// Bytes a second that all relays say and hear, leaves and other relays, a relay.
+    pub relay_bytes_s: f64,
+    /// Seconds from the fault until the last leaf that it concerns was attached again, and how many those were.
+    pub attached_s: Option<f64>,
+    /// Of each leaf that had lost its relay, or was started: seconds until it was attached, p50, p99 and the last.
+    pub moved_s: (f64, f64, f64),
+    /// How many those were.
+    pub moved: usize,
+    /// Changes of settings that were accepted, and refused for want of a majority.
+    pub changes: usize,
+    /// The latter.
+    pub refused: usize,
+    /// Seconds from a change's acceptance until it, or a later one, was in force at a leaf: p50, p99 and the last, over all
+    /// leaves that could be reached all the while.
+    pub in_force_s: (f64, f64, f64),
+    /// Seconds from the asking until a majority of relays had it: p50, p99, the last.
+    pub accepted_s: (f64, f64, f64),
+    /// Seconds after the healing until all had the newest settings.
+    pub equal_s: Option<f64>,
+    /// Who lives and was heard, and was held to be gone.
+    pub false_deaths: usize,
+    /// Most leaves at a relay at any time.
+    pub most_leaves: usize,
+    /// What did not hold.
+    pub broken: Vec<Broken>,
+}
+
+fn spread_of(mut all: Vec<f64>) -> (f64, f64, f64) {
+    all.sort_by(f64::total_cmp);
+    let at = |part: f64| all.get(((all.len() as f64 * part) as usize).min(all.len().saturating_sub(1))).copied();
+    (at(0.5).unwrap_or(0.0), at(0.99).unwrap_or(0.0), all.last().copied().unwrap_or(0.0))
+}
+
+impl World {
+    /// What was counted since the last [`World::measure_from_here`].
+    pub fn figures(&mut self, name: &str, seed: u64) -> Figures {
+        self.scan();
+        let played = self.now - self.measured_from;
+        let leaves = self.plan.leaves.max(1) as f64;
+        let bytes: u64 = self.leaf_nodes().map(|n| self.slots[n].meter.total).sum();
+        let worst = self.leaf_nodes().map(|n| self.slots[n].meter.worst).max().unwrap_or(0);
+        let all: u64 = self.spread.iter().sum();
+        let mut below = 0;
+        let p99 = self.spread.iter().position(|count| {
+            below += count;
+            below * 100 >= all * 99
+        });
+        let told: u64 = self.said.values().map(|(_, bytes)| bytes).sum();
+        let mut in_force = Vec::new();
+        let mut accepted = Vec::new();
+        for change in self.changes.values().filter(|c| c.asked >= self.measured_from) {
+            let Some(at) = change.accepted else { continue };
+            accepted.push(at - change.asked);
+            in_force.extend(change.reached.values().map(|reached| (reached - at).max(0.0)));
+        }
+        let moved: Vec<f64> =
+            self.moves.iter().filter(|m| m.at >= self.measured_from).map(|m| m.after).collect();
+        Figures {
+            relays: self.plan.relays,
+            leaves: self.plan.leaves,
+            name: name.into(),
+            seed,
+            played_s: played,
+            took_s: 0.0,
+            mean_bytes_s: bytes as f64 / leaves / played.max(1.0),
+            p99_bytes_s: p99.map_or(0.0, |bucket| (bucket as f64 + 1.0) * 16.0),
+            worst_bytes_s: worst as f64 / OVER as f64,
+            relay_bytes_s: told as f64 / self.plan.relays.max(1) as f64 / played.max(1.0),
+            attached_s: None,
+            moved: moved.len(),
+            moved_s: spread_of(moved),
+            changes: accepted.len(),
+            refused: self.refused,
+            in_force_s: spread_of(in_force),
+            accepted_s: spread_of(accepted),
+            equal_s: None,
+            false_deaths: self.false_deaths,
+            most_leaves: self.most.iter().copied().max().unwrap_or(0),
+            broken: self.broken.clone(),
+        }
+    }
+
+    /// Forgets what was counted so far.
+    pub fn measure_from_here(&mut self) {
+        let second = self.now as u64;
+        for node in self.leaf_nodes() {
+            self.slots[node].meter = Meter { second, ..Meter::default() };
+        }
+        self.spread.clear();
+        self.said.clear();
+        self.most.iter_mut().for_each(|most| *most = 0);
+        self.measured_from = self.now;
+    }
+
+    /// A change of settings that reaches everybody: `n` tells them apart.
+    fn changes_settings(&mut self, n: u64) {
+        if let Some(Err(_)) = self.propose(0, &entries(n)) {
+            self.refused += 1;
+        }
+    }
+
+    /// All start, attach, and have settings; those that started at a relay that is not theirs have gone home.
+    fn warm(&mut self) {
+        self.scan_every = 5.0;
+        self.pass(1.0);
+        self.changes_settings(0);
+        self.pass(2.5 * self.plan.timing.home);
+        self.measure_from_here();
+    }
+
+    /// Plays on until all are attached, and adds it to the figures.
+    fn settle(&mut self, figures: &mut Figures, most: f64) {
+        figures.attached_s = self.until(most, World::all_attached);
+        if figures.attached_s.is_none() {
+            let left = self.unattached().len();
+            self.breaks("every leaf is attached in the end", format!("{left} are not after {most} s"));
+        }
+    }
+}
+
+/// What is played at length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Run {
+    /// Nothing happens, for five minutes.
+    Rest,
+    /// An hour that has all of an ordinary day: 2 failures, 41 restarts, 2,200 changes of settings at random times and in
+    /// bursts of 50. So its rates are 24 times those of a day.
+    Day,
+    /// One relay is killed, and back after a minute.
+    RelayKilled,
+    /// One is paused for a minute.
+    RelayPaused,
+    /// Two are killed at once, and back after a minute.
+    TwoRelays,
+    /// 20 machines of one rack, a relay among them, lose their power, and are back after a minute.
+    Rack,
+    /// All leaves of a zone and its relay are killed and started at once.
+    Zone,
+    /// The regions lose each other for an hour, with 100 changes between, and find each other again.
+    Regions,
+    /// All relays are killed, and are back after 10 s.
+    AllRelays,
+    /// Everything is restarted at once.
+    All,
+    /// One in five messages is lost, for a minute.
+    Loss,
+}
+
+/// All of them.
+pub const RUNS: [Run; 11] = [
+    Run::Rest,
+    Run::Day,
+    Run::RelayKilled,
+    Run::RelayPaused,
+    Run::TwoRelays,
+    Run::Rack,
+    Run::Zone,
+    Run::Regions,
+    Run::AllRelays,
+    Run::All,
+    Run::Loss,
+];
+
+impl Run {
+    /// In a word.
+    pub fn name(self) -> &'static str {
+        match self {
+            Run::Rest => "rest",
+            Run::Day => "day",
+            Run::RelayKilled => "relay-killed",
+            Run::RelayPaused => "relay-paused",
+            Run::TwoRelays => "two-relays",
+            Run::Rack => "rack",
+            Run::Zone => "zone",
+            Run::Regions => "regions",
+            Run::AllRelays => "all-relays",
+            Run::All => "all",
+            Run::Loss => "loss",
+        }
+    }
+
+    /// Plays it; what must hold is in [`Figures::broken`].
+    pub fn play(self, plan: Plan, seed: u64) -> Figures {
+        let began = std::time::Instant::now();
+        let mut world = World::new(plan, seed);
+        world.warm();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x10a6);
+        let mut figures = Figures::default();
+        let zone: Vec<usize> = (0..world.slots.len()).filter(|n| world.plan.zone(*n) == 0).collect();
+        match self {
+            Run::Rest => world.pass(300.0),
+            Run::Day => world.day(&mut rng),
+            Run::RelayKilled | Run::RelayPaused | Run::TwoRelays => {
+                match self {
+                    Run::RelayPaused => world.pause(0),
+                    _ => world.kill(0),
+                }
+                if self == Run::TwoRelays && world.plan.relays > 2 {
+                    world.kill(1);
+                }
+                world.settle(&mut figures, 30.0);
+                world.pass(60.0);
+                world.heal();
+                world.pass(2.5 * world.plan.timing.home);
+            }
+            Run::Rack => {
+                let rack: Vec<usize> =
+                    zone.iter().copied().filter(|n| *n == 0 || *n >= world.plan.relays).take(20).collect();
+                rack.iter().for_each(|n| world.vanish(*n));
+                world.settle(&mut figures, 30.0);
+                world.pass(60.0);
+                world.heal();
+                world.pass(2.5 * world.plan.timing.home);
+            }
+            Run::Zone => {
+                zone.iter().for_each(|n| world.kill(*n));
+                world.pass(1.0);
+                zone.iter().for_each(|n| world.start(*n));
+                world.settle(&mut figures, 30.0);
+                world.pass(60.0);
+            }
+            Run::Regions => {
+                world.cut_regions(true);
+                world.settle(&mut figures, 30.0);
+                for n in 0..100 {
+                    world.pass(35.5 + rng.gen_range(-5.0..5.0));
+                    world.changes_settings(1000 + n);
+                }
+                world.cut_regions(false);
+                figures.equal_s = world.until(30.0, |w| w.all_on_newest().is_empty());
+                if figures.equal_s.is_none_or(|s| s > CHANGE) {
+                    let what = format!("{:?}", figures.equal_s);
+                    world.breaks("after a heal all are on the newest settings within 4 s", what);
+                }
+                world.pass(60.0);
+            }
+            Run::AllRelays => {
+                (0..world.plan.relays).for_each(|n| world.kill(n));
+                world.pass(10.0);
+                (0..world.plan.relays).for_each(|n| world.start(n));
+                world.settle(&mut figures, 60.0);
+                figures.equal_s = world.until(60.0, |w| w.all_on_newest().is_empty());
+                world.pass(5.0);
+                world.changes_settings(77);
+                world.pass(60.0);
+            }
+            Run::All => {
+                (0..world.slots.len()).for_each(|n| world.kill(n));
+                world.pass(0.5);
+                (0..world.slots.len()).for_each(|n| world.start(n));
+                world.settle(&mut figures, 60.0);
+                world.pass(60.0);
+            }
+            Run::Loss => {
+                world.loss = 0.2;
+                for n in 0..6 {
+                    world.pass(10.0);
+                    world.changes_settings(500 + n);
+                }
+                world.loss = 0.0;
+                world.pass(10.0);
+            }
+        }
+        let broken = world.unsettled();
+        let (attached_s, equal_s) = (figures.attached_s, figures.equal_s);
+        figures = Figures { attached_s, equal_s, ..world.figures(self.name(), seed) };
+        figures.broken.extend(broken);
+        let limits = match self {
+            Run::RelayKilled | Run::RelayPaused => Some(MOVED),
+            Run::TwoRelays | Run::Rack | Run::Zone => Some(HOME),
+            _ => None,
+        };
+        if let Some(most) = limits.filter(|most| figures.moved_s.2 > *most) {
+            let what = format!("{:.2} s, expected {most} at most", figures.moved_s.2);
+            figures.broken.push(Broken("leaves of a lost relay are attached elsewhere in time", what));
+        }
+        if !matches!(self, Run::AllRelays | Run::All) && figures.in_force_s.2 > CHANGE && self != Run::Regions {
+            let what = format!("{:.2} s", figures.in_force_s.2);
+            figures.broken.push(Broken("a change accepted reaches every leaf within 4 s", what));
+        }
+        figures.took_s = began.elapsed().as_secs_f64();
+        figures
+    }
+}
+
+impl World {
+    /// An hour with all of an ordinary day in it.
+    fn day(&mut self, rng: &mut ChaCha8Rng) {
+        const HOUR: f64 = 3600.0;
+        let mut steps: Vec<(f64, u8, usize)> = Vec::new();
+        let count = self.slots.len();
+        for _ in 0..2 {
+            steps.push((rng.gen_range(0.0..HOUR - 120.0), 0, rng.gen_range(0..count)));
+        }
+        for _ in 0..41 {
+            steps.push((rng.gen_range(0.0..HOUR - 120.0), 1, rng.gen_range(0..count)));
+        }
+        // 20 bursts of 50, and 1,200 alone.
+        for _ in 0..20 {
+            let at = rng.gen_range(0.0..HOUR - 60.0);
+            steps.extend((0..50).map(|n| (at + 0.1 * f64::from(n), 2, 0)));
+        }
+        steps.extend((0..1200).map(|_| (rng.gen_range(0.0..HOUR - 60.0), 2, 0)));
+        steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let from = self.now;
+        let mut back: Vec<(f64, usize)> = Vec::new();
+        for (n, (at, what, node)) in steps.into_iter().enumerate() {
+            while let Some(i) = back.iter().position(|(then, _)| *then <= from + at) {
+                let (then, node) = back.swap_remove(i);
+                self.pass((then - self.now).max(0.0));
+                self.start(node);
+            }
+            self.pass((from + at - self.now).max(0.0));
+            match what {
+                0 => {
+                    self.vanish(node);
+                    back.push((self.now + 60.0, node));
+                }
+                1 => {
+                    self.kill(node);
+                    back.push((self.now + 1.0, node));
+                }
+                _ => self.changes_settings(n as u64),
+            }
+        }
+        self.heal();
+        self.pass((from + HOUR - self.now).max(60.0));
+    }
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -35,6 +35,9 @@
 /// By how much clocks may differ in pace, and how exact an age is, in seconds.
 const CLOCKS: f64 = 1.02;
 const CERTAIN: f64 = 0.05;
+/// A majority must have been heard for so long before a silence is held for an end, in seconds: who was cut off hears some
+/// first when it is back, and learns from them within this whom they hear.
+const STANDS: f64 = SIGHTS_EVERY + 0.1;
 /// A second process under the own name must have been told of for so long, in seconds.
 const AGAIN: f64 = 0.5;
 
@@ -211,6 +214,8 @@
     rival: Option<(Life, f64)>,
     superseded: bool,
     ticked: Option<f64>,
+    /// Since when a majority is heard.
+    quorum_since: Option<f64>,
     /// Whose turn it is to be told of.
     turn: usize,
     changes: Vec<Change>,
@@ -237,6 +242,7 @@
             rival: None,
             superseded,
             ticked: None,
+            quorum_since: None,
             turn: 0,
             changes,
         }
@@ -579,7 +585,8 @@
 
     fn judge(&mut self, now: f64) {
         let s = self.settings;
-        let quorum = self.quorum();
+        self.quorum_since = self.quorum().then(|| self.quorum_since.unwrap_or(now));
+        let quorum = self.quorum_since.is_some_and(|since| now - since >= STANDS);
         for (&member, peer) in &mut self.peers {
             let silent = now - peer.alive_at.max(peer.excused);
             let others = now - peer.sight_at;
