--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -10,6 +10,7 @@
 mod replication;
 mod scale;
 mod sites;
+mod size;
 mod stats;
 
 use std::error::Error;
