--- a/crates/gatekeeper/src/node/mod.rs
+++ b/crates/gatekeeper/src/node/mod.rs
@@ -12,7 +12,7 @@
 mod output;
 mod peers;
 mod poller;
-mod resolver;
+pub mod resolver;
 mod servers;
 mod subjects;
 #[cfg(test)]
--- a/crates/measure/src/cold.rs
+++ b/crates/measure/src/cold.rs
@@ -16,19 +16,19 @@
 const LEAST_USED: f64 = 0.2;
 
 #[derive(Serialize)]
-struct Line {
-    kind: &'static str,
-    case: String,
-    fronts: usize,
+pub(crate) struct Line {
+    pub(crate) kind: &'static str,
+    pub(crate) case: String,
+    pub(crate) fronts: usize,
     /// Most beyond what is allowed, in roots of it: median, nineteen of twenty, all.
-    median: f64,
-    p95: f64,
-    most: f64,
+    pub(crate) median: f64,
+    pub(crate) p95: f64,
+    pub(crate) most: f64,
     /// Runs in which a server falls, and in which the rule is broken.
-    falls: usize,
-    broken: usize,
-    used: f64,
-    served: f64,
+    pub(crate) falls: usize,
+    pub(crate) broken: usize,
+    pub(crate) used: f64,
+    pub(crate) served: f64,
 }
 
 fn at(values: &mut [f64], part: f64) -> f64 {
@@ -36,7 +36,8 @@
     values[((values.len() - 1) as f64 * part).round() as usize]
 }
 
-fn line(kind: (&'static str, f64, f64, f64, f64), case: Case, fronts: usize, seeds: u64) -> Line {
+/// Plays so many seeds of one case.
+pub(crate) fn line(kind: (&'static str, f64, f64, f64, f64), case: Case, fronts: usize, seeds: u64) -> Line {
     let figures = Figures::of(kind, fronts);
     let workers = thread::available_parallelism().map_or(1, usize::from) as u64;
     let shown: Vec<Shown> = thread::scope(|scope| {
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -33,6 +33,12 @@
     /// Of replication only what a set-up pays, told and not written.
     #[arg(long)]
     delays: bool,
+    /// Of size only this part.
+    #[arg(long)]
+    part: Option<size::Part>,
+    /// Of the heart's part only this series.
+    #[arg(long)]
+    series: Option<size::heart::Series>,
     /// Where the page and the chart are written.
     #[arg(long, default_value = "docs/measurements")]
     out: PathBuf,
@@ -52,12 +58,15 @@
     Cold,
     /// Several workers: what the ways to them cost.
     Cores,
+    /// What grows with servers, calls and callers, as slopes.
+    Size,
 }
 
 fn main() -> Result<ExitCode, Box<dyn Error>> {
     let args = Args::parse();
     let failures = match args.name {
         Name::Cold => cold::measure(args.runs.max(1), &args.out)?,
+        Name::Size => size::measure(args.part, args.series, &args.program, &args.out)?,
         Name::Cores => cores::measure(args.runs.max(1), &args.program, &args.out)?,
         Name::Replication if args.delays => {
             delays::measure(args.runs.max(1), &args.program)?;
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -53,9 +53,20 @@
         conf: &str,
         listen: &str,
     ) -> io::Result<Program> {
-        let name = format!("n{front}");
+        Program::start_with(program, folder, &format!("n{front}"), &world.config(front)?, conf, listen)
+    }
+
+    /// The same, with a name and the platform's configuration as text.
+    pub fn start_with(
+        program: &Path,
+        folder: &Path,
+        name: &str,
+        config: &str,
+        conf: &str,
+        listen: &str,
+    ) -> io::Result<Program> {
         let (platform, own) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.conf")));
-        std::fs::write(&platform, world.config(front)?)?;
+        std::fs::write(&platform, config)?;
         std::fs::write(&own, conf)?;
         let mut child = Command::new(program)
             .args(["run", "--log-format", "json", "--config"])
--- a/crates/standin/src/resolver.rs
+++ b/crates/standin/src/resolver.rs
@@ -65,7 +65,8 @@
             SocketAddr::V6(_) => Ipv4Addr::LOCALHOST,
         };
         answer.additionals.push(Record::from_rdata(target.clone(), 0, RData::A(A(ip))));
-        let texts = vec![format!("cell={}", l.number), format!("started={}", l.started_ms)];
+        let texts =
+            vec!["kind=std".to_string(), format!("cell={}", l.number), format!("started={}", l.started_ms)];
         answer.additionals.push(Record::from_rdata(target, 0, RData::TXT(TXT::new(texts))));
     }
     Ok(answer)
