--- a/crates/measure/src/size/farm.rs
+++ b/crates/measure/src/size/farm.rs
@@ -176,8 +176,8 @@
     fn run(&mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(1024);
         while !self.seen.stop.load(Ordering::Relaxed) {
-            // It looks all the time, so that none of its own waking is in what is measured.
-            match self.poll.poll(&mut events, Some(Duration::ZERO)) {
+            let wait = (self.next_due() - self.seen.now()).clamp(0.0, 0.05);
+            match self.poll.poll(&mut events, Some(Duration::from_secs_f64(wait))) {
                 Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
                 _ => {}
             }
@@ -192,6 +192,13 @@
         Ok(())
     }
 
+    /// When something is due next.
+    fn next_due(&self) -> f64 {
+        let look = if self.habits.idle.is_some() { self.look_at } else { f64::INFINITY };
+        let end = self.ends.front().map_or(f64::INFINITY, |end| end.0);
+        look.min(end).min(self.state.1)
+    }
+
     fn accept(&mut self, door: usize) -> io::Result<()> {
         loop {
             let mut stream = match self.listeners[door].accept() {
