--- a/crates/gatekeeper/src/node/mod.rs
+++ b/crates/gatekeeper/src/node/mod.rs
@@ -15,7 +15,7 @@
 mod peers;
 pub mod poller;
 pub mod relays;
-mod resolver;
+pub mod resolver;
 mod servers;
 mod subjects;
 #[cfg(test)]
