Open connections to servers that nothing waits for with backoff, not at once each time

At fault: `Server::again` connected at once whatever the end, and `Server::beat` wherever no connection was open (crates/gatekeeper/src/node/servers.rs). Both are right where a set-up waits or a call stands there, and needless elsewhere.

Now such a connection comes at once while something waits for it. Otherwise the first comes at once, and then with pauses of 0.5 s doubling to 5 s, spread by the gatekeeper's seed; connections that last 5 s, or a server that starts again, end the pauses. 5 s is below the 8 s in which callers must hear of an end that the server could only say on the next connection.

--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -186,7 +186,7 @@
             controller: Controller::gated(settings, config.seed, Gates::default()),
             calls: Calls::new(now, config.memory / HELD_SHARE),
             clients,
-            servers: Servers::new(config.link, config.telemetry, descriptors),
+            servers: Servers::new(config.link, config.telemetry, descriptors, config.seed),
             resolver,
             resolver_key,
             settings: given,
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -1,10 +1,12 @@
 //! The session servers' side: connections to each listed server, and what is said on them.
 //!
-//! A connection is kept open to every listed server, for the states that arrive unasked. A server that
-//! says nothing for a while is tried on a second connection, beside the first, which may yet carry
-//! answers: a machine that vanished leaves its connections open and silent.
+//! A connection is kept open to every listed server, for the states that arrive unasked; one that ends is opened again at
+//! once where something waits for it, and with exponential backoff where nothing does: a server that closes idle connections
+//! is not to be met with a new one each time by every gatekeeper. A server that says nothing for a while is tried on a second
+//! connection, beside the first, which may yet carry answers: a machine that vanished leaves its connections open and silent.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 
@@ -24,6 +26,11 @@
 const SLACK: f64 = 0.1;
 /// Time between tries to connect, in seconds.
 const RETRY: f64 = 0.25;
+/// Backoff of connections that nothing waits for, in seconds: the first pause, which doubles with each connection that ended
+/// early or did not come up, and the longest. A server says again on the next connection what ended with no connection open,
+/// and callers must hear of an end within 8 s.
+const PAUSE_FIRST: f64 = 0.5;
+const PAUSE_MOST: f64 = 5.0;
 /// A server that said nothing for so long is tried on a new connection, in seconds: where servers tell their state unasked,
 /// about once a second while calls come and go, and where they don't, so that one that vanished is still found in time.
 const QUIET: f64 = 1.5;
@@ -97,6 +104,12 @@
     /// When it last said anything or took a connection, and when one may next be tried.
     heard_at: f64,
     retry_at: f64,
+    /// When one may next be tried that nothing waits for, and the pause after the next that ends early.
+    unasked_at: f64,
+    pause: f64,
+    /// Connections tried so far, and the gatekeeper's seed: together they spread the pauses.
+    tried: u64,
+    seed: u64,
     /// A connection was tried in vain since then.
     unreachable: bool,
     /// How many connections in a row broke as soon as they were up.
@@ -151,13 +164,15 @@
     last_pool: u64,
     servers: BTreeMap<PoolId, Server>,
     descriptors: Descriptors,
+    /// Differs from gatekeeper to gatekeeper, so that they do not come back to a server in step.
+    seed: u64,
 }
 
 impl Servers {
     /// No servers yet.
-    pub fn new(link: Link, telemetry: Telemetry, descriptors: Descriptors) -> Self {
+    pub fn new(link: Link, telemetry: Telemetry, descriptors: Descriptors, seed: u64) -> Self {
         let (pools, servers) = (BTreeMap::new(), BTreeMap::new());
-        Servers { link, telemetry, pools, last_pool: 0, servers, descriptors }
+        Servers { link, telemetry, pools, last_pool: 0, servers, descriptors, seed }
     }
 
     /// How many connections callers may hold beside those to the servers listed now.
@@ -184,7 +199,7 @@
             entries.push(entry(pool, listed));
             let server = self.servers.entry(pool).or_insert_with(|| {
                 log::info!(server = name.as_str(), state:? = listed.readiness, address:% = listed.address; "server-listed");
-                Server::new(name.clone(), listed.clone(), turn.now, unheard)
+                Server::new(name.clone(), listed.clone(), turn.now, unheard, self.seed)
             });
             server.relisted(pool, listed.clone(), turn);
         }
@@ -325,7 +340,7 @@
 }
 
 impl Server {
-    fn new(name: String, listed: Listed, now: f64, patience: f64) -> Self {
+    fn new(name: String, listed: Listed, now: f64, patience: f64, seed: u64) -> Self {
         let (channels, waiting) = (BTreeMap::new(), VecDeque::new());
         let (owed, unreachable, quick_ends) = (Vec::new(), false, 0);
         let (heard_at, retry_at) = (now, now);
@@ -337,6 +352,10 @@
             owed,
             heard_at,
             retry_at,
+            unasked_at: now,
+            pause: 0.0,
+            tried: 0,
+            seed,
             unreachable,
             quick_ends,
             patience,
@@ -357,7 +376,7 @@
             let stale: Vec<Key> =
                 self.channels.iter().filter(|(_, c)| c.since < before).map(|(key, _)| *key).collect();
             self.drop_channels(pool, |key| stale.contains(&key), turn);
-            self.retry_at = turn.now;
+            (self.retry_at, self.unasked_at, self.pause) = (turn.now, turn.now, 0.0);
         }
         if self.listed.readiness != old.readiness {
             log::info!(server = self.name.as_str(), state:? = self.listed.readiness; "server-state");
@@ -375,6 +394,7 @@
             return;
         }
         self.retry_at = turn.now + RETRY;
+        self.tried += 1;
         // Makes room by closing what was silent for longest; set-ups open on a connection keep it until
         // they are given up.
         if self.channels.len() >= link.connections {
@@ -410,15 +430,34 @@
         self.again(lived, pool, link, turn);
     }
 
-    /// Connects again at once, unless it keeps closing new ones: a connect that is refused tells that the
-    /// process died with its calls. One that is on its way may have set out to a machine that was not
-    /// there and would be noticed late; this end tells that the machine is back.
+    /// Connects again at once, unless it keeps closing new ones, or closes idle ones that nothing waits for: a connect that
+    /// is refused tells that the process died with its calls. One that is on its way may have set out to a machine that was
+    /// not there and would be noticed late; this end tells that the machine is back.
     fn again(&mut self, lived: f64, pool: PoolId, link: &Link, turn: &mut Turn) {
         self.quick_ends = if lived >= RETRY { 0 } else { self.quick_ends.saturating_add(1) };
         if self.quick_ends <= QUICK_ENDS {
             self.retry_at = turn.now;
         }
-        self.connect(pool, link, turn);
+        let asked = !self.waiting.is_empty() || turn.calls.any_at(pool);
+        if !asked && !(1..=QUICK_ENDS).contains(&self.quick_ends) {
+            self.back_off(lived, turn.now);
+        }
+        if asked || turn.now >= self.unasked_at {
+            self.connect(pool, link, turn);
+        }
+    }
+
+    /// A connection ended after so long, or did not come up: when the next may be tried that nothing waits for. Where they
+    /// last, at once.
+    fn back_off(&mut self, lived: f64, now: f64) {
+        if lived >= PAUSE_MOST {
+            self.pause = 0.0;
+        }
+        let mut hasher = DefaultHasher::new();
+        (self.seed, &self.name, self.tried).hash(&mut hasher);
+        let spread = 0.5 + 0.5 * (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64;
+        self.unasked_at = now + self.pause * spread;
+        self.pause = (2.0 * self.pause).clamp(PAUSE_FIRST, PAUSE_MOST);
     }
 
     fn connected(&mut self, pool: PoolId, key: Key, link: &Link, turn: &mut Turn) {
@@ -458,6 +497,7 @@
     /// connections as it accepts.
     fn connect_failed(&mut self, pool: PoolId, error: &io::Error, turn: &mut Turn) {
         log::debug!(server = self.name.as_str(), error:%; "connection-failed");
+        self.back_off(0.0, turn.now);
         self.fail_waiting(pool, turn);
         // Other errors, such as a want of descriptors, are ours and tell nothing of the server.
         self.unreachable |= matches!(
@@ -526,7 +566,8 @@
             let sent = out.map(|out| out.sent).fold(now, f64::min);
             self.silent_at.get_or_insert(sent);
         }
-        if !connecting && (unheard || self.channels.is_empty() || idle && turn.calls.any_at(pool)) {
+        let due = self.channels.is_empty() && now >= self.unasked_at;
+        if !connecting && (unheard || due || idle && turn.calls.any_at(pool)) {
             self.connect(pool, link, turn);
         }
         // Guards against set-ups that wait for a connection which is never opened, or that none takes: they go elsewhere in
@@ -633,8 +674,9 @@
         }
     }
 
-    /// Keeps a release for the next connection.
+    /// Keeps a release for the next connection, which is due.
     fn owe(&mut self, id: u64) {
+        self.unasked_at = f64::NEG_INFINITY;
         match self.owed.len() < MOST_OWED {
             true => self.owed.push(id),
             false => log::debug!(server = self.name.as_str(); "release-dropped"),
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -1,6 +1,7 @@
 //! The whole gatekeeper against peers on loopback sockets. Time is skipped, not waited for: a test ends
 //! when what it waits for has come, or fails after a bounded number of turns.
 
+mod connections;
 mod rare;
 
 use std::collections::BTreeSet;
