--- a/crates/measure/src/size/heart.rs
+++ b/crates/measure/src/size/heart.rs
@@ -374,7 +374,7 @@
             budget(&mut page, &lines)?;
         }
         Series::Rate => {
-            let sizes = [50.0, 100.0, 200.0, RATE, 500.0, 1000.0, 2000.0, DEEP_RATE, 4500.0];
+            let sizes = [50.0, 100.0, 200.0, RATE, 500.0, 1000.0, 2000.0, DEEP_RATE, 6000.0, 12_000.0];
             let case = |rate: f64| Case { size: rate, rate, ..usual };
             let lines = all(&sizes.map(case))?;
             writeln!(page, "{SERVICE} servers, {CALLERS} connections of callers.\n")?;
@@ -383,7 +383,11 @@
             if let Some((_, slope)) = core.iter().find(|s| s.0 == "share of a core, %") {
                 let full = (1..200_000).map(f64::from).find(|n| slope.at(*n) >= 100.0);
                 let full = full.map_or("none below 200,000".into(), |n| format!("{n}"));
-                writeln!(page, "By the slope, one core is full at {full} calls a second.\n")?;
+                writeln!(
+                    page,
+                    "By the slope, run to {} a second, one core is full at {full} calls a second.\n",
+                    slope.largest
+                )?;
             }
             budget(&mut page, &lines)?;
         }
