Refuse at the deadline before the caller gives up, not a moment after

At fault: `Calls::offer` (crates/core/src/calls.rs) counted the whole wait from when the set-up was read, and the timers' tick of 5 ms came on top; the caller counts from when it sent. Every refusal at a deadline came to a caller that had just given up.

Now the deadline lies 10 ms before the end of the wait, two ticks, and no more than a tenth of it.

Test: `a_refusal_at_the_deadline_comes_before_the_caller_gives_up` fails without the change ("no answer while its caller waits 155 ms").

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -16,6 +16,11 @@
 /// How long a call may stay with the decision module past its deadline. It answers the time-out in the
 /// same turn, so this only guards the caller's final answer against a fault of ours.
 const SLACK: f64 = 0.01;
+/// The deadline lies before the end of the caller's wait by so long, in seconds, and by no more than this share of the wait.
+/// The wait runs at the caller, from when it sent; counted in full from when it was read here, each refusal at the deadline
+/// comes to a caller that has just given up unanswered. Two ticks of the fronts' timers, or way enough in a zone.
+const AHEAD: f64 = 0.01;
+const AHEAD_SHARE: f64 = 0.1;
 
 /// Ids remembered after their calls: an id is taken once, and one never offered may have stood through
 /// this gatekeeper before its restart.
@@ -339,6 +344,7 @@
             return Err(NotTaken::Crowded);
         }
         self.next = self.next.wrapping_add(1);
+        let wait = wait - AHEAD.min(AHEAD_SHARE * wait);
         let (call, deadline) = (self.next, now + wait);
         let content = Rc::new(content);
         let (attempts, tried, state) = (0, Vec::new(), State::Held);
--- a/crates/gatekeeper/src/node/tests/rare.rs
+++ b/crates/gatekeeper/src/node/tests/rare.rs
@@ -355,3 +355,23 @@
         assert!(told, "own is gone: {own_is_gone}, {:?}", w.heard);
     }
 }
+
+/// Two callers wait 155 and 700 ms for a server that says nothing. Each hears its refusal before it gives up, and not much
+/// before: the time is the gatekeeper's, and a caller's runs out some milliseconds earlier there.
+#[test]
+fn a_refusal_at_the_deadline_comes_before_the_caller_gives_up() {
+    let mut w = World::narrow(64);
+    for (id, wait, early, due) in [(1, 155, 0.140, 0.151), (2, 700, 0.685, 0.696)] {
+        let begun = w.node.now();
+        w.caller.send(&set_up(id, wait)).unwrap();
+        w.at_servers(id, kind::SET_UP);
+        let past = |w: &World, time: f64| begun + time - w.node.now();
+        w.node.skip(past(&w, early));
+        (0..20).for_each(|_| w.turn());
+        assert!(!w.heard.iter().any(|m| m.call == id), "refused long before the end of {wait} ms");
+        w.node.skip(past(&w, due));
+        (0..20).for_each(|_| w.turn());
+        assert!(w.heard.iter().any(|m| m.call == id), "no answer while its caller waits {wait} ms");
+        w.heard(id, kind::RELEASE, Some(cause::CONGESTION));
+    }
+}
