--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,7 @@
 faults: build
 	cargo build --release --locked -p hollypaddle-faults
 	target/release/hollypaddle-faults world --seed $(SEED) --rounds $(shell expr $(ROUNDS) \* 100)
+	target/release/hollypaddle-faults tier --seed $(SEED) --rounds $(shell expr $(ROUNDS) \* 20) --leaves 750
 	target/release/hollypaddle-faults real --seed $(SEED) --rounds $(ROUNDS)
 
 # The random tests at length, with a seed of the day: SEED=N repeats one. Takes some minutes.
--- a/crates/faults/src/bin/hollypaddle-faults.rs
+++ b/crates/faults/src/bin/hollypaddle-faults.rs
@@ -10,6 +10,7 @@
 use hollypaddle_faults::check::Broken;
 use hollypaddle_faults::real;
 use hollypaddle_faults::script::{Draw, Script};
+use hollypaddle_faults::tier;
 use hollypaddle_faults::world::{Plan, World};
 
 /// Faults of a script that is drawn.
@@ -48,6 +49,18 @@
         #[arg(long, default_value_t = 1000)]
         rounds: u64,
     },
+    /// Random scripts over relays and leaves in the deterministic world, and with `--leaves 750` the long runs.
+    Tier {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many scripts, over 5 relays and 12 leaves.
+        #[arg(long, default_value_t = 200)]
+        rounds: u64,
+        /// With so many leaves the long runs are played, with the first seed: a day, a rack, a zone, regions and more.
+        #[arg(long)]
+        leaves: Option<usize>,
+    },
     /// Random scripts over real processes.
     Real {
         /// The first seed.
@@ -134,6 +147,27 @@
             failed += found.len();
             println!("{rounds} rounds in the deterministic world from seed {seed}, {} broken", found.len());
         }
+        Verb::Tier { seed, rounds, leaves } => {
+            let plan = |seed: u64| tier::Plan {
+                loss: if seed % 4 == 3 { 0.05 } else { 0.0 },
+                ..tier::Plan::of(5, 12)
+            };
+            let play = |s: &Script| tier::World::new(plan(s.seed), s.seed).play(s);
+            for seed in *seed..seed + rounds {
+                let script = tier::random_script(seed, &plan(seed), FAULTS, LASTS);
+                if !play(&script).is_empty() {
+                    failed += 1;
+                    let small = script.smaller(|s| !play(s).is_empty());
+                    write(&args.out, &format!("tier-{seed}.txt"), 17, &small, &play(&small))?;
+                }
+            }
+            println!("{rounds} rounds over relays and leaves from seed {seed}, {failed} broken");
+            for run in leaves.iter().flat_map(|_| tier::RUNS) {
+                let figures = run.play(tier::Plan::of(5, leaves.unwrap_or(750)), *seed);
+                println!("{figures:?}");
+                failed += usize::from(!figures.broken.is_empty());
+            }
+        }
         Verb::Real { seed, rounds } => {
             let gatekeepers = args.gatekeepers.unwrap_or(5).max(2);
             for seed in *seed..seed + rounds {
@@ -169,6 +203,6 @@
 fn args_end(verb: &Verb) -> u64 {
     match verb {
         Verb::World { seed, rounds } | Verb::Real { seed, rounds } => seed.saturating_add(*rounds),
-        Verb::Play { .. } => 0,
+        Verb::Play { .. } | Verb::Tier { .. } => 0,
     }
 }
--- a/crates/faults/src/tier.rs
+++ b/crates/faults/src/tier.rs
@@ -240,10 +240,14 @@
     settings: Mark,
     /// Since when it is without a relay, which one it had, and its count of attachments then.
     orphaned: Option<(f64, usize, u32)>,
-    /// What it had when it was alone first.
-    alone: Option<(usize, usize, Mark)>,
+    /// Records of servers and settings that it has.
+    has: (usize, Mark),
     servers: BTreeMap<ServerKey, (f64, ServerFact)>,
     silent: BTreeMap<ServerKey, (f64, u64)>,
+    /// Since when it is awake and on no way that was cut.
+    clear_since: f64,
+    /// Up to which version its settings were counted.
+    told_settings: u64,
     /// When a relay took a message of it last, and which.
     heard: Option<(f64, usize)>,
     // Of a relay.
@@ -375,6 +379,8 @@
     /// Changes that were refused.
     pub refused: usize,
     measured_from: f64,
+    /// When cuts ended last.
+    cleared: f64,
     last_scan: f64,
     lives: u64,
     /// What relays have said of leaves: gone, after so many attachments.
@@ -412,9 +418,11 @@
             meter: Meter::default(),
             settings: Mark::default(),
             orphaned: None,
-            alone: None,
+            has: (0, Mark::default()),
             servers: BTreeMap::new(),
             silent: BTreeMap::new(),
+            clear_since: 0.0,
+            told_settings: 0,
             heard: None,
             in_force: Mark::default(),
             proposed: Mark::default(),
@@ -449,6 +457,7 @@
             scan_every: 0.5,
             refused: 0,
             measured_from: 0.0,
+            cleared: 0.0,
             last_scan: 0.0,
             lives: 0,
             stated_gone: BTreeSet::new(),
@@ -559,11 +568,11 @@
         let slot = &mut self.slots[node];
         slot.body = Some(body);
         slot.life = self.lives;
-        slot.started = self.now;
+        (slot.started, slot.clear_since) = (self.now, self.now);
         (slot.paused, slot.deaf, slot.off) = (false, false, false);
         (slot.settings, slot.in_force, slot.proposed) = (Mark::default(), Mark::default(), Mark::default());
         slot.orphaned = (node >= plan.relays).then_some((self.now, usize::MAX, 0));
-        slot.alone = None;
+        (slot.has, slot.told_settings) = ((0, Mark::default()), 0);
         slot.heard = None;
         self.plan_turn(node, nanos(self.now));
     }
@@ -616,6 +625,7 @@
         if !std::mem::take(&mut self.slots[node].paused) || self.slots[node].body.is_none() {
             return;
         }
+        self.slots[node].clear_since = self.now;
         if node < self.plan.relays {
             // Those that had not noticed yet were not lost.
             for leaf in self.leaf_nodes() {
@@ -665,6 +675,10 @@
     pub fn cut_regions(&mut self, cut: bool) {
         self.regions_cut = cut;
         if !cut {
+            self.cleared = self.now;
+            for node in self.leaf_nodes().filter(|n| self.plan.region(*n) != self.plan.region(0)) {
+                self.slots[node].clear_since = self.now;
+            }
             self.unstall();
         }
     }
@@ -679,9 +693,7 @@
         let between = |c: &Connection| [c.sides[0].node, c.sides[1].node];
         let all: Vec<usize> = (self.slots[a].ends.iter().copied())
             .filter(|c| {
-                self.connections[*c]
-                    .as_ref()
-                    .is_some_and(|c| between(c) == [a, b] || between(c) == [b, a])
+                self.connections[*c].as_ref().is_some_and(|c| between(c) == [a, b] || between(c) == [b, a])
             })
             .collect();
         for connection in all {
@@ -694,7 +706,7 @@
     /// All cuts and delays end, who is down or paused comes back.
     pub fn heal(&mut self) {
         self.ways.clear();
-        self.regions_cut = false;
+        (self.regions_cut, self.cleared) = (false, self.now);
         self.loss = 0.0;
         for node in 0..self.slots.len() {
             self.slots[node].off = false;
@@ -744,6 +756,8 @@
     pub fn tell(&mut self, node: usize, server: usize, fact: Option<ServerFact>) {
         let key = self.plan.server(self.plan.topic(node), server);
         match fact {
+            // What is said again is of the time when it was said first.
+            Some(fact) if self.slots[node].servers.get(&key).is_some_and(|(_, held)| *held == fact) => return,
             Some(fact) => self.slots[node].servers.insert(key, (self.now, fact)),
             None => self.slots[node].servers.remove(&key),
         };
@@ -770,7 +784,11 @@
     }
 
     /// The writer is asked for settings with just these entries.
-    pub fn propose(&mut self, node: usize, wanted: &[(String, String)]) -> Option<Result<Mark, SettingsError>> {
+    pub fn propose(
+        &mut self,
+        node: usize,
+        wanted: &[(String, String)],
+    ) -> Option<Result<Mark, SettingsError>> {
         let now = self.clock(node);
         if !self.awake(node) {
             return None;
@@ -792,6 +810,17 @@
         Some(result)
     }
 
+    /// The same; whether it was accepted.
+    pub fn proposes(&mut self, node: usize, wanted: &[(String, String)]) -> bool {
+        matches!(self.propose(node, wanted), Some(Ok(_)))
+    }
+
+    /// Bytes that wait for the reader of a link at most, now.
+    pub fn longest_queue(&self) -> usize {
+        let sides = self.connections.iter().flatten().flat_map(|c| c.sides.iter());
+        sides.map(|side| side.bytes).max().unwrap_or(0)
+    }
+
     // ---- Links
 
     fn plan_event(&mut self, at: u64, ev: Ev) {
@@ -1027,15 +1056,7 @@
         self.plan_turn(node, nanos(at));
     }
 
-    fn item(
-        &mut self,
-        node: usize,
-        body: &mut Body,
-        local: f64,
-        connection: usize,
-        side: usize,
-        item: Item,
-    ) {
+    fn item(&mut self, node: usize, body: &mut Body, local: f64, connection: usize, side: usize, item: Item) {
         let Some(c) = &mut self.connections[connection] else { return };
         let (link, from) = (c.sides[side].link, c.sides[1 - side].node);
         match (item, link) {
@@ -1209,21 +1230,16 @@
                 self.moves.push(Move { node, at, after: self.now - at, started: of == usize::MAX });
             }
         }
-        // A leaf alone keeps what it has.
-        if relay.is_none() {
+        // A leaf alone keeps what it has. Looked at in short plays alone, as it costs a look at each turn.
+        if self.scan_every < 1.0 {
             let status = leaf.status(local);
-            let has = (status.servers, status.leaves, status.settings);
-            match self.slots[node].alone {
-                None => self.slots[node].alone = Some(has),
-                Some(had) if had != has => {
-                    let what = format!("node {node} had {had:?}, has {has:?}");
-                    self.breaks("a leaf alone keeps what it has", what);
-                    self.slots[node].alone = Some(has);
-                }
-                Some(_) => {}
+            let has = (status.servers, status.settings);
+            let had = self.slots[node].has;
+            if relay.is_none() && (has.0 == 0 && had.0 > 0 || has.1 < had.1) {
+                let what = format!("node {node} had {had:?}, has {has:?}");
+                self.breaks("a leaf alone keeps what it has", what);
             }
-        } else if self.slots[node].alone.is_some() {
-            self.slots[node].alone = None;
+            self.slots[node].has = has;
         }
         let Some(set) = leaf.offered() else { return };
         let mark = set.mark();
@@ -1232,12 +1248,13 @@
         self.in_force(node, mark);
         let verdict = if self.picky.contains(&node) { Err("not with me".to_string()) } else { Ok(()) };
         leaf.verdict(mark.version, verdict);
-        let now = self.now;
-        for (_, change) in self.changes.range_mut(..=mark.version).rev() {
-            if change.reached.contains_key(&node) {
-                break;
+        let (now, clear_since) = (self.now, self.slots[node].clear_since);
+        let since = self.slots[node].told_settings;
+        self.slots[node].told_settings = since.max(mark.version);
+        for (_, change) in self.changes.range_mut((since + 1).min(mark.version)..=mark.version) {
+            if change.accepted.is_some_and(|at| clear_since <= at) {
+                change.reached.insert(node, now);
             }
-            change.reached.insert(node, now);
         }
     }
 
@@ -1273,9 +1290,14 @@
                     }
                     let slot = &self.slots[leaf];
                     let heard = slot.heard.filter(|(at, _)| *at >= slot.started && self.now - at < HEARD);
+                    // By one whose words reach this relay: two parts of a split do not know of each other.
+                    let heard =
+                        heard.filter(|(_, by)| !self.blocked(*by, node) && self.now - self.cleared > HEARD);
                     if let (true, Some((at, by))) = (self.awake(leaf), heard) {
                         let ago = self.now - at;
-                        let what = format!("relay {node} says so of node {leaf}, heard by relay {by} {ago:.2} s ago");
+                        let what = format!(
+                            "relay {node} says so of node {leaf}, heard by relay {by} {ago:.2} s ago"
+                        );
                         self.false_death(what);
                     }
                 }
@@ -1289,7 +1311,9 @@
                         .filter_map(|n| Some((*self.relay_heard.get(&(n, other))?, n)))
                         .find(|(at, _)| *at >= since && self.now - at < HEARD / 4.0);
                     if let (true, Some((_, by))) = (self.awake(other) && self.now - since > HEARD, heard) {
-                        let what = format!("relay {node} says so of relay {other} (refused: {refused}), heard by relay {by}");
+                        let what = format!(
+                            "relay {node} says so of relay {other} (refused: {refused}), heard by relay {by}"
+                        );
                         self.false_death(what);
                     }
                 }
@@ -1324,7 +1348,9 @@
                 .collect();
             for member in made_up {
                 let of = self.numbers.get(&member).copied();
-                self.false_death(format!("node {node} holds node {of:?} to be gone, which no relay has said"));
+                self.false_death(format!(
+                    "node {node} holds node {of:?} to be gone, which no relay has said"
+                ));
             }
         }
         // A share is of the relays that were there when its leaves came; they go home slowly.
@@ -1338,10 +1364,10 @@
             let least = lows.iter().map(|(_, n)| *n).min().unwrap_or(1);
             let Some(relay) = self.relay(node) else { continue };
             let t = &self.plan.timing;
-            let (attached, share) =
-                (relay.attached(), limit(self.plan.leaves, least, t.bound, t.leaves));
+            let (attached, share) = (relay.attached(), limit(self.plan.leaves, least, t.bound, t.leaves));
             if attached > share {
-                let what = format!("relay {node} has {attached} of {}, {share} are its share", self.plan.leaves);
+                let what =
+                    format!("relay {node} has {attached} of {}, {share} are its share", self.plan.leaves);
                 self.breaks("no relay has more than its share of leaves", what);
             }
         }
@@ -1386,7 +1412,10 @@
                     let Some(c) = &self.connections[connection] else { continue };
                     let (node, life, link) = (c.sides[side].node, c.sides[side].life, c.sides[side].link);
                     let full = c.sides[1 - side].full;
-                    let Some(link) = link.filter(|_| life == self.slots[node].life && self.awake(node)) else { continue };
+                    let Some(link) = link.filter(|_| life == self.slots[node].life && self.awake(node))
+                    else {
+                        continue;
+                    };
                     let local = self.clock(node);
                     if ev == Ev::Writable(connection, side) {
                         if let Some(body) = &mut self.slots[node].body {
@@ -1509,7 +1538,9 @@
         let newest = all.iter().map(|(_, mark)| *mark).max().unwrap_or_default();
         let behind = all.into_iter().filter(|(_, mark)| *mark != newest);
         behind
-            .map(|(n, mark)| Broken(RULE, format!("node {n} on {}, newest is {}", mark.version, newest.version)))
+            .map(|(n, mark)| {
+                Broken(RULE, format!("node {n} on {}, newest is {}", mark.version, newest.version))
+            })
             .collect()
     }
 
@@ -1577,7 +1608,8 @@
                     return;
                 }
                 self.worded.insert(at, self.now);
-                let place = *[ServerPlace::Ready, ServerPlace::Draining].choose(rng).unwrap_or(&ServerPlace::Ready);
+                let place =
+                    *[ServerPlace::Ready, ServerPlace::Draining].choose(rng).unwrap_or(&ServerPlace::Ready);
                 self.tell(node, server, Some(ServerFact { started_ms: 1000, place }));
             }
             3 => {
@@ -1589,9 +1621,66 @@
     }
 }
 
+/// A random script for a world: faults of relays and leaves from 1 s on, and the healing of all at the end.
+pub fn random_script(seed: u64, plan: &Plan, faults: usize, lasts: f64) -> Script {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x7e1a);
+    let count = plan.relays + plan.leaves;
+    let mut steps = Vec::new();
+    for _ in 0..faults {
+        let at = 1.0 + rng.gen_range(0.0..lasts);
+        let back = at + rng.gen_range(0.05..lasts / 2.0);
+        let node = |rng: &mut ChaCha8Rng| {
+            if rng.gen_bool(0.6) {
+                rng.gen_range(0..plan.relays)
+            } else {
+                rng.gen_range(plan.relays..count)
+            }
+        };
+        let (a, mut b) = (node(&mut rng), node(&mut rng));
+        if a == b {
+            b = (b + 1) % count;
+        }
+        let (x, y) = (End::Gatekeeper(a), End::Gatekeeper(b));
+        match rng.gen_range(0..10) {
+            0 | 1 => steps.extend([(at, Fault::Kill(a)), (back, Fault::Start(a))]),
+            2 | 3 => steps.extend([(at, Fault::Pause(a)), (back, Fault::Wake(a))]),
+            4 => steps.push((at, Fault::Cut(x, y))),
+            5 => steps.extend([(at, Fault::Cut(x, y)), (at, Fault::Cut(y, x))]),
+            6 => {
+                // A relay is cut off from all, one way or both.
+                let relay = rng.gen_range(0..plan.relays);
+                let (says, hears) = [(true, true), (true, false), (false, true)][rng.gen_range(0..3)];
+                for other in (0..count).filter(|n| *n != relay) {
+                    let (r, o) = (End::Gatekeeper(relay), End::Gatekeeper(other));
+                    steps.extend(says.then_some((at, Fault::Cut(r, o))));
+                    steps.extend(hears.then_some((at, Fault::Cut(o, r))));
+                }
+            }
+            7 => steps.push((at, Fault::Delay(x, y, rng.gen_range(0.005..0.2)))),
+            8 => steps.extend((0..5).map(|n| (at + 0.2 * f64::from(n), Fault::Drop(x, y)))),
+            _ => {
+                // A split by region.
+                for a in 0..count {
+                    for b in (0..count).filter(|b| plan.region(a) != plan.region(*b)) {
+                        steps.push((at, Fault::Cut(End::Gatekeeper(a), End::Gatekeeper(b))));
+                    }
+                }
+            }
+        }
+    }
+    steps.retain(|(at, _)| *at < 1.0 + lasts);
+    steps.push((1.0 + lasts, Fault::Heal));
+    steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+    Script { seed, steps }
+}
+
 /// Settings of which one entry changes with each number.
 pub fn entries(n: u64) -> Vec<(String, String)> {
-    (0..20).map(|k| (format!("entry {k}"), format!("text {}", if k == n % 20 { n } else { k }))).collect()
+    (0..20)
+        .map(|k| {
+            (format!("entry {k}"), if k == n % 20 { format!("change {n}") } else { format!("text {k}") })
+        })
+        .collect()
 }
 
 /// What a long run came to.
@@ -1644,7 +1733,8 @@
 
 fn spread_of(mut all: Vec<f64>) -> (f64, f64, f64) {
     all.sort_by(f64::total_cmp);
-    let at = |part: f64| all.get(((all.len() as f64 * part) as usize).min(all.len().saturating_sub(1))).copied();
+    let at =
+        |part: f64| all.get(((all.len() as f64 * part) as usize).min(all.len().saturating_sub(1))).copied();
     (at(0.5).unwrap_or(0.0), at(0.99).unwrap_or(0.0), all.last().copied().unwrap_or(0.0))
 }
 
--- a/crates/relay/src/leaf.rs
+++ b/crates/relay/src/leaf.rs
@@ -10,7 +10,7 @@
 
 use hollypaddle_membership::{Life, MemberId};
 use hollypaddle_replica::record::{
-    Key, LeafFact, Origin, Place as ServerPlace, ServerFact, ServerKey, Topic, Value,
+    Key, LeafFact, Origin, Place as ServerPlace, Presence, ServerFact, ServerKey, Topic, Value,
 };
 use hollypaddle_replica::store::Said;
 use hollypaddle_replica::stream::Stream;
@@ -67,6 +67,8 @@
     Settings(Mark),
     /// A stream or the settings were found to differ, and are told anew.
     Resync(Feed),
+    /// The relays know of a later life of this leaf that has ended, as its clock was set back: it goes on in this one.
+    Raised(Life),
 }
 
 /// How a relay was lost.
@@ -528,13 +530,29 @@
             Feed::Own => return Err(LinkError::OutOfPlace),
         };
         match copy.take(now, lag, piece) {
-            Ok(_) => {}
+            Ok(_) => self.raise(now),
             Err(NotTaken::Gap) => self.resync(now, id, feed),
             Err(NotTaken::Malformed) => return Err(LinkError::Malformed("records that make no sense")),
         }
         Ok(())
     }
 
+    /// Takes a later life than one that the relays know to have ended; all links are made anew, so that each hears of it.
+    fn raise(&mut self, now: f64) {
+        let key = Key::Leaf(self.identity.topic, self.identity.own);
+        let Some((_, Value::Leaf(fact))) = self.leaves.stream().get(&key) else { return };
+        let ended = matches!(fact.presence, Presence::Gone | Presence::Left | Presence::Closed);
+        if fact.life <= self.identity.life || !ended {
+            return;
+        }
+        self.identity.life.incarnation = fact.life.incarnation.saturating_add(1);
+        self.tell(Event::Raised(self.identity.life));
+        let all: Vec<LinkId> = self.links.keys().copied().collect();
+        all.into_iter().for_each(|link| self.close(now, link, Loss::Left));
+        self.dials.values_mut().for_each(|dial| dial.next = now);
+        (self.moves, self.told, self.digested) = (0, Cursor::whole(), None);
+    }
+
     fn digest(&mut self, now: f64, id: LinkId, digest: &Digest) {
         if self.servers.copied() != Some(digest.servers) {
             self.resync(now, id, Feed::Servers);
@@ -545,6 +563,11 @@
         if digest.settings > self.settings.mark() {
             self.lacks(now, id);
         }
+        // A whole stream that is still being told is not held before its last piece.
+        if self.told.behind(&self.own) {
+            self.digested = None;
+            return;
+        }
         let (version, hash) = digest.own;
         let level = version == self.own.version() && hash == self.own.hash();
         // What is on its way was said since; what is still missing one digest later was lost.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -579,7 +579,10 @@
             return Ok(());
         }
         let known = match proposed {
-            true => part.upto.version <= self.proposed().unwrap_or_default().version.max(self.in_force.mark().version),
+            true => {
+                part.upto.version
+                    <= self.proposed().unwrap_or_default().version.max(self.in_force.mark().version)
+            }
             false => part.upto <= self.in_force.mark(),
         };
         if known {
@@ -715,7 +718,8 @@
         }
         let later = |life: &Life| *life > hello.life;
         let linked = |l: &Link| matches!(&l.who, Who::Leaf(m, life, _) if *m == leaf && later(life));
-        if self.leaves.get(&leaf).is_some_and(|a| later(&a.life)) || self.links.values().any(linked) {
+        // One whose clock was set back comes with an earlier life than its last, which nobody lives any more.
+        if self.links.values().any(linked) {
             return Err(LinkError::StaleLife);
         }
         let leaves = self.links.values().filter(|l| matches!(l.who, Who::Leaf(..))).count();
--- /dev/null
+++ b/crates/relay/tests/frames.rs
@@ -0,0 +1,140 @@
+//! Frames: what is said is read again; kinds that are not known, garbage and cut frames do no harm. The byte budget over time.
+
+use hollypaddle_membership::{Life, MemberId};
+use hollypaddle_relay::budget::{Budget, HEADERS};
+use hollypaddle_relay::message::{cut, FrameError, Hello, Message, Refusal, MOST};
+use hollypaddle_relay::placement::{limit, order, Place, RelayPlace};
+use hollypaddle_relay::settings::Mark;
+use hollypaddle_replica::record::Topic;
+use proptest::prelude::*;
+
+fn samples() -> Vec<Message> {
+    let life = Life { incarnation: 3, nonce: 4 };
+    let (from, to, topic) = (MemberId(1), MemberId(2), Topic(7));
+    let mark = Mark { version: 5, hash: 6 };
+    vec![
+        Message::Hello(Hello { protocol: (1, 1), from, to, life, topic }),
+        Message::Welcome { relay: to, life },
+        Message::Ping(7),
+        Message::Pong(8),
+        Message::Attached(9),
+        Message::Refused(Refusal::Full, 1500),
+        Message::Detach,
+        Message::Lacks(mark),
+        Message::Verdict { version: 5, refused: Some("no".into()) },
+        Message::Leave,
+        Message::Holds { in_force: mark, proposed: Mark::default() },
+        Message::Want { proposed: true, held: mark },
+        Message::TurnedDown { leaf: from, version: 5, reason: "no".into() },
+    ]
+}
+
+#[test]
+fn what_is_said_is_read_again_and_a_cut_frame_is_waited_for() {
+    for message in samples() {
+        let mut frame = Vec::new();
+        let whole = message.encode(&mut frame);
+        assert_eq!(whole, frame.len());
+        for end in 0..whole {
+            assert!(matches!(Message::decode(&frame[..end]), Ok(None)), "{message:?} at {end}");
+        }
+        frame.push(1);
+        let read = Message::decode(&frame).unwrap().unwrap();
+        assert_eq!(read, (message, whole));
+    }
+}
+
+#[test]
+fn unknown_kinds_are_passed_over_and_bytes_left_over_are_not() {
+    let unknown = [0, 0, 0, 4, 200, 1, 2, 3];
+    assert_eq!(Message::decode(&unknown).unwrap(), Some((Message::Unknown(200), 8)));
+    assert!(matches!(Message::decode(&[0, 0, 0, 3, 3, 1, 1]), Err(FrameError::LeftOver(1, 3))));
+    assert!(matches!(Message::decode(&[0, 0, 0, 1, 3]), Err(FrameError::Unreadable(3, _))));
+    assert!(matches!(Message::decode(&[0, 0, 0, 0]), Err(FrameError::Empty)));
+    assert!(matches!(Message::decode(&[255; 8]), Err(FrameError::TooLong(_))));
+}
+
+proptest! {
+    #[test]
+    fn garbage_does_no_harm(bytes in proptest::collection::vec(any::<u8>(), 0..200), kind in 0u8..24) {
+        _ = Message::decode(&bytes);
+        let mut frame = (bytes.len() as u32 + 1).to_be_bytes().to_vec();
+        frame.push(kind);
+        frame.extend(&bytes);
+        if let Ok(Some((_, whole))) = Message::decode(&frame) {
+            prop_assert!(whole <= MOST && whole == frame.len());
+        }
+    }
+
+    #[test]
+    fn a_text_is_cut_between_letters(text in "\\PC{0,40}", most in 0usize..60) {
+        let short = cut(&text, most);
+        prop_assert!(short.len() <= most && text.starts_with(&short));
+        prop_assert!(text.len() > most || short == text);
+    }
+
+    /// Over any stretch: the rate, the burst and one message at most.
+    #[test]
+    fn a_budget_holds_over_any_stretch(
+        sends in proptest::collection::vec((0.0f64..0.3, 1usize..1200), 1..200), rate in 500.0f64..6000.0
+    ) {
+        let (mut now, mut budget, mut said) = (100.0, Budget::new(100.0, rate, 1.0), Vec::new());
+        for (gap, bytes) in sends {
+            now += gap;
+            if budget.open(now) {
+                budget.spend(now, bytes);
+                said.push((now, (bytes + HEADERS) as f64));
+            } else {
+                prop_assert!(budget.open_at() > now);
+            }
+        }
+        for from in 0..said.len() {
+            let mut sum = 0.0;
+            for (at, bytes) in &said[from..] {
+                sum += bytes;
+                prop_assert!(sum <= rate * (at - said[from].0 + 1.0) + 1304.0);
+            }
+        }
+    }
+}
+
+fn relays() -> Vec<RelayPlace> {
+    let place = |n: u64| Place { zone: format!("z{n}"), region: format!("r{}", n / 3) };
+    (0..5).map(|n| RelayPlace { relay: MemberId(100 + n), place: place(n) }).collect()
+}
+
+#[test]
+fn own_zone_first_then_region_and_those_of_one_that_goes_spread() {
+    let relays = relays();
+    let here = Place { zone: "z1".into(), region: "r0".into() };
+    let mut seconds = [0; 5];
+    for leaf in 0..600 {
+        let order = order(MemberId(leaf * 7919), &here, &relays);
+        assert_eq!(order[0], MemberId(101));
+        assert!(order[1..3].iter().all(|r| r.0 == 100 || r.0 == 102), "own region next");
+        seconds[(order[1].0 - 100) as usize] += 1;
+    }
+    assert!((250..=350).contains(&seconds[0]), "{seconds:?}");
+}
+
+#[test]
+fn without_places_all_relays_get_an_even_part_and_few_move() {
+    let (relays, nowhere) = (relays(), Place::default());
+    let first = |leaf: u64, of: &[RelayPlace]| order(MemberId(leaf * 7919), &nowhere, of)[0];
+    let mut counts = [0; 5];
+    (0..1000).for_each(|leaf| counts[(first(leaf, &relays).0 - 100) as usize] += 1);
+    assert!(counts.iter().all(|n| (150..=250).contains(n)), "{counts:?}");
+    for leaf in 0..1000 {
+        let (all, less) = (first(leaf, &relays), first(leaf, &relays[1..]));
+        assert!(all == less || all == MemberId(100), "only those of the one that goes move");
+    }
+}
+
+#[test]
+fn a_share_is_a_quarter_above_even_and_never_above_the_bound() {
+    assert_eq!(limit(749, 5, 1.25, 400), 188);
+    assert_eq!(limit(749, 3, 1.25, 400), 313);
+    assert_eq!(limit(1499, 3, 1.25, 400), 400);
+    assert_eq!(limit(3, 5, 1.25, 400), 32);
+    assert_eq!(limit(100, 0, 1.25, 400), 127);
+}
--- /dev/null
+++ b/crates/relay/tests/streams.rs
@@ -0,0 +1,109 @@
+//! Streams told on a link as differences, against the stream itself: lost and doubled pieces, tombstones beyond the horizon.
+
+use hollypaddle_membership::{Life, MemberId};
+use hollypaddle_relay::copying::{Copy, Cursor, RECORDS};
+use hollypaddle_replica::record::{Key, Origin, Place, ServerFact, ServerKey, Value};
+use hollypaddle_replica::stream::{Stream, TOMBSTONES};
+use proptest::prelude::*;
+
+const ORIGIN: Origin = Origin { member: MemberId(1), life: Life { incarnation: 1, nonce: 1 } };
+
+fn write(stream: &mut Stream, server: u64, value: Option<u64>) {
+    let value = value.map(|started_ms| Value::Server(ServerFact { started_ms, place: Place::Ready }));
+    stream.write(1.0, Key::Server(ServerKey(server)), value);
+}
+
+fn equal(copy: &Copy, stream: &Stream) -> bool {
+    let all = |s: &Stream| s.range(..).map(|(key, _, value)| (key, value)).collect::<Vec<_>>();
+    copy.copied().is_some_and(|c| c.hash == stream.hash() && c.version == stream.version())
+        && all(copy.stream()) == all(stream)
+}
+
+/// Tells until the copy is level, without loss.
+fn tell(cursor: &mut Cursor, stream: &Stream, copy: &mut Copy) {
+    for _ in 0..10_000 {
+        if !cursor.behind(stream) {
+            return;
+        }
+        let piece = cursor.piece(1.0, ORIGIN, stream);
+        assert!(piece.records.len() <= RECORDS);
+        if copy.take(1.0, 0.0, &piece).is_err() {
+            *cursor = Cursor::at(ORIGIN, stream, copy.copied());
+        }
+    }
+    panic!("never level");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// What is lost is told anew from what the copy says that it holds, and in the end both are equal.
+    #[test]
+    fn a_copy_is_level_in_the_end(
+        steps in proptest::collection::vec((0u64..60, proptest::option::of(0u64..4), 0u8..6), 1..300)
+    ) {
+        let (mut stream, mut copy, mut cursor) = (Stream::default(), Copy::default(), Cursor::whole());
+        for (server, value, what) in steps {
+            write(&mut stream, server, value);
+            // 0: the piece is lost; 1, 2: nothing is said; else it is told.
+            match what {
+                0 => { if cursor.behind(&stream) { cursor.piece(1.0, ORIGIN, &stream); } }
+                1 | 2 => {}
+                _ => if cursor.behind(&stream) {
+                    let piece = cursor.piece(1.0, ORIGIN, &stream);
+                    if copy.take(1.0, 0.0, &piece).is_err() {
+                        cursor = Cursor::at(ORIGIN, &stream, copy.copied());
+                    }
+                    // Doubled: it is refused or changes nothing.
+                    let before = copy.copied();
+                    if !piece.records.is_empty() && piece.base.is_none() && copy.take(1.0, 0.0, &piece).is_ok() {
+                        prop_assert_eq!(before, copy.copied());
+                    }
+                }
+            }
+        }
+        tell(&mut cursor, &stream, &mut copy);
+        if !equal(&copy, &stream) {
+            // The last pieces were lost: a digest shows it.
+            cursor = Cursor::at(ORIGIN, &stream, copy.copied());
+            tell(&mut cursor, &stream, &mut copy);
+        }
+        prop_assert!(equal(&copy, &stream));
+    }
+}
+
+#[test]
+fn who_is_behind_dropped_tombstones_is_told_the_whole() {
+    let (mut stream, mut copy, mut cursor) = (Stream::default(), Copy::default(), Cursor::whole());
+    (0..100).for_each(|n| write(&mut stream, n, Some(1)));
+    tell(&mut cursor, &stream, &mut copy);
+    assert!(equal(&copy, &stream));
+    // The first hundred are withdrawn, and so much after them that nobody remembers it.
+    (0..100).for_each(|n| write(&mut stream, n, None));
+    for n in 0..TOMBSTONES as u64 + 10 {
+        write(&mut stream, 1000 + n, Some(1));
+        write(&mut stream, 1000 + n, None);
+    }
+    write(&mut stream, 7, Some(2));
+    assert!(stream.horizon() > 100);
+    tell(&mut cursor, &stream, &mut copy);
+    assert!(equal(&copy, &stream));
+    assert_eq!(copy.stream().len(), 1);
+}
+
+#[test]
+fn another_origin_is_held_only_once_it_is_whole() {
+    let (mut a, mut copy, mut cursor) = (Stream::default(), Copy::default(), Cursor::whole());
+    (0..100).for_each(|n| write(&mut a, n, Some(1)));
+    tell(&mut cursor, &a, &mut copy);
+    let other = Origin { member: MemberId(2), ..ORIGIN };
+    let mut b = Stream::default();
+    (0..100).for_each(|n| write(&mut b, n, Some(2)));
+    let mut cursor = Cursor::whole();
+    while cursor.behind(&b) {
+        assert_eq!(copy.copied().map(|c| c.origin), Some(ORIGIN), "the old one serves until then");
+        copy.take(1.0, 0.0, &cursor.piece(1.0, other, &b)).unwrap();
+    }
+    assert_eq!(copy.copied().map(|c| c.origin), Some(other));
+    assert!(equal(&copy, &b));
+}
