--- a/crates/faults/src/tier.rs
+++ b/crates/faults/src/tier.rs
@@ -71,7 +71,7 @@
     LosesSettings,
     /// A relay takes every leaf that comes.
     NoShare,
-    /// What a relay says is not held to a rate.
+    /// What relays and leaves say is not held to a rate.
     NoBudget,
     /// A leaf waits too long for a relay that is silent.
     SlowToLeave,
@@ -551,8 +551,10 @@
             let identity = relay::Identity { own, life, relays, writer: id(0, &plan) };
             Body::Relay(Box::new(Relay::new(now, identity, plan.mesh, timing)))
         } else {
-            if plan.planted == Some(Planted::SlowToLeave) {
-                timing.silent = 6.0;
+            match plan.planted {
+                Some(Planted::SlowToLeave) => timing.silent = 6.0,
+                Some(Planted::NoBudget) => (timing.report_rate, timing.burst) = (1e6, 10.0),
+                _ => {}
             }
             let identity = leaf::Identity { own, life, topic: plan.topic(node), place: plan.place(node) };
             let mut leaf = Leaf::new(now, identity, plan.relay_places(), timing);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -432,10 +432,19 @@
         (self.in_force.mark(), self.proposed().unwrap_or_default())
     }
 
-    /// Relays that are heard and have said on this link which settings they hold, the own one counted.
-    fn heard(&self) -> usize {
-        let alive = |m: &MemberId| matches!(self.member.view().state(*m), State::Alive);
-        1 + self.peers.iter().filter(|(m, p)| p.holds.is_some() && alive(m)).count()
+    /// Relays that are heard and hear this one, and have said on this link which settings they hold, the own one counted.
+    fn heard(&self, now: f64) -> usize {
+        let mutual = self.mutual(now);
+        1 + self.peers.iter().filter(|(m, p)| p.holds.is_some() && mutual.contains(m)).count()
+    }
+
+    /// The other relays that are heard and hear this one: with a way that is cut one way nothing can be asked for.
+    fn mutual(&self, now: f64) -> BTreeSet<MemberId> {
+        let rows = self.member.view().snapshot(now);
+        rows.into_iter()
+            .filter(|r| r.state == State::Alive && r.linked && !r.deaf)
+            .map(|r| r.member)
+            .collect()
     }
 
     /// Proposes that the fleet's settings are just these entries. It is in force, and [`Event::InForce`] says so, once a
@@ -445,7 +454,7 @@
         if self.identity.writer != self.identity.own {
             return Err(SettingsError::NotWriter);
         }
-        let (heard, all) = (self.heard(), self.peers.len() + 1);
+        let (heard, all) = (self.heard(now), self.peers.len() + 1);
         if 2 * heard <= all {
             return Err(SettingsError::NoMajority { heard, all });
         }
@@ -1034,7 +1043,8 @@
     fn look(&mut self, now: f64) {
         let t = self.timing;
         // A relay that hears no majority does not know who is attached elsewhere, and one that hears it again is told soon.
-        self.quorum = self.member.view().quorum().then(|| self.quorum.unwrap_or(now));
+        let quorum = 2 * (1 + self.mutual(now).len()) > self.peers.len() + 1;
+        self.quorum = quorum.then(|| self.quorum.unwrap_or(now));
         let certain = self.quorum.is_some_and(|since| now - since >= t.closed) && self.member.ready();
         let mut over = Vec::new();
         for (id, link) in &self.links {
