--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -450,10 +450,19 @@
         (self.in_force.mark(), self.proposed().unwrap_or_default())
     }
 
-    /// Relays that are heard and have said on this link which settings they hold, the own one counted.
-    fn heard(&self) -> usize {
-        let alive = |m: &MemberId| matches!(self.member.view().state(*m), State::Alive);
-        1 + self.peers.iter().filter(|(m, p)| p.holds.is_some() && alive(m)).count()
+    /// Relays that are heard and hear this one, and have said on this link which settings they hold, the own one counted.
+    fn heard(&self, now: f64) -> usize {
+        let mutual = self.mutual(now);
+        1 + self.peers.iter().filter(|(m, p)| p.holds.is_some() && mutual.contains(m)).count()
+    }
+
+    /// The other relays that are heard and hear this one: with a way that is cut one way nothing can be asked for.
+    fn mutual(&self, now: f64) -> BTreeSet<MemberId> {
+        let rows = self.member.view().snapshot(now);
+        rows.into_iter()
+            .filter(|r| r.state == State::Alive && r.linked && !r.deaf)
+            .map(|r| r.member)
+            .collect()
     }
 
     /// Proposes that the fleet's settings are just these entries. It is in force, and [`Event::InForce`] says so, once a
@@ -463,7 +472,7 @@
         if self.identity.writer != self.identity.own {
             return Err(SettingsError::NotWriter);
         }
-        let (heard, all) = (self.heard(), self.peers.len() + 1);
+        let (heard, all) = (self.heard(now), self.peers.len() + 1);
         if 2 * heard <= all {
             return Err(SettingsError::NoMajority { heard, all });
         }
@@ -602,7 +611,10 @@
             return Ok(());
         }
         let known = match proposed {
-            true => part.upto.version <= self.proposed().unwrap_or_default().version.max(self.in_force.mark().version),
+            true => {
+                part.upto.version
+                    <= self.proposed().unwrap_or_default().version.max(self.in_force.mark().version)
+            }
             false => part.upto <= self.in_force.mark(),
         };
         if known {
@@ -738,7 +750,8 @@
         }
         let later = |life: &Life| *life > hello.life;
         let linked = |l: &Link| matches!(&l.who, Who::Leaf(m, life, _) if *m == leaf && later(life));
-        if self.leaves.get(&leaf).is_some_and(|a| later(&a.life)) || self.links.values().any(linked) {
+        // One whose clock was set back comes with an earlier life than its last, which nobody lives any more.
+        if self.links.values().any(linked) {
             return Err(LinkError::StaleLife);
         }
         let leaves = self.links.values().filter(|l| matches!(l.who, Who::Leaf(..))).count();
@@ -1054,7 +1067,8 @@
     fn look(&mut self, now: f64) {
         let t = self.timing;
         // A relay that hears no majority does not know who is attached elsewhere, and one that hears it again is told soon.
-        self.quorum = self.member.view().quorum().then(|| self.quorum.unwrap_or(now));
+        let quorum = 2 * (1 + self.mutual(now).len()) > self.peers.len() + 1;
+        self.quorum = quorum.then(|| self.quorum.unwrap_or(now));
         let certain = self.quorum.is_some_and(|since| now - since >= t.closed) && self.member.ready();
         let mut over = Vec::new();
         for (id, link) in &self.links {
