--- a/crates/gatekeeper/src/node/fleet.rs
+++ b/crates/gatekeeper/src/node/fleet.rs
@@ -487,9 +487,12 @@
             })
         };
         let (given, taken, fetching) = self.member.caught();
+        let said = &self.peers.counts.split.records;
+        let records: serde_json::Map<String, Value> =
+            KINDS.iter().zip(said).map(|(kind, bytes)| (kind.to_string(), json!(bytes))).collect();
         json!({
             "streams": self.member.snapshot().iter().map(row).collect::<Vec<_>>(),
-            "counts": self.member.counts, "links": self.peers.counts, "given": given, "taken": taken,
+            "counts": self.member.counts, "links": self.peers.counts, "records_said": records, "given": given, "taken": taken,
             "fetching": fetching, "adopted": calls.adopted(), "unplaced": self.unplaced.len(),
         })
     }
--- a/crates/gatekeeper/src/node/peers.rs
+++ b/crates/gatekeeper/src/node/peers.rs
@@ -15,7 +15,9 @@
 use hollypaddle_membership::MemberId;
 use hollypaddle_platform::connection::{Connection, Frame, Over};
 use hollypaddle_replica::member::Rejection;
+use hollypaddle_replica::record::KINDS;
 use hollypaddle_replica::{Member, Word};
+use postcard::ser_flavors::Size;
 
 use super::clients::bind;
 use super::poller::{Key, Ready, Watch};
@@ -143,6 +145,64 @@
     pub heard: u64,
     /// Bytes said.
     pub bytes: u64,
+    /// The same, by what they say.
+    pub split: Split,
+}
+
+/// Bytes said, by what they say. A word's frame and the rest of it counts with the word; together they are all.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Split {
+    /// Hellos and leaves.
+    pub greetings: u64,
+    /// Beats without their sights.
+    pub beats: u64,
+    /// Sights: what a beat says of others.
+    pub sights: u64,
+    /// Digests.
+    pub digests: u64,
+    /// Questions for what is lacking.
+    pub asks: u64,
+    /// Pieces without their records.
+    pub pieces: u64,
+    /// The records of pieces, by kind, in the order of [`KINDS`]; reports name the kinds.
+    #[serde(skip)]
+    pub records: [u64; KINDS.len()],
+}
+
+impl Split {
+    /// Counts a word that took so many bytes, its frame among them.
+    pub fn count(&mut self, word: &Word, bytes: u64) {
+        let rest = match word {
+            Word::Hello { .. } | Word::Leave => &mut self.greetings,
+            Word::Beat(beat) => {
+                let sights: u64 = beat.sights.iter().map(size).sum();
+                self.sights += sights;
+                self.beats += bytes.saturating_sub(sights);
+                return;
+            }
+            Word::Digest(..) => &mut self.digests,
+            Word::Ask(_) => &mut self.asks,
+            Word::Piece(piece) => {
+                let mut records = 0;
+                for record in &piece.records {
+                    let bytes = size(record);
+                    records += bytes;
+                    if let Some(count) = self.records.get_mut(record.key.kind()) {
+                        *count += bytes;
+                    }
+                }
+                self.pieces += bytes.saturating_sub(records);
+                return;
+            }
+        };
+        *rest += bytes;
+    }
+}
+
+/// Bytes of a part of a word.
+fn size<T: serde::Serialize>(part: &T) -> u64 {
+    // Nothing of a word has a form that could not be told.
+    postcard::serialize_with_flavor(part, Size::default()).map_or(0, |bytes| bytes as u64)
 }
 
 /// All links.
@@ -478,9 +538,12 @@
     /// Says a word; returns whether the link still is of use.
     fn say(&mut self, key: Key, word: Word, watch: &Watch, counts: &mut Counts) -> bool {
         let before = self.connection.queued();
-        let sent = self.connection.send(&Framed(word));
+        let framed = Framed(word);
+        let sent = self.connection.send(&framed);
+        let bytes = self.connection.queued() - before;
         counts.said += 1;
-        counts.bytes += self.connection.queued() - before;
+        counts.bytes += bytes;
+        counts.split.count(&framed.0, bytes);
         self.watch(key, watch);
         sent.is_ok()
     }
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -2,6 +2,7 @@
 //! when what it waits for has come, or fails after a bounded number of turns.
 
 mod rare;
+mod said;
 
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Write};
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -33,6 +33,9 @@
     /// Of replication only what a set-up pays, told and not written.
     #[arg(long)]
     delays: bool,
+    /// Of size the fleets that are run; the others are taken as they were kept.
+    #[arg(long, value_delimiter = ',', default_values_t = size::control::SIZES)]
+    members: Vec<usize>,
     /// Where the page and the chart are written.
     #[arg(long, default_value = "docs/measurements")]
     out: PathBuf,
@@ -50,6 +53,8 @@
     Sites,
     /// Cold servers under the sum of 1 to 300 fronts.
     Cold,
+    /// Slopes by size.
+    Size,
     /// Several workers: what the ways to them cost.
     Cores,
 }
@@ -65,6 +70,7 @@
         }
         Name::Replication => replication::measure(args.runs.max(1), &args.program, &args.out)?,
         Name::Duties => duties::measure(args.runs.max(1), &args.out)?,
+        Name::Size => size::control::measure(&args.program, &args.out, &args.members)?,
         Name::Sites => sites::measure(args.runs.max(1), &args.out)?,
         Name::Crossings => crossings::measure(args.runs.max(1), &args.out)?,
     };
--- a/crates/measure/src/scale.rs
+++ b/crates/measure/src/scale.rs
@@ -79,10 +79,7 @@
     killed.fault(Fault::Kill(last));
     let mut paused = world(members, 0.0, 0.0);
     paused.fault(Fault::Pause(last));
-    let mut idle = world(members, 0.0, 0.0);
-    let before = idle.bytes;
-    idle.pass(10.0);
-    let bytes = (idle.bytes - before) as f64 / 10.0 / members as f64;
+    let bytes = said(members, 0.0, 10.0);
     let mut lossy = world(members, 0.0, LOSS);
     lossy.pass(WATCH);
     let (killed, paused) = (until(&mut killed, 20.0, gone), until(&mut paused, 20.0, gone));
@@ -248,11 +245,18 @@
     })
 }
 
+/// Bytes a second that a member says, by members and by calls a second at each.
+pub fn said(members: usize, calls: f64, seconds: f64) -> f64 {
+    let mut world = world(members, calls, 0.0);
+    let before = world.bytes;
+    world.pass(seconds);
+    (world.bytes - before) as f64 / seconds / members as f64
+}
+
 fn copies(members: usize) -> Copies {
+    let bytes = said(members, 2.0, 10.0);
     let mut busy = world(members, 2.0, 0.0);
-    let before = busy.bytes;
     busy.pass(10.0);
-    let bytes = (busy.bytes - before) as f64 / 10.0 / members as f64;
     for (a, b) in (0..members / 2).flat_map(|a| (members / 2..members).map(move |b| (a, b))) {
         let (a, b) = (End::Gatekeeper(a), End::Gatekeeper(b));
         busy.fault(Fault::Cut(a, b));
--- a/crates/measure/src/stats.rs
+++ b/crates/measure/src/stats.rs
@@ -1,9 +1,9 @@
 //! Medians and spreads.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// A figure over several runs.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Spread {
     /// The median.
     pub median: f64,
