--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -33,7 +33,13 @@
     /// Of replication only what a set-up pays, told and not written.
     #[arg(long)]
     delays: bool,
-    /// Of size the fleets that are run; the others are taken as they were kept.
+    /// Of size only this part.
+    #[arg(long)]
+    part: Option<size::Part>,
+    /// Of the heart's part only this series.
+    #[arg(long)]
+    series: Option<size::heart::Series>,
+    /// Of the control's part only fleets of so many members; the others are taken as they were kept.
     #[arg(long, value_delimiter = ',', default_values_t = size::control::SIZES)]
     members: Vec<usize>,
     /// Where the page and the chart are written.
@@ -53,16 +59,17 @@
     Sites,
     /// Cold servers under the sum of 1 to 300 fronts.
     Cold,
-    /// Slopes by size.
-    Size,
     /// Several workers: what the ways to them cost.
     Cores,
+    /// What grows with servers, calls and callers, as slopes.
+    Size,
 }
 
 fn main() -> Result<ExitCode, Box<dyn Error>> {
     let args = Args::parse();
     let failures = match args.name {
         Name::Cold => cold::measure(args.runs.max(1), &args.out)?,
+        Name::Size => size::measure(args.part, args.series, &args.members, &args.program, &args.out)?,
         Name::Cores => cores::measure(args.runs.max(1), &args.program, &args.out)?,
         Name::Replication if args.delays => {
             delays::measure(args.runs.max(1), &args.program)?;
@@ -70,7 +77,6 @@
         }
         Name::Replication => replication::measure(args.runs.max(1), &args.program, &args.out)?,
         Name::Duties => duties::measure(args.runs.max(1), &args.out)?,
-        Name::Size => size::control::measure(&args.program, &args.out, &args.members)?,
         Name::Sites => sites::measure(args.runs.max(1), &args.out)?,
         Name::Crossings => crossings::measure(args.runs.max(1), &args.out)?,
     };
--- a/crates/measure/src/size/control.rs
+++ b/crates/measure/src/size/control.rs
@@ -693,7 +693,7 @@
     env.add_function("figure", short);
     env.add_template("page", PAGE)?;
     let page = env.get_template("page")?.render(context! {
-        machine => crate::crossings::machine(), stretch => STRETCH, warm_up => WARM_UP, settles => SETTLES, hold => HOLD,
+        machine => super::machine(), stretch => STRETCH, warm_up => WARM_UP, settles => SETTLES, hold => HOLD,
         headers => HEADERS, cases => cases, left_out => left_out(&kept.cases), lends => LENDS, lends_at => LENDS_AT,
         kinds => kinds, rows => rows, seen => seen, world => worlds, world_for => WORLD_FOR, world_rows => world_rows,
         changes => kept.changes, changes_of => CHANGES, target => TARGET, held => held,
