Always log that a member takes calls, woke or was superseded, however many events come

Cause: events of a fleet share a bound of 40 lines at once and 2 a second.

Change: fleet-caught-up, fleet-woke and fleet-superseded are outside the bound; each comes once to a start or a pause, and no other member can bring them about at will. All other events are bounded as before.

--- a/crates/gatekeeper/src/node/fleet.rs
+++ b/crates/gatekeeper/src/node/fleet.rs
@@ -42,8 +42,12 @@
 }
 
 impl Lines {
-    /// Whether a line may be written; how many were not, before it.
-    fn take(&mut self, now: f64) -> Option<u64> {
+    /// Whether an event may be written; how many were not, before it. What befalls the own member comes seldom and says
+    /// whether it takes calls: it is always written, and takes nothing from the others.
+    fn take(&mut self, now: f64, event: &Event) -> Option<u64> {
+        if matches!(event, Event::CaughtUp(..) | Event::Member(Seen::Woke(_) | Seen::Superseded(_))) {
+            return Some(0);
+        }
         self.left = (self.left + (now - self.at).max(0.0) * LINES_PER_S).min(LINES);
         self.at = now;
         if self.left < 1.0 {
@@ -379,7 +383,7 @@
         let mut woke = false;
         for event in self.member.events() {
             woke |= matches!(event, Event::Member(Seen::Woke(_)));
-            let Some(dropped) = self.lines.take(now) else { continue };
+            let Some(dropped) = self.lines.take(now, &event) else { continue };
             if dropped > 0 {
                 log::info!(events = dropped; "fleet-events-left-out");
             }
@@ -501,3 +505,6 @@
 fn named(conf: &Conf) -> impl Iterator<Item = (MemberId, String, std::net::SocketAddr)> + '_ {
     conf.members.iter().map(|m| (MemberId::of(&m.name), m.name.clone(), m.address))
 }
+
+#[cfg(test)]
+mod tests;
