--- a/crates/gatekeeper/src/node/events.rs
+++ b/crates/gatekeeper/src/node/events.rs
@@ -23,19 +23,41 @@
 
     /// Whether a line may be written; tells first how many were not, before it.
     pub fn take(&mut self, now: f64) -> bool {
+        told(self.count(now))
+    }
+
+    /// The same for an event of members. What befalls the own member comes seldom and says whether it takes calls: it is
+    /// always written, and takes nothing from the others.
+    pub fn take_for(&mut self, now: f64, event: &Event) -> bool {
+        told(self.count_for(now, event))
+    }
+
+    fn count_for(&mut self, now: f64, event: &Event) -> Option<u64> {
+        match event {
+            Event::CaughtUp(..) | Event::Member(Seen::Woke(_) | Seen::Superseded(_)) => Some(0),
+            _ => self.count(now),
+        }
+    }
+
+    /// How many lines were left out before this one, if it may be written.
+    fn count(&mut self, now: f64) -> Option<u64> {
         self.left = (self.left + (now - self.at).max(0.0) * LINES_PER_S).min(LINES);
         self.at = now;
         if self.left < 1.0 {
             self.dropped += 1;
-            return false;
+            return None;
         }
         self.left -= 1.0;
-        let dropped = std::mem::take(&mut self.dropped);
-        if dropped > 0 {
-            log::info!(events = dropped; "fleet-events-left-out");
-        }
-        true
+        Some(std::mem::take(&mut self.dropped))
+    }
+}
+
+/// Whether a line may be written; tells how many were left out before it.
+fn told(left_out: Option<u64>) -> bool {
+    if let Some(events) = left_out.filter(|events| *events > 0) {
+        log::info!(events; "fleet-events-left-out");
     }
+    left_out.is_some()
 }
 
 /// Writes an event of the members of a small fleet, or of the relays among themselves, to the log.
@@ -84,3 +106,6 @@
         Event::LeftOut(records) => log::warn!(records; "replica-full"),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gatekeeper/src/node/fleet.rs
+++ b/crates/gatekeeper/src/node/fleet.rs
@@ -294,7 +294,7 @@
         let mut woke = false;
         for event in self.member.events() {
             woke |= matches!(event, Event::Member(Seen::Woke(_)));
-            if self.lines.take(now) {
+            if self.lines.take_for(now, &event) {
                 log_member_event(&event, |id| self.peers.name(id));
             }
         }
@@ -357,9 +357,12 @@
             })
         };
         let (given, taken, fetching) = self.member.caught();
+        let said = &self.peers.counts.split.records;
+        let records: serde_json::Map<String, Value> =
+            KINDS.iter().zip(said).map(|(kind, bytes)| (kind.to_string(), json!(bytes))).collect();
         json!({
             "streams": self.member.snapshot().iter().map(row).collect::<Vec<_>>(),
-            "counts": self.member.counts, "links": self.peers.counts, "given": given, "taken": taken,
+            "counts": self.member.counts, "links": self.peers.counts, "records_said": records, "given": given, "taken": taken,
             "fetching": fetching, "adopted": calls.adopted(), "unplaced": self.unplaced.len(),
         })
     }
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -3,6 +3,7 @@
 
 mod connections;
 mod rare;
+mod said;
 
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Write};
--- a/crates/gatekeeper/src/node/tier.rs
+++ b/crates/gatekeeper/src/node/tier.rs
@@ -342,7 +342,11 @@
             }
             Role::Relay(relay) => {
                 for event in relay.events() {
-                    if self.lines.take(now) {
+                    let may = match &event {
+                        relay::Event::Mesh(event) => self.lines.take_for(now, event),
+                        _ => self.lines.take(now),
+                    };
+                    if may {
                         let name =
                             |id| relay.leaf_name(id).map_or_else(|| name(&self.names, id), String::from);
                         log_relay_event(&event, name);
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -39,6 +39,9 @@
     /// Of the heart's part only this series.
     #[arg(long)]
     series: Option<size::heart::Series>,
+    /// Of the control's part only fleets of so many members; the others are taken as they were kept.
+    #[arg(long, value_delimiter = ',', default_values_t = size::control::SIZES)]
+    members: Vec<usize>,
     /// Where the page and the chart are written.
     #[arg(long, default_value = "docs/measurements")]
     out: PathBuf,
@@ -66,7 +69,7 @@
     let args = Args::parse();
     let failures = match args.name {
         Name::Cold => cold::measure(args.runs.max(1), &args.out)?,
-        Name::Size => size::measure(args.part, args.series, &args.program, &args.out)?,
+        Name::Size => size::measure(args.part, args.series, &args.members, &args.program, &args.out)?,
         Name::Cores => cores::measure(args.runs.max(1), &args.program, &args.out)?,
         Name::Replication if args.delays => {
             delays::measure(args.runs.max(1), &args.program)?;
--- a/crates/measure/src/size/mod.rs
+++ b/crates/measure/src/size/mod.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod connections;
+pub(crate) mod control;
 mod farm;
 pub(crate) mod fit;
 pub(crate) mod heart;
@@ -28,16 +29,19 @@
     Connections,
     /// Cold servers under the sum of many gatekeepers.
     Cold,
+    /// What members of a fleet say to each other.
+    Control,
 }
 
 impl Part {
-    const ALL: [Part; 4] = [Part::Heart, Part::List, Part::Connections, Part::Cold];
+    const ALL: [Part; 5] = [Part::Heart, Part::List, Part::Connections, Part::Cold, Part::Control];
 }
 
 /// Measures one part, or all; of the heart one series, or all. Returns what does not hold.
 pub(crate) fn measure(
     part: Option<Part>,
     series: Option<heart::Series>,
+    members: &[usize],
     program: &Path,
     out: &Path,
 ) -> Result<Vec<String>, Box<dyn Error>> {
@@ -52,6 +56,7 @@
             Part::List => failures.extend(list::measure(program, out)?),
             Part::Connections => failures.extend(connections::measure(program, out)?),
             Part::Cold => failures.extend(connections::measure_cold(out)?),
+            Part::Control => failures.extend(control::measure(program, out, members)?),
         }
     }
     Ok(failures)
