--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -39,7 +39,8 @@
     /// Of the heart's part only this series.
     #[arg(long)]
     series: Option<size::heart::Series>,
-    /// Of the control's part only fleets of so many members; the others are taken as they were kept.
+    /// Of the control's part only fleets of so many members; the others are taken as they were kept. 0 runs none and writes
+    /// the page alone.
     #[arg(long, value_delimiter = ',', default_values_t = size::control::SIZES)]
     members: Vec<usize>,
     /// Where the page and the chart are written.
--- a/crates/measure/src/size/control.rs
+++ b/crates/measure/src/size/control.rs
@@ -18,7 +18,7 @@
 use minijinja::{context, Environment};
 use serde::{Deserialize, Serialize};
 
-use super::fit::{fit, short};
+use super::fit::{fit, short, Slope, FEWEST};
 use crate::scale;
 use crate::stats::Spread;
 
@@ -110,6 +110,9 @@
 struct Kept {
     cases: Vec<Case>,
     changes: Vec<Change>,
+    /// What a reader must know of how these runs were made; written by whoever made them.
+    #[serde(default)]
+    notes: Vec<String>,
 }
 
 /// A fleet of processes.
@@ -123,10 +126,13 @@
     lends: bool,
 }
 
+/// When a process was asked, and the bytes it had said so far, by what they say.
+type Said = (f64, BTreeMap<String, f64>);
+
 /// What is read of all processes at one time.
 struct Reading {
-    /// By process: when, and bytes by what they say.
-    said: Vec<(f64, BTreeMap<String, f64>)>,
+    /// By process.
+    said: Vec<Said>,
     core: Vec<(f64, f64)>,
     segments: (f64, u64),
     stood: (f64, usize),
@@ -258,7 +264,7 @@
         self.programs.iter().map(|p| Ok((unix_time(), processor(p)?))).collect()
     }
 
-    fn all_said(&self) -> Result<Vec<(f64, BTreeMap<String, f64>)>, Box<dyn Error>> {
+    fn all_said(&self) -> Result<Vec<Said>, Box<dyn Error>> {
         (0..self.programs.len()).map(|n| Ok((unix_time(), self.said(n)?))).collect()
     }
 
@@ -409,7 +415,8 @@
     rate: f64,
     form: String,
     base: f64,
-    coefficient: f64,
+    /// None where the slope is a sum.
+    coefficient: Option<f64>,
     residual: f64,
     least: usize,
     largest: usize,
@@ -417,33 +424,68 @@
     at_target: f64,
     allowed: Option<f64>,
     factor: Option<f64>,
-    /// The least number of members that are not allowed, by the slope.
+    /// The least number of members that are not allowed: by the slope, and of those that were run.
     passed: Option<usize>,
+    passed_in_runs: Option<usize>,
 }
 
 /// Fits a figure by members, at a number of calls a second.
 fn row(what: &str, rate: f64, allowed: Option<f64>, points: &[(f64, f64)]) -> Option<Row> {
     // Of too few sizes there is no slope.
     let slope = fit(points).ok()?;
+    let form = (slope.form.to_string(), slope.offset, Some(slope.coefficient), slope.residual);
+    row_of(what, rate, allowed, points, form, &|n| slope.at(n))
+}
+
+/// A figure that is a sum, by the slopes of its parts: they grow in different forms, and no one form is the sum's.
+fn sum_row(
+    what: &str,
+    rate: f64,
+    allowed: Option<f64>,
+    points: &[(f64, f64)],
+    parts: &[Slope],
+) -> Option<Row> {
+    let at = |n: f64| parts.iter().map(|slope| slope.at(n)).sum::<f64>();
+    let count = points.len() as f64;
+    let squares = points.iter().map(|(n, value)| (value - at(*n)).powi(2)).sum::<f64>();
+    let mean = points.iter().map(|p| p.1).sum::<f64>() / count;
+    // As a slope of one form has it, with two figures that were free.
+    let residual = (squares / (count - 2.0)).sqrt() / mean;
+    let form = ("the sum of its parts' slopes".to_string(), at(0.0), None, residual);
+    row_of(what, rate, allowed, points, form, &at)
+}
+
+fn row_of(
+    what: &str,
+    rate: f64,
+    allowed: Option<f64>,
+    points: &[(f64, f64)],
+    (form, base, coefficient, residual): (String, f64, Option<f64>, f64),
+    at: &dyn Fn(f64) -> f64,
+) -> Option<Row> {
     let members = points.iter().map(|p| p.0 as usize);
-    let at_target = slope.at(TARGET);
+    let over = |allowed: f64| points.iter().filter(|p| p.1 > allowed).map(|p| p.0 as usize).min();
     Some(Row {
         what: what.into(),
         rate,
-        form: slope.form.to_string(),
-        base: slope.offset,
-        coefficient: slope.coefficient,
-        residual: slope.residual,
+        form,
+        base,
+        coefficient,
+        residual,
         least: members.clone().min()?,
         largest: members.clone().max()?,
         sizes: members.count(),
-        at_target,
+        at_target: at(TARGET),
         allowed,
-        factor: allowed.map(|allowed| at_target / allowed),
-        passed: allowed.and_then(|allowed| (2..=TARGET as usize).find(|n| slope.at(*n as f64) > allowed)),
+        factor: allowed.map(|allowed| at(TARGET) / allowed),
+        passed: allowed.and_then(|allowed| (2..=TARGET as usize).find(|n| at(*n as f64) > allowed)),
+        passed_in_runs: allowed.and_then(over),
     })
 }
 
+/// All bytes, as if they grew in one form.
+const IN_ONE_FORM: &str = "bytes/s, headers counted, in one form";
+
 /// The slopes of all that was measured without a budget.
 fn rows(cases: &[Case]) -> Vec<Row> {
     let mut rows = Vec::new();
@@ -456,9 +498,8 @@
         let points = |of: &dyn Fn(&Case) -> f64| -> Vec<(f64, f64)> {
             all.iter().map(|c| (c.members as f64, of(c))).collect()
         };
-        rows.extend(row("bytes/s, headers counted", rate, Some(ALLOWED_BYTES), &points(&Case::bytes)));
-        rows.extend(row("bytes/s of words", rate, None, &points(&|c| c.words)));
-        rows.extend(row("bytes/s of headers", rate, None, &points(&|c| HEADERS * c.segments)));
+        let (bytes, headers) = (points(&Case::bytes), points(&|c| HEADERS * c.segments));
+        let mut parts = vec![headers.clone()];
         let told = all.iter().flat_map(|c| c.said.keys());
         let names: std::collections::BTreeSet<&String> = told.collect();
         for name in names {
@@ -466,7 +507,17 @@
             if points.iter().any(|p| p.1 >= 1.0) {
                 rows.extend(row(&format!("bytes/s, {name}"), rate, None, &points));
             }
+            parts.push(points);
         }
+        rows.extend(row("bytes/s of headers", rate, None, &headers));
+        let slopes: Vec<Slope> = parts.iter().filter_map(|points| fit(points).ok()).collect();
+        let words = points(&|c| c.words);
+        // The first are the headers'.
+        if let [_, of_words @ ..] = slopes.as_slice() {
+            rows.extend(sum_row("bytes/s of words", rate, None, &words, of_words));
+            rows.extend(sum_row("bytes/s, headers counted", rate, Some(ALLOWED_BYTES), &bytes, &slopes));
+        }
+        rows.extend(row(IN_ONE_FORM, rate, None, &bytes));
         rows.extend(row(
             "share of a core, more than alone",
             rate,
@@ -510,9 +561,12 @@
 stand-in callers, three servers and resolvers in another process. A stretch is {{ stretch }} s after {{ warm_up }} s at its rate ({{ settles }} s
 at rest); calls stand for {{ hold }} s in the mean. Each case was run once. The program counts the bytes of what it says by what they say, and the
 measurement ends with an error where the parts are not the whole; segments are the system's count for the sockets of the links (`ss`),
-acknowledgements among them, and each counts as {{ headers }} bytes of IPv4 and TCP. One member is a gatekeeper without a fleet. All a second and
+acknowledgements among them, and each counts as {{ headers|int }} bytes of IPv4 and TCP. One member is a gatekeeper without a fleet. All a second and
 a gatekeeper, the mean over all; memory and descriptors are the most of any.
 
+{% for n in notes -%}
+- {{ n }}
+{% endfor %}
 | members | calls/s | stood/s | bytes/s | of words | segments/s | core | MB | descriptors |
 | --- | --- | --- | --- | --- | --- | --- | --- | --- |
 {% for c in cases -%}
@@ -538,13 +592,15 @@
 ## Slopes
 
 *base + coefficient x form(n)*, n the members. The residual is the standard error of the fit, as a part of the mean. **What stands
-under 750 is an extrapolation: no more than the largest size told was run.** *Over* is that by what the operators allow, *from* the least members
-that pass it, by the slope.
+under 750 is an extrapolation: no more than the largest size told was run.** *Over* is that by what the operators allow ({{ allowed_bytes|int }} bytes/s,
+{{ (100 * allowed_core)|int }}% of a core, {{ allowed_memory|int }} MB), *from* the least members that pass it, by the slope and of the sizes run. Bytes are a sum of parts that grow in different forms, so that the sum of the parts' slopes counts;
+the one form that fits all best is shown beside it, and says too little where the steepest part is still small in what was run. The same holds for the
+share of a core, of which there are no parts: what its one form says at {{ target|int }} is no more than an order.
 
-| what | calls/s | form | base | coefficient | residual | sizes run | at 750, extrapolated | over | from |
-| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
+| what | calls/s | form | base | coefficient | residual | sizes run | at 750, extrapolated | over | from, by the slope | from, of those run |
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
 {% for r in rows -%}
-| {{ r.what }} | {{ r.rate|int }} | {{ r.form }} | {{ figure(r.base) }} | {{ figure(r.coefficient) }} | {{ (100 * r.residual)|round(1) }}% | {{ r.sizes }}, {{ r.least }} to {{ r.largest }} | {{ figure(r.at_target) }} | {{ (figure(r.factor) ~ "x") if r.factor is not none else "" }} | {{ r.passed if r.passed is not none else "" }} |
+| {{ r.what }} | {{ r.rate|int }} | {{ r.form }} | {{ figure(r.base) }} | {{ figure(r.coefficient) if r.coefficient is not none else "" }} | {{ (100 * r.residual)|round(1) }}% | {{ r.sizes }}, {{ r.least }} to {{ r.largest }} | {{ figure(r.at_target) }} | {{ (figure(r.factor) ~ "x") if r.factor is not none else "" }} | {{ r.passed if r.passed is not none else "" }} | {{ r.passed_in_runs if r.passed_in_runs is not none else "" }} |
 {% endfor %}
 ## Against what was seen before
 
@@ -575,7 +631,7 @@
 {% for c in changes -%}
 | {{ c.members }} | {{ c.first.median|round(4) }} ({{ c.first.least|round(4) }} to {{ c.first.most|round(4) }}) | {{ c.last.median|round(4) }} ({{ c.last.least|round(4) }} to {{ c.last.most|round(4) }}) |
 {% endfor %}
-What files and SIGHUP cannot give: all this is on one machine, and whoever carries files to {{ target }} machines is no part of it and not measured; there is no
+What files and SIGHUP cannot give: all this is on one machine, and whoever carries files to {{ target|int }} machines is no part of it and not measured; there is no
 version, so nobody can say which change a member has; no member says that it has taken or refused one but in its own log; one that is away, cut off
 or starts later gets it only from whoever writes its file; two hands may write at once, and the members then differ without knowing; a member that is
 paused takes it when it wakes.
@@ -588,7 +644,7 @@
 
 /// What must hold, each with its figures, and whether it does.
 fn holds(rows: &[Row]) -> Vec<(String, bool)> {
-    let counted = |r: &&Row| r.what.starts_with("bytes/s, headers") || r.what == "bytes/s of words";
+    let counted = |r: &&Row| r.what.starts_with("bytes/s, headers counted") || r.what == "bytes/s of words";
     let of = |r: &Row| {
         let text = format!(
             "{}, {:.0} calls a second: the slope leaves at most {:.0}% over: {:.1}%",
@@ -615,7 +671,7 @@
 
 /// Runs fleets of some sizes, each anew, and keeps what they came to in place of what was kept of these sizes.
 fn run(program: &Path, sizes: &[usize], path: &Path) -> Result<Kept, Box<dyn Error>> {
-    for &members in sizes {
+    for &members in sizes.iter().filter(|n| **n > 0) {
         let mut cases = Vec::new();
         let mut group = Group::start(program, members, false)?;
         for rate in RATES.into_iter().filter(|rate| members as f64 * rate <= MOST_CALLS) {
@@ -643,10 +699,9 @@
 pub fn measure(program: &Path, out: &Path, sizes: &[usize]) -> Result<Vec<String>, Box<dyn Error>> {
     std::fs::create_dir_all(out)?;
     let kept = run(program, sizes, &out.join("size-control.json"))?;
-    let lacking: Vec<usize> =
-        SIZES.into_iter().filter(|n| !kept.cases.iter().any(|c| c.members == *n)).collect();
-    if !lacking.is_empty() {
-        println!("no page yet: {lacking:?} members were not run");
+    let fleets = SIZES.into_iter().filter(|n| *n > 1 && kept.cases.iter().any(|c| c.members == *n)).count();
+    if fleets < FEWEST {
+        println!("no page yet: {fleets} sizes were run, and a slope takes {FEWEST}");
         return Ok(Vec::new());
     }
     let worlds: Vec<(usize, f64, f64)> = SIZES
@@ -696,8 +751,12 @@
         machine => super::machine(), stretch => STRETCH, warm_up => WARM_UP, settles => SETTLES, hold => HOLD,
         headers => HEADERS, cases => cases, left_out => left_out(&kept.cases), lends => LENDS, lends_at => LENDS_AT,
         kinds => kinds, rows => rows, seen => seen, world => worlds, world_for => WORLD_FOR, world_rows => world_rows,
+        notes => kept.notes, allowed_bytes => ALLOWED_BYTES, allowed_core => ALLOWED_CORE, allowed_memory => ALLOWED_MEMORY,
         changes => kept.changes, changes_of => CHANGES, target => TARGET, held => held,
     })?;
     std::fs::write(out.join("size-control.md"), page)?;
     Ok(all.into_iter().filter(|(_, holds)| !holds).map(|(text, _)| text).collect())
 }
+
+#[cfg(test)]
+mod tests;
