--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -27,7 +27,7 @@
 
 /// Leaves that a relay takes, and bytes a second that it says to each, by default.
 const LEAVES: usize = 400;
-const LEAF_RATE: f64 = 6.0 * 1024.0;
+const LEAF_RATE: f64 = 5.0 * 1024.0;
 
 /// A member as the file names it.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/config/src/values.rs
+++ b/crates/config/src/values.rs
@@ -54,9 +54,9 @@
     (16384.0..=1073741824.0).contains(&value).then_some(value).ok_or(EXPECTED)
 }
 
-/// Bytes a second that are said to one leaf, as `6KiB/s`.
+/// Bytes a second that are said to one leaf, as `5KiB/s`.
 pub(crate) fn leaf_rate(text: &str) -> Read<f64> {
-    const EXPECTED: &str = "expected bytes a second from 1KiB/s to 16MiB/s, as 6KiB/s";
+    const EXPECTED: &str = "expected bytes a second from 1KiB/s to 16MiB/s, as 5KiB/s";
     let value = bytes_per_s(text).ok_or(EXPECTED)?;
     (1024.0..=16777216.0).contains(&value).then_some(value).ok_or(EXPECTED)
 }
--- a/crates/config/tests/tier.rs
+++ b/crates/config/tests/tier.rs
@@ -75,7 +75,7 @@
 fn what_a_tier_leaves_out_has_its_defaults() {
     let fleet = fleet(RELAYS, &names()).unwrap().fleet.unwrap();
     let tier = fleet.tier.as_ref().unwrap();
-    assert_eq!((tier.writer.as_str(), tier.leaves, tier.leaf_rate), ("r1", 400, 6144.0));
+    assert_eq!((tier.writer.as_str(), tier.leaves, tier.leaf_rate), ("r1", 400, 5120.0));
     assert_eq!((tier.settings.as_deref(), tier.service.as_deref()), (None, None));
     assert_eq!(fleet.own_name("n1"), "n1");
     let one = self::fleet("relay r1 10.0.0.1:7100\n", &names()).unwrap();
--- a/crates/faults/src/tier.rs
+++ b/crates/faults/src/tier.rs
@@ -1000,8 +1000,7 @@
         let mut said = false;
         for link in body.node().due(local) {
             let Some((connection, side)) = self.slots[node].links.get(&link).copied() else { continue };
-            loop {
-                let Some(c) = &mut self.connections[connection] else { break };
+            while let Some(c) = &mut self.connections[connection] {
                 let other = &mut c.sides[1 - side];
                 if other.bytes >= ROOM {
                     if other.full.is_none() {
--- a/crates/gatekeeper/src/node/tier.rs
+++ b/crates/gatekeeper/src/node/tier.rs
@@ -486,6 +486,7 @@
             let feed = format!("{feed:?}").to_lowercase();
             log::info!(feed = feed.as_str(); "relay-told-anew");
         }
+        leaf::Event::Raised(life) => log::info!(life:%; "leaf-life-raised"),
     }
 }
 
--- a/crates/gatekeeper/src/node/tier/tests.rs
+++ b/crates/gatekeeper/src/node/tier/tests.rs
@@ -48,3 +48,14 @@
     }
     assert!(found > 30, "only {found} events were found");
 }
+
+/// The file's defaults are those that the crate's bounds were reckoned with.
+#[test]
+fn what_the_file_leaves_out_is_what_the_relays_were_reckoned_with() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("own.conf");
+    std::fs::write(&path, "fleet {\n relay r1 127.0.0.1:7100\n}\n").unwrap();
+    let conf = hollypaddle_config::load(&path, &hollypaddle_config::Names::default()).unwrap();
+    let tier = conf.fleet.unwrap().tier.unwrap();
+    assert_eq!(timing(&tier), Timing::default());
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -209,9 +209,9 @@
             gone: 5.0,
             closed: 3.0,
             forget: 120.0,
-            // Over any 10 s both come to 7,150 bytes a second with their bursts, of 8,000 that a gatekeeper may spend: the
+            // Over any 10 s both come to 7,070 bytes a second with their bursts, of 8,000 that a gatekeeper may spend: the
             // rest is for pings to a second choice and for a new burst after a move.
-            leaf_rate: 5200.0,
+            leaf_rate: 5120.0,
             report_rate: 1300.0,
             burst: 1.0,
             leaves: 400,
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Entries, bytes of an entry's name and text, and of all of them, at most. At a leaf's rate of 5,200 bytes a second a
+/// Entries, bytes of an entry's name and text, and of all of them, at most. At a leaf's rate of 5,120 bytes a second a
 /// whole set of that size is there after 14 s.
 pub const MOST_ENTRIES: usize = 4096;
 /// Bytes of one entry.
--- a/crates/relay/tests/frames.rs
+++ b/crates/relay/tests/frames.rs
@@ -13,7 +13,7 @@
     let (from, to, topic) = (MemberId(1), MemberId(2), Topic(7));
     let mark = Mark { version: 5, hash: 6 };
     vec![
-        Message::Hello(Hello { protocol: (1, 1), from, to, life, topic }),
+        Message::Hello(Hello { protocol: (1, 1), from, to, life, topic, name: "g-1".into() }),
         Message::Welcome { relay: to, life },
         Message::Ping(7),
         Message::Pong(8),
@@ -25,7 +25,7 @@
         Message::Leave,
         Message::Holds { in_force: mark, proposed: Mark::default() },
         Message::Want { proposed: true, held: mark },
-        Message::TurnedDown { leaf: from, version: 5, reason: "no".into() },
+        Message::TurnedDown { leaf: from, name: "g-1".into(), version: 5, reason: "no".into() },
     ]
 }
 
