--- a/crates/faults/src/tier.rs
+++ b/crates/faults/src/tier.rs
@@ -1000,8 +1000,7 @@
         let mut said = false;
         for link in body.node().due(local) {
             let Some((connection, side)) = self.slots[node].links.get(&link).copied() else { continue };
-            loop {
-                let Some(c) = &mut self.connections[connection] else { break };
+            while let Some(c) = &mut self.connections[connection] {
                 let other = &mut c.sides[1 - side];
                 if other.bytes >= ROOM {
                     if other.full.is_none() {
@@ -1293,8 +1292,10 @@
                     let slot = &self.slots[leaf];
                     let heard = slot.heard.filter(|(at, _)| *at >= slot.started && self.now - at < HEARD);
                     // By one whose words reach this relay: two parts of a split do not know of each other.
-                    let heard =
-                        heard.filter(|(_, by)| !self.blocked(*by, node) && self.now - self.cleared > HEARD);
+                    let heard = heard.filter(|(_, by)| {
+                        !self.blocked(*by, node)
+                            && self.now - self.cleared.max(self.slots[leaf].clear_since) > HEARD
+                    });
                     if let (true, Some((at, by))) = (self.awake(leaf), heard) {
                         let ago = self.now - at;
                         let what = format!(
@@ -1305,7 +1306,8 @@
                 }
                 relay::Event::Mesh(member::Event::Member(Change::Gone(member, refused))) => {
                     let Some(&other) = self.numbers.get(&member) else { continue };
-                    let since = self.slots[other].started;
+                    // What others hear is told every few tenths of a second: one that woke just now is not known of yet.
+                    let since = self.slots[other].clear_since;
                     // Heard by one that this relay hears: two parts of a split do not know of each other.
                     let open = |a: usize, b: usize| !self.blocked(a, b) && !self.blocked(b, a);
                     let heard = (0..self.plan.relays)
--- a/crates/membership/tests/quorum.rs
+++ b/crates/membership/tests/quorum.rs
@@ -175,3 +175,20 @@
     group.views[0].hear(0.3, id(1), &first).unwrap();
     assert!(group.views[0].ready(id(1)), "it has caught up since");
 }
+
+/// One that was cut off hears two of four others first when it is back: that is a majority, and still no reason to hold the
+/// other two to be gone, whom those two hear all the while.
+#[test]
+fn who_is_back_holds_nobody_to_be_gone_whom_the_first_it_hears_hear() {
+    let mut group = Group::of(5);
+    group.pass(1.0);
+    group.split(&[0], &[1, 2, 3, 4]);
+    group.pass(6.0);
+    group.cut.clear();
+    group.split(&[0], &[3, 4]);
+    group.pass(0.3);
+    group.cut.clear();
+    group.pass(3.0);
+    assert_eq!(group.gone.iter().filter(|(by, ..)| *by == 0).count(), 0, "{:?}", group.gone);
+    assert!((1..5).all(|n| group.views[0].state(id(n)) == State::Alive));
+}
