--- a/crates/faults/tests/tier.rs
+++ b/crates/faults/tests/tier.rs
@@ -459,3 +459,28 @@
         "majority of relays has not stored",
     );
 }
+
+/// A leaf at a relay that is not its best one keeps one link to a second, and makes no new ones all the time.
+#[test]
+fn links_stay_where_nothing_happens() {
+    let mut world = world(Plan::of(5, 30), 13);
+    (0..3).for_each(|n| world.kill(n));
+    world.pass(10.0);
+    assert!(world.all_attached());
+    world.said.clear();
+    world.pass(20.0);
+    assert_eq!(world.said.get(&1), None, "hellos");
+    quiet(&mut world);
+}
+
+/// While all come at once a relay's share grows as it hears of them: who is refused for it does not wait long.
+#[test]
+fn all_are_attached_soon_after_everything_was_restarted() {
+    let mut world = world(Plan::of(5, 400), 14);
+    (0..405).for_each(|n| world.kill(n));
+    world.pass(0.5);
+    (0..405).for_each(|n| world.start(n));
+    let within = world.until(HOME, World::all_attached);
+    assert!(within.is_some(), "{} are not", world.unattached().len());
+    quiet(&mut world);
+}
