--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -10,6 +10,7 @@
 mod replication;
 mod scale;
 mod sites;
+mod size;
 mod stats;
 
 use std::error::Error;
@@ -32,6 +33,15 @@
     /// Of replication only what a set-up pays, told and not written.
     #[arg(long)]
     delays: bool,
+    /// Of size only this part.
+    #[arg(long)]
+    part: Option<size::Part>,
+    /// Of the heart's part only this series.
+    #[arg(long)]
+    series: Option<size::heart::Series>,
+    /// Of the control's part only fleets of so many members; the others are taken as they were kept.
+    #[arg(long, value_delimiter = ',', default_values_t = size::control::SIZES)]
+    members: Vec<usize>,
     /// Where the page and the chart are written.
     #[arg(long, default_value = "docs/measurements")]
     out: PathBuf,
@@ -51,12 +61,15 @@
     Cold,
     /// Several workers: what the ways to them cost.
     Cores,
+    /// What grows with servers, calls and callers, as slopes.
+    Size,
 }
 
 fn main() -> Result<ExitCode, Box<dyn Error>> {
     let args = Args::parse();
     let failures = match args.name {
         Name::Cold => cold::measure(args.runs.max(1), &args.out)?,
+        Name::Size => size::measure(args.part, args.series, &args.members, &args.program, &args.out)?,
         Name::Cores => cores::measure(args.runs.max(1), &args.program, &args.out)?,
         Name::Replication if args.delays => {
             delays::measure(args.runs.max(1), &args.program)?;
