--- a/crates/gatekeeper/src/node/relays.rs
+++ b/crates/gatekeeper/src/node/relays.rs
@@ -231,6 +231,11 @@
 
     // ---- What happens on the sockets
 
+    /// Whether what is watched under a key is a link's or the listener.
+    pub fn owns(&self, key: Key) -> bool {
+        self.links.contains_key(&key) || self.listener.as_ref().is_some_and(|(_, own)| *own == key)
+    }
+
     /// Takes what is ready, if it is a link's or the listener; returns whether it is.
     pub fn ready(&mut self, now: f64, ready: Ready, node: &mut dyn Node, watch: &mut Watch) -> bool {
         if self.listener.as_ref().is_some_and(|(_, key)| *key == ready.key) {
