--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -8,4 +8,4 @@
 
 pub mod leaves;
 pub mod process;
-// pub mod stage;
+pub mod stage;
