--- a/crates/faults/examples/try.rs
+++ b/crates/faults/examples/try.rs
@@ -12,22 +12,41 @@
         "kill" => w.kill(0),
         "pause" => w.pause(0),
         "vanish" => w.vanish(0),
-        "kill2" => { w.kill(0); w.kill(1) }
-        "pause2" => { w.pause(0); w.pause(1) }
+        "kill2" => {
+            w.kill(0);
+            w.kill(1)
+        }
+        "pause2" => {
+            w.pause(0);
+            w.pause(1)
+        }
         "cut" => w.cut_off(0, true, true),
         "says" => w.cut_off(0, true, false),
         "hears" => w.cut_off(0, false, true),
         "regions" => w.cut_regions(true),
         "loss" => w.loss = 0.2,
-        "all" => { for n in 0..5 { w.kill(n) } w.pass(3.0); for n in 0..5 { w.start(n) } }
+        "all" => {
+            for n in 0..5 {
+                w.kill(n)
+            }
+            w.pass(3.0);
+            for n in 0..5 {
+                w.start(n)
+            }
+        }
         _ => {}
     }
     let at = w.until(10.0, World::all_attached);
-    println!("attached {at:?} moves {:?}", w.moves.iter().filter(|m| !m.started).map(|m| m.after).fold(0.0, f64::max));
+    println!(
+        "attached {at:?} moves {:?}",
+        w.moves.iter().filter(|m| !m.started).map(|m| m.after).fold(0.0, f64::max)
+    );
     w.pass(a[2]);
     w.heal();
     w.pass(10.0);
     println!("{:?} turns {} said {:?}", t.elapsed(), w.turns, w.said);
     println!("most {:?} errors {:?} stuck {}", w.most, w.errors, w.stuck);
-    for b in w.broken.iter().chain(&w.unsettled()).take(12) { println!("{b}"); }
+    for b in w.broken.iter().chain(&w.unsettled()).take(12) {
+        println!("{b}");
+    }
 }
--- a/crates/faults/src/tier.rs
+++ b/crates/faults/src/tier.rs
@@ -679,9 +679,7 @@
         let between = |c: &Connection| [c.sides[0].node, c.sides[1].node];
         let all: Vec<usize> = (self.slots[a].ends.iter().copied())
             .filter(|c| {
-                self.connections[*c]
-                    .as_ref()
-                    .is_some_and(|c| between(c) == [a, b] || between(c) == [b, a])
+                self.connections[*c].as_ref().is_some_and(|c| between(c) == [a, b] || between(c) == [b, a])
             })
             .collect();
         for connection in all {
@@ -770,7 +768,11 @@
     }
 
     /// The writer is asked for settings with just these entries.
-    pub fn propose(&mut self, node: usize, wanted: &[(String, String)]) -> Option<Result<Mark, SettingsError>> {
+    pub fn propose(
+        &mut self,
+        node: usize,
+        wanted: &[(String, String)],
+    ) -> Option<Result<Mark, SettingsError>> {
         let now = self.clock(node);
         if !self.awake(node) {
             return None;
@@ -1027,15 +1029,7 @@
         self.plan_turn(node, nanos(at));
     }
 
-    fn item(
-        &mut self,
-        node: usize,
-        body: &mut Body,
-        local: f64,
-        connection: usize,
-        side: usize,
-        item: Item,
-    ) {
+    fn item(&mut self, node: usize, body: &mut Body, local: f64, connection: usize, side: usize, item: Item) {
         let Some(c) = &mut self.connections[connection] else { return };
         let (link, from) = (c.sides[side].link, c.sides[1 - side].node);
         match (item, link) {
@@ -1275,7 +1269,9 @@
                     let heard = slot.heard.filter(|(at, _)| *at >= slot.started && self.now - at < HEARD);
                     if let (true, Some((at, by))) = (self.awake(leaf), heard) {
                         let ago = self.now - at;
-                        let what = format!("relay {node} says so of node {leaf}, heard by relay {by} {ago:.2} s ago");
+                        let what = format!(
+                            "relay {node} says so of node {leaf}, heard by relay {by} {ago:.2} s ago"
+                        );
                         self.false_death(what);
                     }
                 }
@@ -1289,7 +1285,9 @@
                         .filter_map(|n| Some((*self.relay_heard.get(&(n, other))?, n)))
                         .find(|(at, _)| *at >= since && self.now - at < HEARD / 4.0);
                     if let (true, Some((_, by))) = (self.awake(other) && self.now - since > HEARD, heard) {
-                        let what = format!("relay {node} says so of relay {other} (refused: {refused}), heard by relay {by}");
+                        let what = format!(
+                            "relay {node} says so of relay {other} (refused: {refused}), heard by relay {by}"
+                        );
                         self.false_death(what);
                     }
                 }
@@ -1324,7 +1322,9 @@
                 .collect();
             for member in made_up {
                 let of = self.numbers.get(&member).copied();
-                self.false_death(format!("node {node} holds node {of:?} to be gone, which no relay has said"));
+                self.false_death(format!(
+                    "node {node} holds node {of:?} to be gone, which no relay has said"
+                ));
             }
         }
         // A share is of the relays that were there when its leaves came; they go home slowly.
@@ -1338,10 +1338,10 @@
             let least = lows.iter().map(|(_, n)| *n).min().unwrap_or(1);
             let Some(relay) = self.relay(node) else { continue };
             let t = &self.plan.timing;
-            let (attached, share) =
-                (relay.attached(), limit(self.plan.leaves, least, t.bound, t.leaves));
+            let (attached, share) = (relay.attached(), limit(self.plan.leaves, least, t.bound, t.leaves));
             if attached > share {
-                let what = format!("relay {node} has {attached} of {}, {share} are its share", self.plan.leaves);
+                let what =
+                    format!("relay {node} has {attached} of {}, {share} are its share", self.plan.leaves);
                 self.breaks("no relay has more than its share of leaves", what);
             }
         }
@@ -1386,7 +1386,10 @@
                     let Some(c) = &self.connections[connection] else { continue };
                     let (node, life, link) = (c.sides[side].node, c.sides[side].life, c.sides[side].link);
                     let full = c.sides[1 - side].full;
-                    let Some(link) = link.filter(|_| life == self.slots[node].life && self.awake(node)) else { continue };
+                    let Some(link) = link.filter(|_| life == self.slots[node].life && self.awake(node))
+                    else {
+                        continue;
+                    };
                     let local = self.clock(node);
                     if ev == Ev::Writable(connection, side) {
                         if let Some(body) = &mut self.slots[node].body {
@@ -1509,7 +1512,9 @@
         let newest = all.iter().map(|(_, mark)| *mark).max().unwrap_or_default();
         let behind = all.into_iter().filter(|(_, mark)| *mark != newest);
         behind
-            .map(|(n, mark)| Broken(RULE, format!("node {n} on {}, newest is {}", mark.version, newest.version)))
+            .map(|(n, mark)| {
+                Broken(RULE, format!("node {n} on {}, newest is {}", mark.version, newest.version))
+            })
             .collect()
     }
 
@@ -1577,7 +1582,8 @@
                     return;
                 }
                 self.worded.insert(at, self.now);
-                let place = *[ServerPlace::Ready, ServerPlace::Draining].choose(rng).unwrap_or(&ServerPlace::Ready);
+                let place =
+                    *[ServerPlace::Ready, ServerPlace::Draining].choose(rng).unwrap_or(&ServerPlace::Ready);
                 self.tell(node, server, Some(ServerFact { started_ms: 1000, place }));
             }
             3 => {
@@ -1644,7 +1650,8 @@
 
 fn spread_of(mut all: Vec<f64>) -> (f64, f64, f64) {
     all.sort_by(f64::total_cmp);
-    let at = |part: f64| all.get(((all.len() as f64 * part) as usize).min(all.len().saturating_sub(1))).copied();
+    let at =
+        |part: f64| all.get(((all.len() as f64 * part) as usize).min(all.len().saturating_sub(1))).copied();
     (at(0.5).unwrap_or(0.0), at(0.99).unwrap_or(0.0), all.last().copied().unwrap_or(0.0))
 }
 
--- a/crates/hollow/src/process.rs
+++ b/crates/hollow/src/process.rs
@@ -87,7 +87,8 @@
         loop {
             let left = PATIENCE.saturating_sub(begun.elapsed());
             let report = self.reports.recv_timeout(left);
-            let report = report.map_err(|_| io::Error::other("a process of hollow leaves reports nothing"))?;
+            let report =
+                report.map_err(|_| io::Error::other("a process of hollow leaves reports nothing"))?;
             let new = report.at >= since;
             self.take(report);
             if new {
--- a/crates/hollow/src/stage.rs
+++ b/crates/hollow/src/stage.rs
@@ -369,8 +369,7 @@
     pub fn used(&self, n: usize) -> Result<Used, Box<dyn Error>> {
         let links = &self.members(n)["links"];
         let count = |name: &str| links[name].as_f64().unwrap_or(0.0);
-        let bytes =
-            count("bytes") + count("bytes_heard") + HEADERS as f64 * (count("said") + count("heard"));
+        let bytes = count("bytes") + count("bytes_heard") + HEADERS as f64 * (count("said") + count("heard"));
         let program = self.programs[n].as_ref().ok_or("a program does not run")?;
         let (cpu, memory) = of_process(program.child.id())?;
         Ok(Used { at: unix_time(), cpu, bytes, memory })
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -42,6 +42,15 @@
     /// Of the control's part only fleets of so many members; the others are taken as they were kept.
     #[arg(long, value_delimiter = ',', default_values_t = size::control::SIZES)]
     members: Vec<usize>,
+    /// Of the part on hollow leaves only so many leaves in all; the others are taken as they were kept.
+    #[arg(long, value_delimiter = ',', default_values_t = size::hollow::SIZES)]
+    leaves: Vec<usize>,
+    /// The same, only these scenes; all by default.
+    #[arg(long, value_delimiter = ',')]
+    scenes: Vec<size::hollow::Scene>,
+    /// The program of hollow leaves.
+    #[arg(long, default_value = "target/release/hollypaddle-hollow")]
+    hollow: PathBuf,
     /// Where the page and the chart are written.
     #[arg(long, default_value = "docs/measurements")]
     out: PathBuf,
@@ -69,7 +78,15 @@
     let args = Args::parse();
     let failures = match args.name {
         Name::Cold => cold::measure(args.runs.max(1), &args.out)?,
-        Name::Size => size::measure(args.part, args.series, &args.members, &args.program, &args.out)?,
+        Name::Size => {
+            let hollow = size::hollow::Wanted {
+                leaves: args.leaves,
+                scenes: args.scenes,
+                program: args.program.clone(),
+                hollow: args.hollow,
+            };
+            size::measure(args.part, args.series, &args.members, &hollow, &args.program, &args.out)?
+        }
         Name::Cores => cores::measure(args.runs.max(1), &args.program, &args.out)?,
         Name::Replication if args.delays => {
             delays::measure(args.runs.max(1), &args.program)?;
--- a/crates/measure/src/size/mod.rs
+++ b/crates/measure/src/size/mod.rs
@@ -7,6 +7,7 @@
 mod farm;
 pub(crate) mod fit;
 pub(crate) mod heart;
+pub(crate) mod hollow;
 mod list;
 mod stage;
 
@@ -31,10 +32,13 @@
     Cold,
     /// What members of a fleet say to each other.
     Control,
+    /// A tier of relays with many leaves, most of them hollow.
+    Hollow,
 }
 
 impl Part {
-    const ALL: [Part; 5] = [Part::Heart, Part::List, Part::Connections, Part::Cold, Part::Control];
+    const ALL: [Part; 6] =
+        [Part::Heart, Part::List, Part::Connections, Part::Cold, Part::Control, Part::Hollow];
 }
 
 /// Measures one part, or all; of the heart one series, or all. Returns what does not hold.
@@ -42,6 +46,7 @@
     part: Option<Part>,
     series: Option<heart::Series>,
     members: &[usize],
+    hollow: &hollow::Wanted,
     program: &Path,
     out: &Path,
 ) -> Result<Vec<String>, Box<dyn Error>> {
@@ -56,6 +61,7 @@
             Part::List => failures.extend(list::measure(program, out)?),
             Part::Connections => failures.extend(connections::measure(program, out)?),
             Part::Cold => failures.extend(connections::measure_cold(out)?),
+            Part::Hollow => failures.extend(hollow::measure(hollow, out)?),
             Part::Control => failures.extend(control::measure(program, out, members)?),
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -602,7 +602,10 @@
             return Ok(());
         }
         let known = match proposed {
-            true => part.upto.version <= self.proposed().unwrap_or_default().version.max(self.in_force.mark().version),
+            true => {
+                part.upto.version
+                    <= self.proposed().unwrap_or_default().version.max(self.in_force.mark().version)
+            }
             false => part.upto <= self.in_force.mark(),
         };
         if known {
