--- a/crates/hollow/src/process.rs
+++ b/crates/hollow/src/process.rs
@@ -28,7 +28,7 @@
 }
 
 impl Plan {
-    /// The same as a command line.
+    /// The same as arguments of the program.
     pub fn args(&self) -> Vec<String> {
         let mut args: Vec<String> = Vec::new();
         let mut add = |name: &str, value: String| args.extend([format!("--{name}"), value]);
@@ -46,11 +46,9 @@
 }
 
 impl Process {
-    /// Starts one; `command` is the program, to which the plan is added as arguments.
-    pub fn start(command: Command, plan: Plan) -> io::Result<Process> {
-        let mut command = command;
-        let (input, output) = (Stdio::piped(), Stdio::piped());
-        let mut child = command.args(plan.args()).stdin(input).stdout(output).spawn()?;
+    /// Starts one; `command` is the program with all that it needs to know of the plan.
+    pub fn start(mut command: Command, plan: Plan) -> io::Result<Process> {
+        let mut child = command.stdin(Stdio::piped()).stdout(Stdio::piped()).spawn()?;
         let stdout = child.stdout.take().ok_or_else(|| io::Error::other("no standard output"))?;
         let (send, reports) = sync_channel(LINES);
         std::thread::spawn(move || {
--- a/crates/hollow/src/stage.rs
+++ b/crates/hollow/src/stage.rs
@@ -41,13 +41,15 @@
 /// A start waits so long for all at most.
 const PATIENCE: f64 = 30.0;
 
+/// Makes the command of a process of hollow leaves.
+pub type Starts = Box<dyn Fn(&Plan) -> Command>;
+
 /// What is started.
-#[derive(Clone, Debug)]
 pub struct Setup {
     /// The program of relays and gatekeepers.
     pub program: PathBuf,
-    /// The program of hollow leaves, and arguments before its own.
-    pub hollow: (PathBuf, Vec<String>),
+    /// How a process of hollow leaves is started.
+    pub hollow: Starts,
     /// Relays, one in each zone by turns.
     pub relays: usize,
     /// Zones that are in use.
@@ -237,8 +239,7 @@
             zones: zones.into_iter().map(|zone| ZoneArg(place(zone))).collect(),
             refuse: None,
         };
-        let mut command = Command::new(&self.setup.hollow.0);
-        command.args(&self.setup.hollow.1);
+        let command = (self.setup.hollow)(&plan);
         self.hollow[n] = Some(Process::start(command, plan)?);
         Ok(())
     }
--- a/crates/measure/src/size/hollow.rs
+++ b/crates/measure/src/size/hollow.rs
@@ -4,6 +4,7 @@
 
 use std::error::Error;
 use std::path::{Path, PathBuf};
+use std::process::Command;
 
 use clap::ValueEnum;
 use hollypaddle_hollow::stage::{Setup, Stage, Used};
@@ -38,6 +39,8 @@
 const GAP: f64 = 0.1;
 /// What is waited for is given up after this, in seconds.
 const PATIENCE: f64 = 30.0;
+/// What a process has written to its log is read after so long at most, in seconds.
+const READ: f64 = 0.1;
 /// Seconds for which all relays are away.
 const AWAY: f64 = 5.0;
 /// Seconds for which regions are cut from each other.
@@ -270,9 +273,14 @@
 
 fn start(wanted: &Wanted, leaves: usize, proxies: bool) -> Result<Stage, Box<dyn Error>> {
     let gatekeepers = (leaves / ONE_IN).min(REAL);
+    let hollow = wanted.hollow.clone();
     let mut stage = Stage::start(Setup {
         program: wanted.program.clone(),
-        hollow: (wanted.hollow.clone(), Vec::new()),
+        hollow: Box::new(move |plan| {
+            let mut command = Command::new(&hollow);
+            command.args(plan.args());
+            command
+        }),
         relays: RELAYS,
         zones: ZONES,
         gatekeepers,
@@ -286,7 +294,9 @@
 }
 
 /// Seconds from the proposal of a change until leaves had it in force.
-fn delays(stage: &Stage, version: u64, proposed: f64) -> Vec<f64> {
+fn delays(stage: &mut Stage, version: u64, proposed: f64) -> Vec<f64> {
+    // What a process tells is there before its log is read.
+    stage.pass(READ);
     stage.took(version).into_iter().map(|at| at.map_or(f64::INFINITY, |at| at - proposed)).collect()
 }
 
@@ -301,7 +311,7 @@
     for _ in 0..SINGLE {
         let (version, at) = stage.change()?;
         stage.until("a change to be in force at all", PATIENCE, |s| s.all_have(version))?;
-        single.extend(delays(&stage, version, at));
+        single.extend(delays(&mut stage, version, at));
         stage.pass(0.5);
     }
     let (known, before) = (stage.proposed().len(), read(&mut stage)?);
@@ -317,7 +327,10 @@
     let left = (STRETCH - BURST as f64 * GAP - 1.0).max(0.0);
     stage.pass(left);
     let burst_cost = cost(&before, &read(&mut stage)?);
-    let burst: Vec<f64> = proposed.iter().flat_map(|(version, at)| delays(&stage, *version, *at)).collect();
+    let mut burst = Vec::new();
+    for (version, at) in &proposed {
+        burst.extend(delays(&mut stage, *version, *at));
+    }
     eprintln!("{leaves} leaves: {} changes of a burst", proposed.len());
     Ok(Rest {
         leaves,
@@ -410,7 +423,7 @@
         _ => {
             let (version, at) = stage.change()?;
             stage.until("a change to be in force at all", PATIENCE, |s| s.all_have(version))?;
-            Over::of(delays(&stage, version, at)).most
+            Over::of(delays(&mut stage, version, at)).most
         }
     };
     if scene == Scene::RelayPaused {
@@ -439,7 +452,7 @@
 /// While regions are cut: a change on the side with the majority, a refusal on the other; then the healing. Returns how long
 /// that took until all had the newest.
 fn regions(stage: &mut Stage, notes: &mut Vec<String>) -> Result<f64, Box<dyn Error>> {
-    let (version, at) = stage.change()?;
+    let (version, _) = stage.change()?;
     stage.pass(2.0);
     let reached = stage.took(version).iter().flatten().count();
     notes.push(format!("while they were cut a change reached {reached} leaves, those of the writer's side"));
@@ -449,7 +462,6 @@
     stage.until("the refusal", PATIENCE, |s| Ok(!s.logged(n, "fleet-settings-refused").is_empty()))?;
     let reason = stage.logged(n, "fleet-settings-refused").last().map(|line| line["reason"].to_string());
     notes.push(format!("the other side refused one: {}", reason.unwrap_or_default()));
-    let _ = at;
     for _ in 0..20 {
         stage.change()?;
         stage.pass(0.2);
