--- a/crates/gatekeeper/src/node/relays.rs
+++ b/crates/gatekeeper/src/node/relays.rs
@@ -92,8 +92,8 @@
     }
 }
 
-/// A message in its frame.
-struct Framed(Message);
+/// A message in its frame, with the bytes that it took where it was read.
+struct Framed(Message, u64);
 
 impl Frame for Framed {
     fn encode(&self, out: &mut Vec<u8>) {
@@ -101,7 +101,7 @@
     }
 
     fn decode(data: &[u8]) -> Result<Option<(Self, usize)>, Box<dyn Error + Send + Sync>> {
-        Ok(Message::decode(data)?.map(|(message, length)| (Framed(message), length)))
+        Ok(Message::decode(data)?.map(|(message, length)| (Framed(message, length as u64), length)))
     }
 }
 
@@ -118,6 +118,8 @@
     pub unknown: u64,
     /// Bytes said.
     pub bytes: u64,
+    /// Bytes heard.
+    pub bytes_heard: u64,
     /// Links that took nothing for too long.
     pub stuck: u64,
 }
@@ -210,7 +212,7 @@
         for link in self.links.values_mut().filter(|l| l.up && l.closing.is_none()) {
             if !link.connection.blocked() {
                 // A link that is broken is found so by whoever has its other end.
-                let _ = link.connection.send(&Framed(message.clone()));
+                let _ = link.connection.send(&Framed(message.clone(), 0));
             }
         }
     }
@@ -229,6 +231,11 @@
 
     // ---- What happens on the sockets
 
+    /// Whether what is watched under a key is a link's or the listener.
+    pub fn owns(&self, key: Key) -> bool {
+        self.links.contains_key(&key) || self.listener.as_ref().is_some_and(|(_, own)| *own == key)
+    }
+
     /// Takes what is ready, if it is a link's or the listener; returns whether it is.
     pub fn ready(&mut self, now: f64, ready: Ready, node: &mut dyn Node, watch: &mut Watch) -> bool {
         if self.listener.as_ref().is_some_and(|(_, key)| *key == ready.key) {
@@ -270,8 +277,9 @@
         }
         let (id, mut messages) = (link.id, Vec::new());
         let end = link.connection.read(&mut messages);
-        for Framed(message) in messages {
+        for Framed(message, length) in messages {
             self.counts.heard += 1;
+            self.counts.bytes_heard += length;
             self.counts.unknown += u64::from(matches!(message, Message::Unknown(_)));
             if let Err(error) = node.hear(now, id, &message) {
                 return self.refuse(now, ready.key, &error.into(), node, watch);
@@ -377,7 +385,7 @@
         for _ in 0..MOST_SAID {
             let Some(message) = node.say(now, link.id).filter(|_| !link.connection.blocked()) else { break };
             self.counts.said += 1;
-            if link.connection.send(&Framed(message)).is_err() {
+            if link.connection.send(&Framed(message, 0)).is_err() {
                 break;
             }
         }
@@ -492,7 +500,7 @@
                 }
                 let Some(message) = node.say(now, id) else { break };
                 let before = link.connection.queued();
-                let sent = link.connection.send(&Framed(message));
+                let sent = link.connection.send(&Framed(message, 0));
                 self.counts.said += 1;
                 self.counts.bytes += link.connection.queued() - before;
                 if sent.is_err() {
