--- a/crates/measure/src/size/hollow.rs
+++ b/crates/measure/src/size/hollow.rs
@@ -513,7 +513,8 @@
 
 /// What grows with the leaves of a tier.
 fn slopes(kept: &Kept) -> Vec<(String, String, bool)> {
-    let figures: [(&str, fn(&Rest) -> f64); 9] = [
+    type Figure = (&'static str, fn(&Rest) -> f64);
+    let figures: [Figure; 9] = [
         ("a relay's bytes/s at rest", |r| r.cost.relay.mean),
         ("a relay's share of a core at rest, %", |r| 100.0 * r.cost.relay_core.mean),
         ("a relay's memory, MB", |r| r.cost.relay_memory.mean),
