--- a/crates/hollow/src/stage.rs
+++ b/crates/hollow/src/stage.rs
@@ -41,6 +41,9 @@
 /// A start waits so long for all at most.
 const PATIENCE: f64 = 30.0;
 
+/// Bytes of each leaf of a process, and when that was said, in Unix seconds.
+pub type Bytes = (f64, Vec<u64>);
+
 /// Makes the command of a process of hollow leaves.
 pub type Starts = Box<dyn Fn(&Plan) -> Command>;
 
@@ -377,7 +380,7 @@
     }
 
     /// Bytes of each hollow leaf since its start, with the headers of packets, and when each process said so.
-    pub fn hollow_bytes(&mut self) -> Result<Vec<(f64, Vec<u64>)>, Box<dyn Error>> {
+    pub fn hollow_bytes(&mut self) -> Result<Vec<Bytes>, Box<dyn Error>> {
         let mut all = Vec::new();
         for process in self.hollow.iter_mut().flatten() {
             let report = process.ask()?;
--- a/crates/measure/src/size/hollow.rs
+++ b/crates/measure/src/size/hollow.rs
@@ -7,7 +7,7 @@
 use std::process::Command;
 
 use clap::ValueEnum;
-use hollypaddle_hollow::stage::{Setup, Stage, Used};
+use hollypaddle_hollow::stage::{Bytes, Setup, Stage, Used};
 use hollypaddle_standin::program::unix_time;
 use minijinja::{context, Environment};
 use serde::{Deserialize, Serialize};
@@ -214,7 +214,7 @@
 
 /// All that is read of the processes at one time.
 struct Reading {
-    hollow: Vec<(f64, Vec<u64>)>,
+    hollow: Vec<Bytes>,
     gatekeepers: Vec<Used>,
     plain: Vec<Used>,
     relays: Vec<Option<Used>>,
@@ -396,6 +396,7 @@
             stage.until("all leaves to be attached", PATIENCE, Stage::all_attached)?
         }
     };
+    stage.pass(READ);
     let moves: Vec<f64> = stage.attachments(begun).into_iter().map(|at| at - begun).collect();
     if scene != Scene::Regions {
         // By the leaves' own word, where that is exact: a look at all takes its time.
@@ -461,7 +462,7 @@
     let n = stage.relay(minority);
     stage.until("the refusal", PATIENCE, |s| Ok(!s.logged(n, "fleet-settings-refused").is_empty()))?;
     let reason = stage.logged(n, "fleet-settings-refused").last().map(|line| line["reason"].to_string());
-    notes.push(format!("the other side refused one: {}", reason.unwrap_or_default()));
+    notes.push(format!("a relay of the other side refused one: {}", reason.unwrap_or_default()));
     for _ in 0..20 {
         stage.change()?;
         stage.pass(0.2);
@@ -470,7 +471,19 @@
     stage.cut_regions(false);
     let healed = unix_time();
     stage.until("all to have the newest settings", PATIENCE, |s| s.all_have(newest))?;
-    Ok(Over::of(delays(stage, newest, healed)).most.max(0.0))
+    let equal = Over::of(delays(stage, newest, healed)).most.max(0.0);
+    // The writer on the side without a majority.
+    stage.cut_off(0, true);
+    let writer = stage.relay(0);
+    let alone = |s: &mut Stage| Ok(s.members(writer)["heard"] == 1);
+    stage.until("the writer to be alone", PATIENCE, alone)?;
+    stage.propose(0)?;
+    let refused = |s: &mut Stage| Ok(!s.logged(writer, "fleet-settings-refused").is_empty());
+    stage.until("the writer's refusal", PATIENCE, refused)?;
+    let reason = stage.logged(writer, "fleet-settings-refused").last().map(|line| line["reason"].to_string());
+    notes.push(format!("the writer, cut off from all others, refused one: {}", reason.unwrap_or_default()));
+    stage.cut_off(0, false);
+    Ok(equal)
 }
 
 fn kept(path: &Path) -> Result<Kept, Box<dyn Error>> {
@@ -511,9 +524,12 @@
     Ok(held.into_iter().filter(|(_, holds)| !holds).map(|(text, _)| text).collect())
 }
 
+/// A figure of a tier at rest.
+type Of = fn(&Rest) -> f64;
+
 /// What grows with the leaves of a tier.
 fn slopes(kept: &Kept) -> Vec<(String, String, bool)> {
-    let figures: [(&str, fn(&Rest) -> f64); 9] = [
+    let figures: [(&str, Of); 9] = [
         ("a relay's bytes/s at rest", |r| r.cost.relay.mean),
         ("a relay's share of a core at rest, %", |r| 100.0 * r.cost.relay_core.mean),
         ("a relay's memory, MB", |r| r.cost.relay_memory.mean),
