Let a list of an earlier life yield to two answers that agree

At fault: Resolver::accept. Events are numbered from 1 at every start; an old answer bears the number of the life before, is taken as news, and all that this life is told counts as old until its numbers pass it. Ruled out: questions not asked, answers lost (two in a hundred are). Change: a list that came in one answer and in none after it yields to two answers to different questions that tell the same other list; one that was told twice, or by the configuration, never goes back.

--- a/crates/gatekeeper/src/node/resolver.rs
+++ b/crates/gatekeeper/src/node/resolver.rs
@@ -1,5 +1,6 @@
 //! The resolver: the list of session servers, polled over DNS (RFC 1035) on UDP.
 
+use std::cmp::Ordering;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
@@ -27,6 +28,10 @@
     position: u64,
     /// See [`Resolver::confirmed`].
     confirmed: bool,
+    /// The list held came in one answer, and no other has borne it out yet.
+    unproven: bool,
+    /// An older list that was told since, and by the answer to which question.
+    older: Option<(u64, u16)>,
 }
 
 impl Resolver {
@@ -40,7 +45,18 @@
         let socket = open(address)?;
         let name = Name::from_ascii(LIST).map_err(io::Error::other)?;
         let (asked, confirmed) = (VecDeque::new(), false);
-        Ok(Resolver { socket, name, districts, asked, next: seed as u16, position, confirmed })
+        let (unproven, older) = (false, None);
+        Ok(Resolver {
+            socket,
+            name,
+            districts,
+            asked,
+            next: seed as u16,
+            position,
+            confirmed,
+            unproven,
+            older,
+        })
     }
 
     /// Questions on their way are forgotten: what answers them was said too long ago.
@@ -64,6 +80,9 @@
     pub fn accept(&mut self, position: u64) -> bool {
         let news = position > self.position;
         self.position = self.position.max(position);
+        if news {
+            (self.unproven, self.older) = (false, None);
+        }
         news
     }
 
@@ -124,8 +143,37 @@
         if list.is_none() {
             log::debug!("resolver-answer-incomplete");
         }
-        self.confirmed |= list.as_ref().is_some_and(|list| list.position >= self.position);
-        list.filter(|list| self.accept(list.position))
+        let list = list?;
+        let news = self.news(list.position, head.id);
+        self.confirmed |= list.position == self.position;
+        news.then_some(list)
+    }
+
+    /// Whether a list that an answer told is to be taken. Events are numbered anew at each start of a gatekeeper, so an answer
+    /// of its earlier life may come late and bear a higher number than all that this life has yet: what is told by one answer
+    /// and by none after it yields as soon as two answers to different questions tell the same other list. A list that was
+    /// told twice never goes back.
+    fn news(&mut self, position: u64, question: u16) -> bool {
+        match position.cmp(&self.position) {
+            Ordering::Greater => {
+                self.accept(position);
+                self.unproven = true;
+                true
+            }
+            Ordering::Equal => {
+                (self.unproven, self.older) = (false, None);
+                false
+            }
+            Ordering::Less if !self.unproven => false,
+            Ordering::Less => match self.older.replace((position, question)) {
+                Some((told, by)) if told == position && by != question => {
+                    log::info!(held = self.position, told; "list-of-an-earlier-life");
+                    (self.position, self.unproven, self.older) = (position, false, None);
+                    true
+                }
+                _ => false,
+            },
+        }
     }
 }
 
@@ -137,3 +185,6 @@
     socket.set_nonblocking(true)?;
     Ok(socket)
 }
+
+#[cfg(test)]
+mod tests;
