--- a/crates/measure/src/size/hollow.rs
+++ b/crates/measure/src/size/hollow.rs
@@ -113,6 +113,9 @@
 
 impl Over {
     fn of(mut values: Vec<f64>) -> Over {
+        if values.is_empty() {
+            return Over::default();
+        }
         values.sort_by(f64::total_cmp);
         let at = |part: f64| {
             let index = ((values.len() as f64 * part) as usize).min(values.len().saturating_sub(1));
@@ -294,10 +297,12 @@
 }
 
 /// Seconds from the proposal of a change until leaves had it in force.
-fn delays(stage: &mut Stage, version: u64, proposed: f64) -> Vec<f64> {
+fn delays(stage: &mut Stage, version: u64, proposed: f64) -> Result<Vec<f64>, Box<dyn Error>> {
     // What a process tells is there before its log is read.
     stage.pass(READ);
-    stage.took(version).into_iter().map(|at| at.map_or(f64::INFINITY, |at| at - proposed)).collect()
+    let took = stage.took(version).into_iter();
+    let all: Option<Vec<f64>> = took.map(|at| Some(at? - proposed)).collect();
+    all.ok_or_else(|| format!("a leaf says that version {version} is in force, and not since when").into())
 }
 
 fn rest(wanted: &Wanted, leaves: usize) -> Result<Rest, Box<dyn Error>> {
@@ -311,7 +316,7 @@
     for _ in 0..SINGLE {
         let (version, at) = stage.change()?;
         stage.until("a change to be in force at all", PATIENCE, |s| s.all_have(version))?;
-        single.extend(delays(&mut stage, version, at));
+        single.extend(delays(&mut stage, version, at)?);
         stage.pass(0.5);
     }
     let (known, before) = (stage.proposed().len(), read(&mut stage)?);
@@ -329,7 +334,7 @@
     let burst_cost = cost(&before, &read(&mut stage)?);
     let mut burst = Vec::new();
     for (version, at) in &proposed {
-        burst.extend(delays(&mut stage, *version, *at));
+        burst.extend(delays(&mut stage, *version, *at)?);
     }
     eprintln!("{leaves} leaves: {} changes of a burst", proposed.len());
     Ok(Rest {
@@ -424,7 +429,7 @@
         _ => {
             let (version, at) = stage.change()?;
             stage.until("a change to be in force at all", PATIENCE, |s| s.all_have(version))?;
-            Over::of(delays(&mut stage, version, at)).most
+            Over::of(delays(&mut stage, version, at)?).most
         }
     };
     if scene == Scene::RelayPaused {
@@ -471,7 +476,7 @@
     stage.cut_regions(false);
     let healed = unix_time();
     stage.until("all to have the newest settings", PATIENCE, |s| s.all_have(newest))?;
-    let equal = Over::of(delays(stage, newest, healed)).most.max(0.0);
+    let equal = Over::of(delays(stage, newest, healed)?).most.max(0.0);
     // The writer on the side without a majority.
     stage.cut_off(0, true);
     let writer = stage.relay(0);
