--- a/crates/measure/src/size/list.rs
+++ b/crates/measure/src/size/list.rs
@@ -246,10 +246,12 @@
     slope_line(&mut page, "bytes/s", &fit(&rates)?, &at)?;
     slope_line(&mut page, "share of a core more, %", &fit(&shares)?, &at)?;
     let cut = over_a_socket(750, true)?;
-    let servers = fit(&rates)?;
-    let most = (1..=750).rev().find(|n| servers.at(f64::from(*n)) <= BYTES).unwrap_or(0);
+    let room = (BYTES * ASK_EVERY) as usize - question.len() - 2 * HEADERS;
+    let most = most_that_fit(&question, room)?;
+    let packet = question.len() + bytes(&question, fits)?.len() + 2 * HEADERS;
+    let over = packet as f64 / ASK_EVERY / BYTES;
     writeln!(page, "\nA platform answer of {ANSWER} bytes holds {fits} servers at the most, the program's buffer of 16 KiB {buffer}. From {} on there is no whole list in an answer. One of 750 that is cut to {ANSWER} bytes and says so is {cut}; the program says so at the level `debug` alone and goes on with the list of its configuration, with drains, late starts and the gone ones in it unknown, until a whole list comes or SIGHUP brings a newer file.", fits + 1)?;
-    writeln!(page, "By bytes alone the budget of {BYTES:.0} a second is passed beyond {most} servers, and at {fits} the list takes {} times of it; 750 gatekeepers ask {:.0} times a second in all, which at {fits} servers is {:.1} MB/s of answers at the resolver.", short(servers.at(fits as f64) / BYTES), 750.0 / ASK_EVERY, 750.0 / ASK_EVERY * ANSWER as f64 / 1e6)?;
+    writeln!(page, "By bytes alone the budget of {BYTES:.0} a second is passed beyond {most} servers, and at {fits} the list takes {} times of it; 750 gatekeepers ask {:.0} times a second in all, which at {fits} servers is {:.1} MB/s of answers at the resolver.", short(over), 750.0 / ASK_EVERY, 750.0 / ASK_EVERY * ANSWER as f64 / 1e6)?;
     std::fs::create_dir_all(out)?;
     std::fs::write(out.join("size-list.md"), page.trim_end().to_string() + "\n")?;
     Ok(failures)
