--- a/crates/faults/tests/tier.rs
+++ b/crates/faults/tests/tier.rs
@@ -133,6 +133,22 @@
     }
 }
 
+/// The way to its relay alone is cut, while that goes on telling it things: the leaf goes elsewhere before it is held to be
+/// gone.
+#[test]
+fn a_leaf_that_is_not_heard_goes_elsewhere_though_it_hears() {
+    let mut world = world(Plan::of(5, 12), 15);
+    let had = world.attached_to(5).unwrap();
+    world.cut(5, had, true);
+    for n in 0..40 {
+        world.propose(0, &entries(n + 2)).unwrap().unwrap();
+        world.silence(5 + 2, 1, n % 2 == 0);
+        world.pass(0.2);
+        assert!(n < 15 || world.attached_to(5) != Some(had), "{n}");
+    }
+    quiet(&mut world);
+}
+
 /// A leaf that is killed, or whose machine vanishes, is gone to the others of its topic, and is back when it is back.
 #[test]
 fn who_has_ended_is_gone_and_who_is_back_is_here() {
--- a/crates/relay/src/leaf.rs
+++ b/crates/relay/src/leaf.rs
@@ -100,6 +100,7 @@
     /// Since when the relay said who it is.
     greeted: Option<f64>,
     since: f64,
+    /// When it answered last.
     heard_at: f64,
     /// The last ping, and when it was sent; when the last one was sent that was answered: what comes on the link now was
     /// said after it.
@@ -720,7 +721,13 @@
 
     fn hear(&mut self, now: f64, id: LinkId, message: &Message) -> Result<(), LinkError> {
         let Some(link) = self.links.get_mut(&id) else { return Ok(()) };
-        link.heard_at = now;
+        // What else it says comes also where it does not hear this leaf: the way there may be cut.
+        if matches!(
+            message,
+            Message::Welcome { .. } | Message::Pong(_) | Message::Attached(_) | Message::Refused(..)
+        ) {
+            link.heard_at = now;
+        }
         let primary = self.primary == Some(id);
         if primary {
             self.heard_at = now;
