--- a/crates/faults/tests/tier.rs
+++ b/crates/faults/tests/tier.rs
@@ -53,6 +53,20 @@
     }
 }
 
+/// What long runs found once: a leaf that woke while a link of its was being made never slept again before that was given up;
+/// one that heard a relay that did not hear it stayed there until it was held to be gone.
+#[test]
+fn what_was_found_once_stays_mended() {
+    let found = [
+        (327, "at 1.807s cut g9 -> g1\nat 3.915s pause g9\nat 5.147s wake g9\n"),
+        (279, "at 3.760s cut g11 -> g4\n"),
+    ];
+    for (seed, steps) in found {
+        let script = format!("seed {seed}\n{steps}at 9.000s heal").parse().unwrap();
+        assert_eq!(World::new(Plan { loss: 0.05, ..Plan::of(5, 12) }, seed).play(&script), [], "{seed}");
+    }
+}
+
 #[test]
 fn one_seed_is_one_world() {
     let script = random_script(11, &Plan::of(5, 12), 5, 8.0);
--- a/crates/relay/src/leaf.rs
+++ b/crates/relay/src/leaf.rs
@@ -828,7 +828,10 @@
         self.ticked = Some(now);
         if gap >= WOKE {
             for link in self.links.values_mut() {
-                (link.heard_at, link.since, link.next_ping) = (now, now, link.next_ping.min(now));
+                (link.heard_at, link.since) = (now, now);
+                if link.greeted.is_some() {
+                    link.next_ping = link.next_ping.min(now);
+                }
             }
         }
         let timing = self.timing;
