--- a/crates/faults/tests/tier.rs
+++ b/crates/faults/tests/tier.rs
@@ -53,6 +53,20 @@
     }
 }
 
+/// What long runs found once: a leaf that woke while a link of its was being made never slept again before that was given up;
+/// one that heard a relay that did not hear it stayed there until it was held to be gone.
+#[test]
+fn what_was_found_once_stays_mended() {
+    let found = [
+        (327, "at 1.807s cut g9 -> g1\nat 3.915s pause g9\nat 5.147s wake g9\n"),
+        (279, "at 3.760s cut g11 -> g4\n"),
+    ];
+    for (seed, steps) in found {
+        let script = format!("seed {seed}\n{steps}at 9.000s heal").parse().unwrap();
+        assert_eq!(World::new(Plan { loss: 0.05, ..Plan::of(5, 12) }, seed).play(&script), [], "{seed}");
+    }
+}
+
 #[test]
 fn one_seed_is_one_world() {
     let script = random_script(11, &Plan::of(5, 12), 5, 8.0);
@@ -133,6 +147,22 @@
     }
 }
 
+/// The way to its relay alone is cut, while that goes on telling it things: the leaf goes elsewhere before it is held to be
+/// gone.
+#[test]
+fn a_leaf_that_is_not_heard_goes_elsewhere_though_it_hears() {
+    let mut world = world(Plan::of(5, 12), 15);
+    let had = world.attached_to(5).unwrap();
+    world.cut(5, had, true);
+    for n in 0..40 {
+        world.propose(0, &entries(n + 2)).unwrap().unwrap();
+        world.silence(5 + 2, 1, n % 2 == 0);
+        world.pass(0.2);
+        assert!(n < 15 || world.attached_to(5) != Some(had), "{n}");
+    }
+    quiet(&mut world);
+}
+
 /// A leaf that is killed, or whose machine vanishes, is gone to the others of its topic, and is back when it is back.
 #[test]
 fn who_has_ended_is_gone_and_who_is_back_is_here() {
--- a/crates/relay/src/leaf.rs
+++ b/crates/relay/src/leaf.rs
@@ -102,6 +102,7 @@
     /// Since when the relay said who it is.
     greeted: Option<f64>,
     since: f64,
+    /// When it answered last.
     heard_at: f64,
     /// The last ping, and when it was sent; when the last one was sent that was answered: what comes on the link now was
     /// said after it.
@@ -730,7 +731,13 @@
 
     fn hear(&mut self, now: f64, id: LinkId, message: &Message) -> Result<(), LinkError> {
         let Some(link) = self.links.get_mut(&id) else { return Ok(()) };
-        link.heard_at = now;
+        // What else it says comes also where it does not hear this leaf: the way there may be cut.
+        if matches!(
+            message,
+            Message::Welcome { .. } | Message::Pong(_) | Message::Attached(_) | Message::Refused(..)
+        ) {
+            link.heard_at = now;
+        }
         let primary = self.primary == Some(id);
         if primary {
             self.heard_at = now;
@@ -831,7 +838,10 @@
         self.ticked = Some(now);
         if gap >= WOKE {
             for link in self.links.values_mut() {
-                (link.heard_at, link.since, link.next_ping) = (now, now, link.next_ping.min(now));
+                (link.heard_at, link.since) = (now, now);
+                if link.greeted.is_some() {
+                    link.next_ping = link.next_ping.min(now);
+                }
             }
         }
         let timing = self.timing;
