--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,8 @@
 	cargo run --release --locked -p hollypaddle-measure -- replication
 	cargo run --release --locked -p hollypaddle-measure -- sites
 	cargo run --release --locked -p hollypaddle-measure -- duties
+	cargo build --release --locked -p hollypaddle-hollow
+	cargo run --release --locked -p hollypaddle-measure -- size
 
 # Random faults: ROUNDS scripts over real processes, and a hundred times as many in the deterministic world. A script
 # that breaks an invariant is made smaller and written to target/faults.
