Number settings without the clock, as leaves give back what relays lost

Cause: two mends of one fault met: a leap of the version by the writer's clock, and recovery from the leaves. With the leap the test of the recovery could not set its scene (settings_outlive_all_relays failed in make check).

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -490,12 +490,7 @@
         let base =
             self.proposed.as_ref().map_or_else(|| Arc::clone(&self.in_force), |(set, ..)| Arc::clone(set));
         let held = self.peers.values().filter_map(|p| p.holds).map(|(a, b)| a.version.max(b.version));
-        let mut latest = held.max().unwrap_or(0).max(self.in_force.mark().version);
-        if latest == 0 {
-            // Where all relays began anew, leaves hold versions of which no relay knows. Guards against a change that is older
-            // than those by its number, and would be taken nowhere.
-            latest = self.identity.life.incarnation / 1000;
-        }
+        let latest = held.max().unwrap_or(0).max(self.in_force.mark().version);
         let set = base.changed(latest, wanted)?;
         let mark = set.mark();
         if mark != base.mark() {
