Show that an upgrade resets callers, with a test that forces it and one that plays many

Callers saw: in an upgrade, a connection made as the old process closes its listener is reset, often with its set-up written.

New: the load of short calls (standin), upgrades in a row with real processes (UPGRADES=n), a hold between the last accept and the close in the gatekeeper's own tests.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -91,6 +91,9 @@
     owed: VecDeque<(f64, u64, bool)>,
     /// Classes of set-ups turned away here, for lack of room, until the figures take them.
     pub turned_away: Vec<usize>,
+    /// Called between the last accept and the close of the listener, with its address.
+    #[cfg(test)]
+    pub before_close: Option<Box<dyn FnMut(SocketAddr)>>,
 }
 
 impl Clients {
@@ -122,6 +125,8 @@
             stay_away: None,
             owed,
             turned_away,
+            #[cfg(test)]
+            before_close: None,
         })
     }
 
@@ -134,6 +139,10 @@
     /// resets the connections queued to it, and at an upgrade they were meant for this process.
     pub fn stop_listening(&mut self, now: f64, watch: &mut Watch, calls: &mut Calls) {
         self.accept(now, watch, calls);
+        #[cfg(test)]
+        if let Some(hook) = &mut self.before_close {
+            hook(self.address);
+        }
         if let Some(listener) = self.listener.take() {
             watch.remove(&listener);
         }
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -262,6 +262,12 @@
         self.servers.half_written()
     }
 
+    /// Calls this between the last accept and the close of the callers' listener, with its address.
+    #[cfg(test)]
+    pub fn before_listener_closes(&mut self, hook: impl FnMut(std::net::SocketAddr) + 'static) {
+        self.clients.before_close = Some(Box::new(hook));
+    }
+
     /// Lets time pass at once.
     pub fn skip(&mut self, seconds: f64) {
         self.clock.skip(seconds);
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -4,6 +4,7 @@
 mod connections;
 mod rare;
 mod said;
+mod upgrade;
 
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Write};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod proxy;
 pub mod resolver;
 pub mod server;
+pub mod short_calls;
 pub mod world;
 
 use std::io;
