Give new connections to the other process before a listener closes

Cause: with SO_REUSEPORT the kernel gives a connection to one listener for good, and callers never stop connecting in an upgrade.

Why the mend holds: from SIGTERM or a drain on, a classic BPF program has the kernel choose the other listener, 0.8 s before the close; nothing comes to the old queue any more. A connection that still comes has the other place named; a place without a listener leaves the choice to the hash. nix is the library that sets it, without unsafe code here.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -9,6 +9,7 @@
 
 use super::config::LinkClass;
 use super::poller::{Key, Ready, Watch};
+use super::steering::{self, Steering};
 use hollypaddle_core::calls::{Calls, Content, NotTaken, Origin, Reply, Request};
 use hollypaddle_platform::connection::{Connection, Over};
 use hollypaddle_platform::message::{cause, code, kind, Message, MOST};
@@ -77,6 +78,8 @@
     classes: Vec<LinkClass>,
     listener: Option<TcpListener>,
     listener_key: Key,
+    /// While the listener is about to close.
+    steering: Option<Steering>,
     /// Not accepting for the moment, for want of descriptors.
     paused: bool,
     most: usize,
@@ -106,6 +109,7 @@
         watch: &mut Watch,
     ) -> io::Result<Self> {
         let listener = bind(address, BACKLOG)?;
+        steering::spread(&listener);
         let address = listener.local_addr()?;
         let listener_key = watch.add(&listener, false)?;
         let (listener, connections) = (Some(listener), BTreeMap::new());
@@ -117,6 +121,7 @@
             classes,
             listener,
             listener_key,
+            steering: None,
             paused,
             most,
             most_waiting,
@@ -135,6 +140,21 @@
         self.listener.as_ref()?.local_addr().ok()
     }
 
+    /// Has new connections go to another process that listens at the same address, if there is one: the listener is about to
+    /// close, and would reset those that come between its last accept and its close.
+    pub fn steer_away(&mut self, now: f64) {
+        if let Some(listener) = &self.listener {
+            self.steering = Some(Steering::begin(now, listener));
+        }
+    }
+
+    /// Takes its part of new connections again.
+    pub fn steer_back(&mut self) {
+        if let (Some(_), Some(listener)) = (self.steering.take(), &self.listener) {
+            steering::spread(listener);
+        }
+    }
+
     /// Takes no further connections. What waits in the listener's queue is taken first: closing a listener
     /// resets the connections queued to it, and at an upgrade they were meant for this process.
     pub fn stop_listening(&mut self, now: f64, watch: &mut Watch, calls: &mut Calls) {
@@ -146,6 +166,7 @@
         if let Some(listener) = self.listener.take() {
             watch.remove(&listener);
         }
+        self.steering = None;
     }
 
     /// Closes connections that are of no use to anyone, and carries on after a pause. Called now and then.
@@ -203,6 +224,7 @@
     pub fn listen_again(&mut self, watch: &mut Watch) -> io::Result<()> {
         if self.listener.is_none() {
             let listener = bind(self.address, BACKLOG)?;
+            steering::spread(&listener);
             self.listener_key = watch.add(&listener, false)?;
             (self.listener, self.paused) = (Some(listener), false);
         }
@@ -330,6 +352,9 @@
                 true => listener.accept(),
                 false => Err(io::Error::other("as many callers are connected as may be")),
             };
+            if let (Ok(_), Some(steering)) = (&accepted, &mut self.steering) {
+                steering.accepted(now, listener);
+            }
             let error = match accepted.and_then(|(stream, _)| self.admit(now, stream, watch)) {
                 Ok(()) => continue,
                 Err(error) => error,
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -290,6 +290,7 @@
                 let (open, standing) = self.calls.count();
                 log::info!(open, standing; "stopping");
                 self.life.stop(now);
+                self.clients.steer_away(now);
                 stopping = Some(now);
             }
             if let Some(since) = stopping {
@@ -472,6 +473,10 @@
         };
         let phase = format!("{:?}", self.life.phase()).to_lowercase();
         if changed {
+            match self.life.phase() {
+                Phase::Lameduck => self.clients.steer_away(now),
+                Phase::Serving | Phase::Stopping => self.clients.steer_back(),
+            }
             log::info!(phase = phase.as_str(); "lameduck");
         }
         control_http::answer(200, "text/plain", &format!("{phase}\n"))
--- a/crates/gatekeeper/src/node/mod.rs
+++ b/crates/gatekeeper/src/node/mod.rs
@@ -17,6 +17,7 @@
 pub mod relays;
 pub mod resolver;
 mod servers;
+mod steering;
 mod subjects;
 #[cfg(test)]
 mod tests;
--- a/crates/gatekeeper/src/node/tests/rare.rs
+++ b/crates/gatekeeper/src/node/tests/rare.rs
@@ -17,7 +17,7 @@
 }
 
 impl World {
-    fn caller(&self) -> Peer {
+    pub(super) fn caller(&self) -> Peer {
         peer(TcpStream::connect(self.node.address()).unwrap())
     }
 
--- a/crates/gatekeeper/src/node/tests/upgrade.rs
+++ b/crates/gatekeeper/src/node/tests/upgrade.rs
@@ -18,7 +18,7 @@
 const CALLERS: usize = 32;
 
 fn listen_at(address: SocketAddr) -> TcpListener {
-    super::super::clients::bind(address, 64).unwrap()
+    super::super::clients::bind(address, 1024).unwrap()
 }
 
 /// Accepts every connection that waits.
@@ -28,12 +28,17 @@
 
 /// Ends the gatekeeper as SIGTERM does, and connects callers between its last accept and the close of its listener.
 fn end_with_callers_at_the_close(w: &mut World) -> Vec<TcpStream> {
+    end_with(w, |address| (0..CALLERS).map(|_| TcpStream::connect(address).unwrap()).collect())
+}
+
+/// The same, with the callers made by `connect`.
+fn end_with(
+    w: &mut World,
+    mut connect: impl FnMut(SocketAddr) -> Vec<TcpStream> + 'static,
+) -> Vec<TcpStream> {
     let connected = Rc::new(RefCell::new(Vec::new()));
     let connecting = Rc::clone(&connected);
-    w.node.before_listener_closes(move |address| {
-        let callers = (0..CALLERS).map(|_| TcpStream::connect(address).unwrap());
-        connecting.borrow_mut().extend(callers);
-    });
+    w.node.before_listener_closes(move |address| connecting.borrow_mut().extend(connect(address)));
     let signals = Signals::default();
     signals.stop.store(true, Ordering::Relaxed);
     w.node.run(&signals, || unreachable!("nobody asks for a new configuration")).unwrap();
@@ -49,3 +54,68 @@
     assert_eq!(callers.len(), CALLERS);
     assert_eq!(accept_all(&successor).len(), CALLERS, "the others are reset");
 }
+
+/// The other listener is the older one, as after a drain that was taken back: a connection that still comes shows that the
+/// wrong one was chosen first, and whoever connects in the moment of the close is the other's.
+#[test]
+fn a_connection_made_as_the_listener_closes_goes_to_one_that_listened_before() {
+    let other = listen_at("127.0.0.1:0".parse().unwrap());
+    let address = other.local_addr().unwrap();
+    let mut w = World::with(1, |config| config.listen = address);
+    // A caller that connects every few milliseconds until the close.
+    let (closed, stop) = std::sync::mpsc::channel::<()>();
+    let caller = std::thread::spawn(move || {
+        let mut connected = Vec::new();
+        while stop.recv_timeout(std::time::Duration::from_millis(5)).is_err() {
+            connected.extend(TcpStream::connect(address));
+        }
+        connected
+    });
+    let mut closed = Some(closed);
+    let made = end_with(&mut w, move |address| {
+        closed.take().map(|closed| closed.send(()));
+        (0..CALLERS).map(|_| TcpStream::connect(address).unwrap()).collect()
+    });
+    caller.join().unwrap();
+    let ports = |streams: &[TcpStream],
+                 port: fn(&TcpStream) -> std::io::Result<SocketAddr>|
+     -> BTreeSet<u16> { streams.iter().map(|stream| port(stream).unwrap().port()).collect() };
+    let (made, taken) =
+        (ports(&made, TcpStream::local_addr), ports(&accept_all(&other), TcpStream::peer_addr));
+    assert_eq!(made.difference(&taken).count(), 0, "these are reset");
+}
+
+/// A drain sends new connections to the other listener, and its end has both take their part again.
+#[test]
+fn a_drain_that_is_taken_back_shares_new_connections_again() {
+    let mut w = World::controlled(1);
+    let other = listen_at(w.node.address());
+    let connect = |w: &World| -> Vec<TcpStream> {
+        (0..CALLERS).map(|_| TcpStream::connect(w.node.address()).unwrap()).collect()
+    };
+    let spread = connect(&w);
+    assert!(accept_all(&other).len() < CALLERS, "both listen");
+    assert_eq!(w.post("/_lameduck/on").0, 200);
+    let drained = connect(&w);
+    assert_eq!(accept_all(&other).len(), CALLERS, "none comes to one that drains");
+    assert_eq!(w.post("/_lameduck/off").0, 200);
+    let shared = connect(&w);
+    let at_other = accept_all(&other).len();
+    assert!((1..CALLERS).contains(&at_other), "{at_other} of {CALLERS} at the other");
+    drop((spread, drained, shared));
+}
+
+/// What a process that has ended left attached tells nothing of those that come later: the next one beside its successor
+/// begins with a part of new connections, and not with all of them.
+#[test]
+fn a_process_that_comes_later_shares_new_connections() {
+    let mut old = World::new(1);
+    let address = old.node.address();
+    let successor = listen_at(address);
+    drop(end_with_callers_at_the_close(&mut old));
+    drop(accept_all(&successor));
+    let _later = World::with(1, |config| config.listen = address);
+    let callers: Vec<TcpStream> = (0..CALLERS).map(|_| TcpStream::connect(address).unwrap()).collect();
+    let at_successor = accept_all(&successor).len();
+    assert!((1..CALLERS).contains(&at_successor), "{at_successor} of {} at the successor", callers.len());
+}
