Keep the listener until who waits in its queue has been taken

Cause: accept stops where no place is left, and the listener was closed all the same.

Why the mend holds: the listener is closed only once its queue is empty; at the end of the program the queue is taken without regard to places, and who finds no descriptor waits until others, answered, have closed theirs, within the time for last words.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -155,17 +155,33 @@
         }
     }
 
-    /// Takes no further connections. What waits in the listener's queue is taken first: closing a listener
-    /// resets the connections queued to it, and at an upgrade they were meant for this process.
-    pub fn stop_listening(&mut self, now: f64, watch: &mut Watch, calls: &mut Calls) {
+    /// Takes no further connections; returns whether the listener is closed. What waits in its queue is taken first: closing a
+    /// listener resets the connections queued to it, and at an upgrade they were meant for this process. Where there is no
+    /// place for those it stays open, and this is to be called again.
+    pub fn stop_listening(&mut self, now: f64, watch: &mut Watch, calls: &mut Calls) -> bool {
         self.accept(now, watch, calls);
+        if self.paused {
+            return false;
+        }
+        self.close_listener(watch);
+        true
+    }
+
+    /// Takes what waits in the listener's queue, also with descriptors that servers would have, and closes the listener once
+    /// the queue is empty: the program ends, and whoever waited for a place is to hear of it.
+    pub fn take_last(&mut self, now: f64, watch: &mut Watch, calls: &mut Calls) {
+        self.most = usize::MAX;
+        self.stop_listening(now, watch, calls);
+    }
+
+    fn close_listener(&mut self, watch: &Watch) {
+        let Some(listener) = self.listener.take() else { return };
         #[cfg(test)]
         if let Some(hook) = &mut self.before_close {
             hook(self.address);
         }
-        if let Some(listener) = self.listener.take() {
-            watch.remove(&listener);
-        }
+        watch.remove(&listener);
+        self.paused = false;
         self.steering = None;
     }
 
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -295,12 +295,13 @@
             }
             if let Some(since) = stopping {
                 if now - since >= LAST_REQUESTS {
-                    if closed.is_none() {
-                        self.clients.stop_listening(now, &mut self.watch, &mut self.calls);
+                    if closed.is_none() && self.clients.stop_listening(now, &mut self.watch, &mut self.calls)
+                    {
+                        closed = Some(now);
                     }
                     // Connections taken from the queue as the listener closed have not been read yet. Counted from the close
                     // itself: a process without a processor for a while closes late.
-                    let read = now - *closed.get_or_insert(now) >= READ_AFTER_CLOSE;
+                    let read = closed.is_some_and(|at| now - at >= READ_AFTER_CLOSE);
                     if (read && self.calls.count() == (0, 0)) || now - since >= self.last {
                         return self.finish(now);
                     }
@@ -512,13 +513,8 @@
     }
 
     pub(super) fn finish(&mut self, now: f64) -> io::Result<()> {
-        // What came since the last poll is answered too: a connection that ends with a set-up unread in it has lost that.
-        self.clients.take_all(now, &self.watch, &mut self.calls);
         let (open, standing) = self.calls.count();
-        let classes = self.classes.entries();
-        let repeatable = |class: usize| classes.get(class).is_some_and(|e| e.settings.0.repeatable);
-        self.calls.answer_all(repeatable, self.clients.stay_away());
-        self.decide(now);
+        self.answer_rest(now);
         let mut room = room!(self, now);
         self.subjects.all().into_iter().rev().for_each(|subject| subject.end(&mut room));
         if let Some(http) = self.http.take() {
@@ -528,8 +524,8 @@
         // nothing now would be lost with it.
         self.clients.close_all(now, &self.watch, &mut self.calls);
         let until = now + LAST_WORDS;
-        while self.clients.closing() && self.clock.now() < until {
-            let wait = if self.clock.runs() { until - self.clock.now() } else { 0.0 };
+        while (self.clients.closing() || self.clients.listening()) && self.clock.now() < until {
+            let wait = if self.clock.runs() { (until - self.clock.now()).max(0.0) } else { 0.0 };
             let all = self.watch.wait(wait)?;
             if all.is_empty() && !self.clock.runs() {
                 self.clock.skip(TICK);
@@ -543,11 +539,27 @@
                     self.resolver.read();
                 }
             }
+            // Connections that were closed have left their descriptors to callers that still wait.
+            if self.clients.listening() {
+                self.answer_rest(now);
+                self.clients.close_all(now, &self.watch, &mut self.calls);
+            }
         }
         log::info!(refused = open, standing; "stopped");
         Ok(())
     }
 
+    /// Answers all that has come by now, at the end of the program: a connection that ends with a set-up unread in it, or
+    /// that is not accepted, has lost that.
+    fn answer_rest(&mut self, now: f64) {
+        self.clients.take_last(now, &mut self.watch, &mut self.calls);
+        self.clients.take_all(now, &self.watch, &mut self.calls);
+        let classes = self.classes.entries();
+        let repeatable = |class: usize| classes.get(class).is_some_and(|e| e.settings.0.repeatable);
+        self.calls.answer_all(repeatable, self.clients.stay_away());
+        self.decide(now);
+    }
+
     /// One turn: waits, gathers, decides.
     pub fn turn(&mut self) -> io::Result<()> {
         let wait = match self.clock.runs() {
@@ -749,21 +761,18 @@
         self.classes = table;
     }
 
-    /// Closes or opens the clients' listener as the lifecycle says.
+    /// Closes or opens the clients' listener as the lifecycle says. What does not succeed is tried again at the next beat: a
+    /// close while callers wait for a place, an address that cannot be listened at.
     fn listen_as_told(&mut self, now: f64) {
-        match (self.life.listens(now), self.clients.listening()) {
-            (false, true) => {
-                self.clients.stop_listening(now, &mut self.watch, &mut self.calls);
-                log::info!("listener-closed");
-            }
-            (true, false) if self.life.phase() == Phase::Serving => {
-                match self.clients.listen_again(&mut self.watch) {
-                    Ok(()) => log::info!("listener-open"),
-                    // Tried again at the next beat.
-                    Err(error) => log::warn!(error:%; "listener-failed"),
-                }
+        let (listening, may_listen) = (self.clients.listening(), self.life.listens(now));
+        if listening && !may_listen && self.clients.stop_listening(now, &mut self.watch, &mut self.calls) {
+            log::info!("listener-closed");
+        }
+        if !listening && self.life.phase() == Phase::Serving {
+            match self.clients.listen_again(&mut self.watch) {
+                Ok(()) => log::info!("listener-open"),
+                Err(error) => log::warn!(error:%; "listener-failed"),
             }
-            _ => {}
         }
     }
 
--- a/crates/gatekeeper/src/node/tests/upgrade.rs
+++ b/crates/gatekeeper/src/node/tests/upgrade.rs
@@ -17,6 +17,9 @@
 /// Connections made while the listener closes: by chance all of them would go to one of two listeners once in 2^31 runs.
 const CALLERS: usize = 32;
 
+/// Callers that a gatekeeper of these tests holds at once, beside the one that says nothing.
+const PLACES: u64 = 43;
+
 fn listen_at(address: SocketAddr) -> TcpListener {
     super::super::clients::bind(address, 1024).unwrap()
 }
@@ -119,3 +122,27 @@
     let at_successor = accept_all(&successor).len();
     assert!((1..CALLERS).contains(&at_successor), "{at_successor} of {} at the successor", callers.len());
 }
+
+/// Callers in use hold all places as the program ends, and others wait in the listener's queue with their set-ups written.
+/// What happened: the close of the listener, 0.8 s after SIGTERM, reset all that waited. Each is to hear what became of its
+/// set-up instead.
+#[test]
+fn callers_that_wait_for_a_place_as_the_program_ends_are_answered() {
+    let mut w = World::new(1);
+    let caller = |w: &World, id| {
+        let mut caller = w.caller();
+        caller.send(&set_up(id, 9000)).unwrap();
+        caller
+    };
+    let callers: Vec<Peer> = (1..=2 * PLACES).map(|id| caller(&w, id)).collect();
+    w.until("all places to be held", |w| w.node.figures_now().gauges.outstanding >= PLACES);
+    let signals = Signals::default();
+    signals.stop.store(true, Ordering::Relaxed);
+    w.node.run(&signals, || unreachable!("nobody asks for a new configuration")).unwrap();
+    for (id, mut caller) in (1..).zip(callers) {
+        let mut heard = Vec::new();
+        let end = caller.read(&mut heard);
+        let answered = heard.iter().any(|m| m.call == id && m.kind == kind::RELEASE);
+        assert!(answered, "call {id} heard nothing: {end:?}");
+    }
+}
--- a/crates/gatekeeper/tests/rare.rs
+++ b/crates/gatekeeper/tests/rare.rs
@@ -206,6 +206,57 @@
     drop(idle);
 }
 
+/// Callers in use hold all descriptors as the program is told to end, and three times as many wait in the listener's queue
+/// with their set-ups written. What happened: the close of the listener reset all that waited. Each hears what became of its
+/// set-up, those that find no descriptor before the end as others leave theirs.
+#[test]
+fn callers_beyond_the_descriptors_are_answered_as_the_program_ends() {
+    const CALLERS: u64 = 200;
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("n0.json");
+    let (listeners, dns) = (listeners(1), UdpSocket::bind("127.0.0.1:0").unwrap());
+    std::fs::write(&path, config(&listeners, &dns, 64)).unwrap();
+    let listen = free_addresses(1).unwrap()[0];
+    let mut program = Program::start(&path, listen, 64);
+    // The server takes set-ups and says nothing.
+    let mut servers = Vec::new();
+    let mut at_server = |listeners: &[TcpListener]| {
+        servers.extend(listeners[0].accept().into_iter().map(|(stream, _)| peer(stream).unwrap()));
+        let mut heard = Vec::new();
+        servers.iter_mut().for_each(|s: &mut Peer| drop(s.read(&mut heard)));
+        heard.iter().any(|m| m.kind == kind::SET_UP)
+    };
+    let mut waiting: Vec<(u64, Peer)> = (1..=CALLERS)
+        .map(|id| {
+            let mut caller = peer(TcpStream::connect(listen).unwrap()).unwrap();
+            caller.send(&set_up("meter-read", 0, id, 3000)).unwrap();
+            (id, caller)
+        })
+        .collect();
+    let begun = Instant::now();
+    while !at_server(&listeners) {
+        assert!(begun.elapsed() < Duration::from_secs(5), "no set-up reaches the server");
+    }
+    program.signal("-TERM");
+    let mut lost = Vec::new();
+    while !waiting.is_empty() {
+        assert!(begun.elapsed() < Duration::from_secs(10), "{} wait for ever", waiting.len());
+        at_server(&listeners);
+        waiting.retain_mut(|(id, caller)| {
+            let mut heard = Vec::new();
+            let end = caller.read(&mut heard);
+            let answered = heard.iter().any(|m| m.call == *id && m.kind == kind::RELEASE);
+            if !answered && end.is_err() {
+                lost.push(format!("{id}: {end:?}"));
+            }
+            !answered && end.is_ok()
+        });
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert!(lost.is_empty(), "{} of {CALLERS} lost: {lost:?}", lost.len());
+    assert!(program.child.wait().unwrap().success());
+}
+
 /// A file that cannot be served by ends the start with exit code 1 and a line that names what is wrong; read at SIGHUP it
 /// changes nothing.
 #[test]
