Tell an end on another connection where its own was reset

Callers saw: a call that stood and was over was never released towards them, where they closed their connection between the gatekeeper's read and its writes of one turn, or left the end unread in it.

Cause: an end counted as told once the system had taken its bytes; the reset that says they were not read was not looked at.

One that cannot be written is kept for the next connection.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -1,5 +1,7 @@
 //! The callers' side: the listener, the callers' connections, and what is said on them.
 
+mod ends;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -7,6 +9,7 @@
 use hollypaddle_service::lifecycle::{self, Lifecycle};
 use socket2::{Domain, Protocol, Socket, Type};
 
+use self::ends::{End, RecentEnds, UNSURE};
 use super::config::LinkClass;
 use super::poller::{Key, Ready, Watch};
 use super::steering::{self, Steering};
@@ -51,12 +54,21 @@
     /// What it was told.
     told: Told,
     senseless: u32,
+    recent_ends: RecentEnds,
 }
 
 /// A connection that is closed here, see [`LINGER`].
 struct Closing {
     connection: Connection<TcpStream>,
     until: f64,
+    unsure: Vec<End>,
+}
+
+/// A connection that its caller closed just after ends were written to it: they are told elsewhere if the system resets it.
+struct Closed {
+    connection: Connection<TcpStream>,
+    until: f64,
+    unsure: Vec<End>,
 }
 
 /// What a caller was told: the best of it.
@@ -88,10 +100,12 @@
     connections: BTreeMap<Key, Client>,
     /// Connections closed here for writing, the oldest first, until the peer has closed them too.
     closing: BTreeMap<Key, Closing>,
+    /// Connections closed by callers, the oldest first. They are not watched.
+    closed: VecDeque<Closed>,
     /// For how long a caller is to stay away from a gatekeeper that holds too much; none where callers are not told.
     stay_away: Option<f64>,
-    /// Releases of calls that stood, for which there was no connection.
-    owed: VecDeque<(f64, u64, bool)>,
+    /// Ends of calls that stood, for which there was no connection, and since when.
+    owed: VecDeque<(f64, End)>,
     /// Classes of set-ups turned away here, for lack of room, until the figures take them.
     pub turned_away: Vec<usize>,
     /// Called between the last accept and the close of the listener, with its address.
@@ -127,6 +141,7 @@
             most_waiting,
             connections,
             closing: BTreeMap::new(),
+            closed: VecDeque::new(),
             stay_away: None,
             owed,
             turned_away,
@@ -200,9 +215,10 @@
         let late: Vec<Key> =
             self.closing.iter().filter(|(_, c)| now >= c.until).map(|(key, _)| *key).collect();
         late.into_iter().for_each(|key| self.drop_closing(key, watch));
+        self.look_at_closed(now, watch);
         if let Some(newest) = self.connections.keys().next_back().copied() {
-            while let Some((_, id, cut)) = self.owed.pop_front_if(|(since, ..)| now - *since >= LATEST) {
-                self.say(now, newest, &encode(id, Reply::Over { cut }), Told::Something, watch);
+            while let Some((_, end)) = self.owed.pop_front_if(|(since, _)| now - *since >= LATEST) {
+                self.say_end(now, newest, end, Told::Something, watch);
             }
         }
         if let (true, Some(listener)) = (self.paused, &self.listener) {
@@ -277,7 +293,7 @@
             return self.accept(now, watch, calls);
         }
         if self.closing.contains_key(&ready.key) {
-            return self.see_out(ready.key, watch);
+            return self.see_out(now, ready.key, watch);
         }
         let Some(client) = self.connections.get_mut(&ready.key) else { return };
         if ready.writable {
@@ -339,7 +355,7 @@
     }
 
     /// Writes what is left on a connection that is closed here, then its end, and throws away what comes.
-    fn see_out(&mut self, key: Key, watch: &Watch) {
+    fn see_out(&mut self, now: f64, key: Key, watch: &Watch) {
         let Some(closing) = self.closing.get_mut(&key) else { return };
         let before = closing.connection.blocked();
         let written = closing.connection.flush();
@@ -347,8 +363,10 @@
             watch.set(key, closing.connection.stream(), true, false);
             drop(closing.connection.stream().shutdown(Shutdown::Write));
         }
-        if written.is_err() || closing.connection.pass_over().is_err() {
-            self.drop_closing(key, watch);
+        let Err(over) = written.and_then(|()| closing.connection.pass_over()) else { return };
+        if let Some(closing) = self.closing.remove(&key) {
+            watch.remove(closing.connection.stream());
+            self.closed_by_caller(now, closing.connection, closing.unsure, &over, watch);
         }
     }
 
@@ -358,6 +376,34 @@
         }
     }
 
+    /// Takes a connection that its caller closed, and that is watched no more. Ends that were written to it in the last moment
+    /// are told elsewhere if the system resets it, as they were not read then; it may do so a little after the close.
+    fn closed_by_caller(
+        &mut self,
+        now: f64,
+        connection: Connection<TcpStream>,
+        unsure: Vec<End>,
+        over: &Over,
+        watch: &Watch,
+    ) {
+        if matches!(over, Over::Broken(_)) || is_reset(&connection) {
+            unsure.into_iter().for_each(|end| self.tell_end(now, end, watch));
+        } else if !unsure.is_empty() {
+            self.closed.push_back(Closed { connection, until: now + UNSURE, unsure });
+        }
+    }
+
+    /// Tells the ends of connections that were reset since, and forgets those that were not in time.
+    fn look_at_closed(&mut self, now: f64, watch: &Watch) {
+        for closed in std::mem::take(&mut self.closed) {
+            if is_reset(&closed.connection) {
+                closed.unsure.into_iter().for_each(|end| self.tell_end(now, end, watch));
+            } else if now < closed.until {
+                self.closed.push_back(closed);
+            }
+        }
+    }
+
     fn accept(&mut self, now: f64, watch: &mut Watch, calls: &mut Calls) {
         loop {
             if self.held() >= self.most {
@@ -395,14 +441,18 @@
 
     /// Descriptors that callers hold.
     fn held(&self) -> usize {
-        self.connections.len() + self.closing.len()
+        self.connections.len() + self.closing.len() + self.closed.len()
     }
 
-    /// Drops the connection that was closed here first, one with nothing to write if there is one; where there is none, closes the one that has been of no use for
-    /// longest, the ones that were told nothing first. Guards against callers locked out by others that connect by
+    /// Drops the connection that its caller closed first, or that was closed here first, one with nothing to write if there is
+    /// one; where there is none, closes the one that has been of no use for longest, those told nothing first. Guards against callers locked out by others that connect by
     /// hundreds and say nothing, or ask once and keep their connection for good.
     fn make_room(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
+        self.look_at_closed(now, watch);
         for _ in 0..LOOKS {
+            if self.closed.pop_front().is_some() {
+                return;
+            }
             let order = |(key, c): &(&Key, &Closing)| (c.connection.blocked(), **key);
             if let Some(first) = self.closing.iter().min_by_key(order).map(|(key, _)| *key) {
                 return self.drop_closing(first, watch);
@@ -431,8 +481,15 @@
         stream.set_nodelay(true)?;
         let key = watch.add(&stream, false)?;
         let connection = Connection::new(stream, self.most_waiting);
-        let (writing, told, senseless) = (false, Told::Nothing, 0);
-        let client = Client { connection, writing, since: now, used_at: now, told, senseless };
+        let client = Client {
+            connection,
+            writing: false,
+            since: now,
+            used_at: now,
+            told: Told::Nothing,
+            senseless: 0,
+            recent_ends: RecentEnds::default(),
+        };
         self.connections.insert(key, client);
         Ok(())
     }
@@ -491,27 +548,51 @@
     /// Tells a caller what became of a call. Returns whether it could be told: not where its connection is gone, but for the
     /// end of a call that stood, which is told on another one.
     pub fn reply(&mut self, now: f64, origin: Origin, id: u64, reply: Reply, watch: &Watch) -> bool {
-        let over = if let Reply::Over { cut } = &reply { Some(*cut) } else { None };
         let told = if matches!(reply, Reply::Stands(_)) { Told::Stands } else { Told::Answer };
-        let message = encode(id, reply);
-        if self.connections.contains_key(&origin) {
-            let said = self.say(now, origin, &message, told, watch);
-            // Whoever gets answers reads them: a connection for what was owed.
-            for (_, id, cut) in std::mem::take(&mut self.owed) {
-                self.say(now, origin, &encode(id, Reply::Over { cut }), told, watch);
+        if !self.connections.contains_key(&origin) {
+            // Before a call stands, a caller whose connection is gone has given it up; and what stood belongs to no connection.
+            let Reply::Over { cut } = reply else { return false };
+            self.tell_end(now, End { id, cut }, watch);
+            return true;
+        }
+        let said = match reply {
+            Reply::Over { cut } => self.say_end(now, origin, End { id, cut }, told, watch),
+            reply => self.say(now, origin, &encode(id, reply), told, watch),
+        };
+        // Whoever gets answers reads them: a connection for what was owed.
+        if said {
+            for (_, end) in std::mem::take(&mut self.owed) {
+                self.say_end(now, origin, end, told, watch);
             }
-            return said;
         }
-        // What stood belongs to no connection, but what is said to somebody who never had a call is lost:
-        // the end goes to one that was told of a call that stands, the newest of them as the least
-        // likely to be closing. Before that, a caller whose connection is gone has given its call up.
-        let Some(cut) = over else { return false };
+        said
+    }
+
+    /// Tells the end of a call whose caller's own connection is gone. What is said to somebody who never had a call is lost:
+    /// the end goes to one that was told of a call that stands, the newest of them as the least likely to be closing.
+    fn tell_end(&mut self, now: f64, end: End, watch: &Watch) {
         match self.heir() {
-            Some(key) => drop(self.say(now, key, &message, told, watch)),
-            None if self.owed.len() < MOST_OWED => self.owed.push_back((now, id, cut)),
-            None => log::debug!(call:% = format_args!("{id:016x}"); "end-dropped"),
+            Some(key) => drop(self.say_end(now, key, end, Told::Answer, watch)),
+            None => self.owe(now, end),
+        }
+    }
+
+    /// Says the end of a call that stood on a connection; where that cannot be written, it is owed. Returns whether it was
+    /// written or waits to be.
+    fn say_end(&mut self, now: f64, key: Key, end: End, told: Told, watch: &Watch) -> bool {
+        let said = self.say(now, key, &encode(end.id, Reply::Over { cut: end.cut }), told, watch);
+        match self.connections.get_mut(&key).filter(|_| said) {
+            Some(client) => client.recent_ends.written(now, end),
+            None => self.owe(now, end),
+        }
+        said
+    }
+
+    fn owe(&mut self, now: f64, end: End) {
+        match self.owed.len() < MOST_OWED {
+            true => self.owed.push_back((now, end)),
+            false => log::debug!(call:% = format_args!("{:016x}", end.id); "end-dropped"),
         }
-        true
     }
 
     /// Whether callers are there to whom the end of any call can be told.
@@ -521,7 +602,7 @@
 
     /// The ends for which no caller is there, and whether each was cut; they are somebody else's to tell then.
     pub fn hand_over(&mut self) -> impl Iterator<Item = (u64, bool)> + '_ {
-        self.owed.drain(..).map(|(_, id, cut)| (id, cut))
+        self.owed.drain(..).map(|(_, end)| (end.id, end.cut))
     }
 
     /// The connection that stays for the ends of calls whose caller's own connection is gone, and for those that are owed.
@@ -563,20 +644,33 @@
         let Err(error) = end else { return client.watch(key, watch) };
         log::debug!(caller = key, reason:% = error; "caller-closed");
         let Some(mut client) = self.connections.remove(&key) else { return };
-        if matches!(error, Over::Closed | Over::Broken(_)) {
-            watch.remove(client.connection.stream());
-        } else {
-            // One that is closed for what it sent is still owed the answers to what it sent before.
-            let answered = |id: &u64| client.connection.send(&encode(*id, Reply::Failed)).is_ok();
-            let _ = calls.ids_from(key).iter().all(answered);
-            if !client.connection.blocked() {
-                drop(client.connection.stream().shutdown(Shutdown::Write));
+        match error {
+            Over::Closed | Over::Broken(_) => {
+                watch.remove(client.connection.stream());
+                let unsure = client.recent_ends.unsure(now);
+                self.closed_by_caller(now, client.connection, unsure, &error, watch);
             }
-            client.watch(key, watch);
-            self.closing.insert(key, Closing { connection: client.connection, until: now + LINGER });
+            _ => self.close_in_order(now, key, client, watch, calls),
         }
         calls.origin_lost(now, key);
     }
+
+    /// Closes a connection for what its caller sent, or as of no use. It is still owed the answers to what it sent before.
+    fn close_in_order(&mut self, now: f64, key: Key, mut client: Client, watch: &Watch, calls: &Calls) {
+        let answered = |id: &u64| client.connection.send(&encode(*id, Reply::Failed)).is_ok();
+        let _ = calls.ids_from(key).iter().all(answered);
+        if !client.connection.blocked() {
+            drop(client.connection.stream().shutdown(Shutdown::Write));
+        }
+        client.watch(key, watch);
+        let unsure = client.recent_ends.unsure(now);
+        self.closing.insert(key, Closing { connection: client.connection, until: now + LINGER, unsure });
+    }
+}
+
+/// Whether the system has reset a connection that is read to its end: its peer closed it without reading all.
+fn is_reset(connection: &Connection<TcpStream>) -> bool {
+    matches!(connection.stream().take_error(), Ok(Some(_)))
 }
 
 /// Whether a connection has to stay: set-ups are open on it, calls stand that came on it, as their callers wait for the end
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -148,6 +148,9 @@
     last: f64,
     /// Between two questions to the resolver.
     ask_every: f64,
+    /// Called in the next turn once all is read, before anything is decided and written.
+    #[cfg(test)]
+    pub before_writing: Option<Box<dyn FnOnce()>>,
 }
 
 impl Gatekeeper {
@@ -223,6 +226,8 @@
             untold: Vec::new(),
             last,
             ask_every,
+            #[cfg(test)]
+            before_writing: None,
         };
         node.calls.calls_last(node.settings.hold);
         node.clients.set_stay_away(node.settings.retry_after);
@@ -631,6 +636,10 @@
         if let Some(set) = self.subjects.tier.offered() {
             self.take_settings(now, &set);
         }
+        #[cfg(test)]
+        if let Some(hook) = self.before_writing.take() {
+            hook();
+        }
         self.decide(now);
         if beat {
             // Only now is all said that this turn brought. Guards against a connection closed as idle while the end of the
