Warn of lists that cannot be taken, and count them

Operators saw nothing: a list of 60 servers and more fits no answer, was passed over for ever and said so at debug alone, while the gatekeeper heard of no drain, start or end of a server.

Cause: every answer that could not be taken counted as a spoilt one, which the next question makes up for.

What is taken is as before: only a whole list.

--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -493,7 +493,8 @@
         let (open, standing) = self.calls.count();
         let (discovered, ejected) = self.servers.counts();
         let outstanding = (open + standing) as u64;
-        let mut report = self.figures.report(Gauges { outstanding, discovered, ejected });
+        let unusable_lists = self.resolver.unusable_answers();
+        let mut report = self.figures.report(Gauges { outstanding, discovered, ejected, unusable_lists });
         // Written where the servers' sockets are, and counted there.
         report.forwards += self.calls.forwards;
         report.fleet = self.subjects.fellows.fleet.as_ref().map(|fleet| fleet.figures(&self.calls));
--- a/crates/gatekeeper/src/node/resolver.rs
+++ b/crates/gatekeeper/src/node/resolver.rs
@@ -1,5 +1,7 @@
 //! The resolver: the list of session servers, polled over DNS (RFC 1035) on UDP.
 
+mod unusable;
+
 use std::cmp::Ordering;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
@@ -9,6 +11,8 @@
 use hickory_proto::rr::{Name, RecordType};
 use hollypaddle_platform::list::Snapshot;
 
+use self::unusable::{Answers, Unusable};
+
 /// The name whose SRV records are the list.
 const LIST: &str = "_work._tcp.fleet.local.";
 /// Largest answer, with room to spare.
@@ -32,6 +36,7 @@
     unproven: bool,
     /// An older list that was told since, and by the answer to which question.
     older: Option<(u64, u16)>,
+    answers: Answers,
 }
 
 impl Resolver {
@@ -56,6 +61,7 @@
             confirmed,
             unproven,
             older,
+            answers: Answers::default(),
         })
     }
 
@@ -124,31 +130,55 @@
     }
 
     fn take(&mut self, data: &[u8]) -> Option<Snapshot> {
-        let answer = match Message::from_vec(data) {
-            Ok(answer) => answer,
-            Err(error) => {
-                log::debug!(error:%; "resolver-answer-unreadable");
+        // Guards against answers to somebody else and late ones.
+        let id = data.first_chunk().map(|id| u16::from_be_bytes(*id));
+        let Some(question) = id.filter(|id| self.asked.contains(id)) else {
+            log::debug!(id; "resolver-answer-passed-over");
+            return None;
+        };
+        let list = match self.whole_list(data) {
+            Ok(list) => list,
+            Err(why) => {
+                self.cannot_take(&why);
                 return None;
             }
         };
-        let head = &answer.metadata;
-        // Guards against answers to somebody else, late ones, and cut ones: a server missing from
-        // a list counts as gone, so only a whole list may be taken.
-        let ours = head.message_type == MessageType::Response && self.asked.contains(&head.id);
-        if !ours || head.truncation || head.response_code != ResponseCode::NoError {
-            log::debug!(id = head.id; "resolver-answer-passed-over");
-            return None;
-        }
-        let list = Snapshot::from_answer(&answer, &self.districts);
-        if list.is_none() {
-            log::debug!("resolver-answer-incomplete");
+        if self.answers.usable() {
+            log::info!(position = list.position, servers = list.servers.len(); "list-taken-again");
         }
-        let list = list?;
-        let news = self.news(list.position, head.id);
+        let news = self.news(list.position, question);
         self.confirmed |= list.position == self.position;
         news.then_some(list)
     }
 
+    /// The list of an answer. A server missing from a list counts as gone, so only a whole one may be taken.
+    fn whole_list(&self, data: &[u8]) -> Result<Snapshot, Unusable> {
+        let answer = Message::from_vec(data)?;
+        let head = &answer.metadata;
+        if head.truncation {
+            return Err(Unusable::CutShort);
+        }
+        if head.message_type != MessageType::Response {
+            return Err(Unusable::Incomplete);
+        }
+        if head.response_code != ResponseCode::NoError {
+            return Err(Unusable::Refused(head.response_code));
+        }
+        Snapshot::from_answer(&answer, &self.districts).ok_or(Unusable::Incomplete)
+    }
+
+    fn cannot_take(&mut self, why: &Unusable) {
+        log::debug!(error:% = why; "resolver-answer-unusable");
+        if self.answers.unusable() {
+            log::warn!(held = self.position, error:% = why; "list-not-taken");
+        }
+    }
+
+    /// Answers that could not be taken since the start.
+    pub fn unusable_answers(&self) -> u64 {
+        self.answers.unusable
+    }
+
     /// Whether a list that an answer told is to be taken. Events are numbered anew at each start of a gatekeeper, so an answer
     /// of its earlier life may come late and bear a higher number than all that this life has yet: what is told by one answer
     /// and by none after it yields as soon as two answers to different questions tell the same other list. A list that was
--- a/crates/gatekeeper/src/node/resolver/tests.rs
+++ b/crates/gatekeeper/src/node/resolver/tests.rs
@@ -66,3 +66,66 @@
     fresh.resolver.accept(9);
     (0..5).for_each(|_| assert_eq!(drains(fresh.answer(8, false, 1)), None));
 }
+
+impl World {
+    /// Asks, and answers with these bytes after the question's id.
+    fn answer_with(&mut self, change: impl FnOnce(&[u8]) -> Vec<u8>) -> Option<Snapshot> {
+        self.resolver.ask();
+        let mut question = [0; 1024];
+        let (n, from) = self.told.recv_from(&mut question).unwrap();
+        let answer = change(&question[..n]);
+        assert_eq!(self.told.send_to(&answer, from).unwrap(), answer.len());
+        self.resolver.read()
+    }
+
+    /// So many servers, as a list.
+    fn listed(count: u32) -> Vec<Listed> {
+        let one = |number| Listed {
+            id: format!("s-{number:08x}"),
+            district: "east".into(),
+            address: (Ipv4Addr::LOCALHOST, 5060).into(),
+            number,
+            draining: false,
+            started_ms: 0,
+        };
+        (0..count).map(one).collect()
+    }
+}
+
+/// Guards against a list that never fits into an answer, is passed over for ever, and is told to nobody.
+#[test]
+fn answers_that_cannot_be_taken_are_counted_and_told_once_a_change() {
+    let cut = |question: &[u8]| {
+        let mut answer = reply(question, 9, &World::listed(3)).unwrap();
+        answer.metadata.truncation = true;
+        answer.to_vec().unwrap()
+    };
+    // More than a datagram is read: the rest of it is cut off.
+    let large = |question: &[u8]| reply(question, 9, &World::listed(400)).unwrap().to_vec().unwrap();
+    let empty = |question: &[u8]| question.to_vec();
+    let mut w = World::new();
+    for (n, change) in [&cut as &dyn Fn(&[u8]) -> Vec<u8>, &large, &empty].into_iter().enumerate() {
+        assert!(w.answer_with(change).is_none());
+        assert_eq!(w.resolver.unusable_answers(), n as u64 + 1);
+    }
+    assert!(w
+        .answer_with(|question| reply(question, 9, &World::listed(3)).unwrap().to_vec().unwrap())
+        .is_some());
+    // What answers no question of ours tells nothing of the list.
+    assert!(w.answer_with(|question| vec![!question[0], question[1], 0, 0]).is_none());
+    assert_eq!(w.resolver.unusable_answers(), 3);
+}
+
+#[test]
+fn it_is_told_after_eight_in_a_row_and_more_seldom_each_time() {
+    let mut answers = Answers::default();
+    let until_told = |answers: &mut Answers| (1..).find(|_| answers.unusable()).unwrap();
+    assert_eq!(until_told(&mut answers), 8);
+    assert!((0..100).all(|_| !answers.unusable()), "once a change");
+    assert!(answers.usable());
+    assert!(!answers.usable());
+    assert_eq!(until_told(&mut answers), 16);
+    assert!(answers.usable());
+    assert!((0..31).all(|_| !answers.unusable()));
+    assert!(!answers.usable(), "a few are nothing to tell");
+}
--- a/crates/service/src/figures.rs
+++ b/crates/service/src/figures.rs
@@ -34,6 +34,8 @@
     pub discovered: u64,
     /// Listed session servers that are avoided now.
     pub ejected: u64,
+    /// Answers of the resolver that could not be taken, since the start.
+    pub unusable_lists: u64,
 }
 
 /// What is told of the fleet, where there is one: gauges of members, records and calls adopted now, and counts.
@@ -171,7 +173,7 @@
         figures.reloaded(true);
         figures.reloaded(false);
         figures.reloaded(false);
-        let gauges = Gauges { outstanding: 14, discovered: 6, ejected: 1 };
+        let gauges = Gauges { outstanding: 14, discovered: 6, ejected: 1, unusable_lists: 2 };
         let json = serde_json::to_value(figures.report(gauges)).unwrap();
         assert_eq!(json["succeeded"]["valve-set"], 2);
         assert_eq!(json["succeeded"]["meter-read"], 0);
@@ -180,6 +182,7 @@
         assert_eq!(json["forwards"], 1);
         assert_eq!(json["outstanding"], 14);
         assert_eq!(json["discovered"], 6);
+        assert_eq!(json["unusable_lists"], 2);
         assert_eq!(json["ejected"], 1);
         assert_eq!(json["sighup_applied"], 1);
         assert_eq!(json["sighup_rejected"], 2);
