Tell an end elsewhere only where it is certain that it was not read

Cause: all ends written within 0.25 s of a reset were told elsewhere. A reset tells that something was unread, not how much, and callers that close at their answer are the newest, to which others' ends go as well.

Why the mend holds: what was written last is unread for certain, so only the ends among that are told elsewhere; what was written in earlier turns may have been read.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -9,7 +9,7 @@
 use hollypaddle_service::lifecycle::{self, Lifecycle};
 use socket2::{Domain, Protocol, Socket, Type};
 
-use self::ends::{End, RecentEnds, UNSURE};
+use self::ends::{End, LastEnds, UNSURE};
 use super::config::LinkClass;
 use super::poller::{Key, Ready, Watch};
 use super::steering::{self, Steering};
@@ -54,7 +54,7 @@
     /// What it was told.
     told: Told,
     senseless: u32,
-    recent_ends: RecentEnds,
+    last_ends: LastEnds,
 }
 
 /// A connection that is closed here, see [`LINGER`].
@@ -488,7 +488,7 @@
             used_at: now,
             told: Told::Nothing,
             senseless: 0,
-            recent_ends: RecentEnds::default(),
+            last_ends: LastEnds::default(),
         };
         self.connections.insert(key, client);
         Ok(())
@@ -582,7 +582,7 @@
     fn say_end(&mut self, now: f64, key: Key, end: End, told: Told, watch: &Watch) -> bool {
         let said = self.say(now, key, &encode(end.id, Reply::Over { cut: end.cut }), told, watch);
         match self.connections.get_mut(&key).filter(|_| said) {
-            Some(client) => client.recent_ends.written(now, end),
+            Some(client) => client.last_ends.end_written(now, end),
             None => self.owe(now, end),
         }
         said
@@ -627,6 +627,7 @@
     fn say(&mut self, now: f64, key: Key, message: &Message, told: Told, watch: &Watch) -> bool {
         let Some(client) = self.connections.get_mut(&key) else { return false };
         (client.used_at, client.told) = (now, client.told.max(told));
+        client.last_ends.written(now);
         let said = client.connection.send(message);
         match &said {
             Ok(_) => {}
@@ -647,7 +648,7 @@
         match error {
             Over::Closed | Over::Broken(_) => {
                 watch.remove(client.connection.stream());
-                let unsure = client.recent_ends.unsure(now);
+                let unsure = client.last_ends.unsure(now);
                 self.closed_by_caller(now, client.connection, unsure, &error, watch);
             }
             _ => self.close_in_order(now, key, client, watch, calls),
@@ -663,7 +664,7 @@
             drop(client.connection.stream().shutdown(Shutdown::Write));
         }
         client.watch(key, watch);
-        let unsure = client.recent_ends.unsure(now);
+        let unsure = client.last_ends.unsure(now);
         self.closing.insert(key, Closing { connection: client.connection, until: now + LINGER, unsure });
     }
 }
--- a/crates/gatekeeper/src/node/clients/ends.rs
+++ b/crates/gatekeeper/src/node/clients/ends.rs
@@ -1,12 +1,11 @@
-//! The ends of calls that were written to a caller's connection a moment ago.
+//! The ends of calls that were written to a caller's connection last.
 //!
 //! That bytes were written tells nothing of whether the caller read them: where it closes its connection before, the system
-//! resets it. So the ends of the last moment are kept, and those of a connection that is reset are told on another one.
+//! resets it. What was written last is unread then for certain, and what was written together with it as good as for certain:
+//! those ends are told on another connection. What was written earlier may have been read, and is not told twice.
 
-use std::collections::VecDeque;
-
-/// So long after an end was written, a reset of its connection counts as not having read it, in seconds. An end is owed
-/// within 1 s, and another connection has to carry it by then.
+/// So long after the last write, a reset of its connection counts as not having read it, in seconds. An end is owed within
+/// 1 s, and another connection has to carry it by then.
 pub const UNSURE: f64 = 0.25;
 /// Ends kept for one connection at most.
 const MOST: usize = 256;
@@ -20,27 +19,35 @@
     pub cut: bool,
 }
 
-/// Ends of the last moment, the oldest first.
+/// The ends among what was written in one turn, the last one in which anything was.
 #[derive(Debug, Default)]
-pub struct RecentEnds(VecDeque<(f64, End)>);
+pub struct LastEnds {
+    written_at: f64,
+    ends: Vec<End>,
+}
 
-impl RecentEnds {
-    /// Notes that an end was written.
-    pub fn written(&mut self, now: f64, end: End) {
-        self.forget(now);
-        if self.0.len() == MOST {
-            self.0.pop_front();
+impl LastEnds {
+    /// Notes that something was written.
+    pub fn written(&mut self, now: f64) {
+        if now > self.written_at {
+            self.written_at = now;
+            self.ends.clear();
         }
-        self.0.push_back((now, end));
     }
 
-    /// Those of which it is not sure that they were read, as the connection is over.
-    pub fn unsure(&mut self, now: f64) -> Vec<End> {
-        self.forget(now);
-        self.0.drain(..).map(|(_, end)| end).collect()
+    /// Notes that this was an end.
+    pub fn end_written(&mut self, now: f64, end: End) {
+        self.written(now);
+        if self.ends.len() < MOST {
+            self.ends.push(end);
+        }
     }
 
-    fn forget(&mut self, now: f64) {
-        while self.0.pop_front_if(|(at, _)| now - *at > UNSURE).is_some() {}
+    /// Those that were not read if the connection, which is over now, turns out to be reset.
+    pub fn unsure(&mut self, now: f64) -> Vec<End> {
+        match now - self.written_at <= UNSURE {
+            true => std::mem::take(&mut self.ends),
+            false => Vec::new(),
+        }
     }
 }
--- a/crates/gatekeeper/src/node/tests/ends.rs
+++ b/crates/gatekeeper/src/node/tests/ends.rs
@@ -93,3 +93,23 @@
     w.pass(1.0);
     assert_eq!(ends_told(&w, 1), 0, "{:?}", w.heard);
 }
+
+/// Of two ends the first is read and the second is not: the second is told elsewhere, the first is not told again.
+#[test]
+fn an_end_that_was_read_before_one_that_was_not_is_told_once() {
+    let mut w = World::new(1);
+    let mut leaving = with_a_call(&mut w);
+    leaving.send(&set_up(2, 3000)).unwrap();
+    w.at_servers(2, kind::SET_UP);
+    w.servers_say(&answer(2));
+    (0..2).for_each(|_| w.turn());
+    w.servers_say(&release(1, cause::NORMAL));
+    let mut heard = Vec::new();
+    let is_end = |m: &Message| (m.call, m.kind) == (1, kind::RELEASE);
+    w.until("the first end", |_| leaving.read(&mut heard).is_err() || heard.iter().any(is_end));
+    w.servers_say(&release(2, cause::NORMAL));
+    (0..2).for_each(|_| w.turn());
+    drop(leaving);
+    w.pass(1.0);
+    assert_eq!((ends_told(&w, 1), ends_told(&w, 2)), (0, 1), "{:?}", w.heard);
+}
