Play restarts drawn from seeds, and judge them by what callers and servers saw

make soak now plays restarts of the real program: callers that keep connections and that come anew, in pieces, cancelling, closing or never reading; servers that are late, hang, refuse or reset; signals in series, crowds, upgrades.

--- /dev/null
+++ b/crates/gatekeeper/tests/restarts/callers.rs
@@ -0,0 +1,204 @@
+//! The callers of a run.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+
+use hollypaddle_platform::message::{cause, kind, Message};
+use hollypaddle_standin::{peer, release, set_up, Peer};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::judge::{Call, History};
+use crate::plan::{manner, Manner, Plan};
+
+/// Seconds between the two pieces of a set-up, and before a cancel.
+const MOMENT: f64 = 0.02;
+/// Part of set-ups that come on a new connection while those come at all.
+const ON_NEW: f64 = 0.4;
+/// New connections that are open at the same time: callers hold a third of the descriptors at most.
+const MOST_NEW: usize = 60;
+
+struct Connection {
+    peer: Peer,
+    /// It stays open after an answer.
+    kept: bool,
+    deaf: bool,
+    open: Vec<u64>,
+    /// What is to be written: the rest of a set-up, or a cancel.
+    later: Option<(f64, Later)>,
+    /// When it was last seen open.
+    seen: f64,
+}
+
+enum Later {
+    Rest(u64, Vec<u8>),
+    Cancel(u64),
+}
+
+/// All callers.
+pub struct Callers {
+    gatekeeper: SocketAddr,
+    rate: f64,
+    wait_ms: u32,
+    kept: usize,
+    pools: u32,
+    connections: Vec<Connection>,
+    next_id: u64,
+    next_at: f64,
+}
+
+impl Callers {
+    /// Callers of a gatekeeper, none connected yet.
+    pub fn new(gatekeeper: SocketAddr, plan: &Plan) -> Callers {
+        Callers {
+            gatekeeper,
+            rate: plan.rate,
+            wait_ms: (plan.deadline * 1000.0) as u32,
+            kept: plan.kept,
+            pools: plan.servers.len() as u32,
+            connections: Vec::new(),
+            next_id: 1,
+            next_at: 0.0,
+        }
+    }
+
+    /// Opens the connections that are kept.
+    pub fn connect(&mut self, now: f64) {
+        for _ in 0..self.kept {
+            let _ = self.open(now, true);
+        }
+    }
+
+    /// Set-ups whose answer is waited for.
+    pub fn waiting(&self) -> usize {
+        self.connections.iter().filter(|c| !c.deaf).map(|c| c.open.len()).sum()
+    }
+
+    /// Connects; nothing where the gatekeeper does not listen any more.
+    fn open(&mut self, now: f64, kept: bool) -> Option<usize> {
+        let stream = TcpStream::connect(self.gatekeeper).ok()?;
+        let peer = peer(stream).ok()?;
+        let (open, later) = (Vec::new(), None);
+        self.connections.push(Connection { peer, kept, deaf: false, open, later, seen: now });
+        Some(self.connections.len() - 1)
+    }
+
+    /// Many connections in one moment, each with a set-up.
+    pub fn crowd(&mut self, now: f64, count: usize, rng: &mut ChaCha8Rng, history: &mut History) {
+        for _ in 0..count {
+            if let Some(n) = self.open(now, false) {
+                self.send(now, n, Manner::Plain, rng, history);
+            }
+        }
+    }
+
+    /// The set-ups that are due at this part of the rate.
+    pub fn call(&mut self, now: f64, part: f64, connects: bool, rng: &mut ChaCha8Rng, history: &mut History) {
+        self.write_later(now, history);
+        if part <= 0.0 {
+            return;
+        }
+        // A turn that came late brings no burst.
+        self.next_at = self.next_at.max(now - 0.05);
+        while self.next_at <= now {
+            self.next_at += 1.0 / (self.rate * part);
+            let fresh = self.connections.iter().filter(|c| !c.kept).count();
+            let on_new = connects && fresh < MOST_NEW && rng.gen_bool(ON_NEW);
+            let connection = match on_new {
+                true => self.open(now, false),
+                false => self.kept_one(rng),
+            };
+            if let Some(n) = connection {
+                let manner = if self.connections[n].kept { Manner::Plain } else { manner(rng) };
+                self.send(now, n, manner, rng, history);
+            }
+        }
+    }
+
+    fn kept_one(&self, rng: &mut ChaCha8Rng) -> Option<usize> {
+        let kept: Vec<usize> = (0..self.connections.len()).filter(|n| self.connections[*n].kept).collect();
+        (!kept.is_empty()).then(|| kept[rng.gen_range(0..kept.len())])
+    }
+
+    fn send(&mut self, now: f64, n: usize, manner: Manner, rng: &mut ChaCha8Rng, history: &mut History) {
+        let id = self.next_id;
+        self.next_id += 1;
+        let message = set_up("meter-read", rng.gen_range(0..self.pools), id, self.wait_ms);
+        let connection = &mut self.connections[n];
+        connection.deaf = manner == Manner::Deaf;
+        let mut call = Call { deaf: connection.deaf, ..Call::default() };
+        connection.open.push(id);
+        if manner == Manner::Pieces {
+            let mut bytes = Vec::new();
+            message.encode(&mut bytes);
+            let rest = bytes.split_off(rng.gen_range(1..bytes.len()));
+            let _ = connection.peer.stream().write_all(&bytes);
+            connection.later = Some((now + MOMENT, Later::Rest(id, rest)));
+        } else if connection.peer.send(&message).is_ok() {
+            call.written = Some(now);
+        }
+        match manner {
+            Manner::Cancels => connection.later = Some((now + MOMENT, Later::Cancel(id))),
+            Manner::Closes => {
+                call.left = Some(now);
+                drop(self.connections.swap_remove(n));
+            }
+            Manner::Plain | Manner::Pieces | Manner::Deaf => {}
+        }
+        history.calls.insert(id, call);
+    }
+
+    fn write_later(&mut self, now: f64, history: &mut History) {
+        for connection in &mut self.connections {
+            let Some((_, later)) = connection.later.take_if(|(at, _)| *at <= now) else { continue };
+            match later {
+                Later::Rest(id, rest) => {
+                    let written = connection.peer.stream().write_all(&rest).is_ok();
+                    history.calls.entry(id).or_default().written = written.then_some(now);
+                }
+                Later::Cancel(id) => {
+                    let _ = connection.peer.send(&release(id, cause::NORMAL));
+                    history.calls.entry(id).or_default().left.get_or_insert(now);
+                }
+            }
+        }
+    }
+
+    /// Takes what has come.
+    pub fn hear(&mut self, now: f64, history: &mut History) {
+        self.connections.retain_mut(|connection| {
+            if connection.deaf {
+                return true;
+            }
+            let mut heard = Vec::new();
+            let end = connection.peer.read(&mut heard);
+            heard.iter().for_each(|message| connection.take(message, history));
+            if end.is_err() {
+                for id in connection.open.drain(..) {
+                    history.calls.entry(id).or_default().ended = Some(connection.seen);
+                }
+                return false;
+            }
+            connection.seen = now;
+            connection.kept || !connection.open.is_empty()
+        });
+    }
+
+    /// The run is over: what still waits on an open connection was never answered.
+    pub fn finish(&mut self, history: &mut History) {
+        // What came together with the end of the process.
+        self.hear(f64::INFINITY, history);
+    }
+}
+
+impl Connection {
+    fn take(&mut self, message: &Message, history: &mut History) {
+        let call = history.calls.entry(message.call).or_default();
+        match message.kind {
+            kind::ANSWER => call.answers += 1,
+            kind::RELEASE => call.releases += 1,
+            _ => return,
+        }
+        self.open.retain(|id| *id != message.call);
+    }
+}
