Move the parts of a relay into files of their own

Moves alone: the sorted lines of both sides differ only in visibility, the formatter's line breaks and the heads of the files. The tests of relay and faults pass.

--- /dev/null
+++ b/crates/relay/src/relay/leaf_messages.rs
@@ -0,0 +1,125 @@
+//! What is said to leaves and heard from them.
+
+use super::*;
+
+impl Relay {
+    pub(super) fn say_to_leaf(&mut self, now: f64, id: LinkId, topic: Topic) -> Option<Message> {
+        let (feed, in_force) = (self.feed, Arc::clone(&self.in_force));
+        let feeds = self.topics.get(&topic)?;
+        let link = self.links.get_mut(&id)?;
+        if !link.budget.open(now) {
+            return None;
+        }
+        if link.servers.behind(&feeds.servers) {
+            return Some(Message::Records(Feed::Servers, link.servers.piece(now, feed, &feeds.servers)));
+        }
+        if link.outgoing.is_none() && link.settings < in_force.mark() {
+            link.outgoing = Some(Outgoing::new(in_force, link.settings));
+        }
+        if let Some(outgoing) = &mut link.outgoing {
+            let part = outgoing.part();
+            if part.last {
+                (link.settings, link.outgoing) = (outgoing.mark(), None);
+            }
+            return Some(Message::Settings { proposed: false, part });
+        }
+        if link.leaves.behind(&feeds.leaves) {
+            return Some(Message::Records(Feed::Leaves, link.leaves.piece(now, feed, &feeds.leaves)));
+        }
+        if now < link.next_digest {
+            return None;
+        }
+        link.next_digest = now + self.timing.digest;
+        let copied = |s: &Stream| Copied { origin: feed, version: s.version(), hash: s.hash() };
+        let Who::Leaf(leaf, ..) = link.who else { return None };
+        let own =
+            self.leaves.get(&leaf).map_or((0, 0), |a| (a.copy.stream().version(), a.copy.stream().hash()));
+        let (servers, leaves) = (copied(&feeds.servers), copied(&feeds.leaves));
+        Some(Message::Digest(Digest { servers, leaves, own, settings: self.in_force.mark() }))
+    }
+
+    pub(super) fn hear_leaf(
+        &mut self,
+        now: f64,
+        id: LinkId,
+        who: (MemberId, Life, Topic),
+        message: &Message,
+    ) -> Result<(), LinkError> {
+        let (leaf, life, topic) = who;
+        let attached = self.leaves.get(&leaf).is_some_and(|a| a.link == Some(id));
+        if attached && self.leaves.get(&leaf).is_some_and(|a| a.presence == Presence::Silent) {
+            self.found(now, leaf, Presence::Here);
+        }
+        match message {
+            Message::Ping(number) => self.queue(now, id, Message::Pong(*number)),
+            Message::Attach(attach) => self.attach(now, id, leaf, life, topic, attach),
+            Message::Leave => {
+                if let Some(a) = self.leaves.get_mut(&leaf).filter(|_| attached) {
+                    a.link = None;
+                    self.found(now, leaf, Presence::Left);
+                }
+                self.close(now, id);
+            }
+            _ if !attached => {}
+            Message::Detach => {
+                if let Some(a) = self.leaves.get_mut(&leaf) {
+                    (a.link, a.moved) = (None, true);
+                    self.found(now, leaf, Presence::Closed);
+                }
+            }
+            Message::Records(Feed::Own, piece) => {
+                let late = self.links.get(&id).map_or((f64::NEG_INFINITY, 0.0), |l| l.late);
+                let lag = self.paused.max(if now <= late.0 { late.1 } else { 0.0 });
+                let Some(a) = self.leaves.get_mut(&leaf) else { return Ok(()) };
+                if piece.origin != (Origin { member: leaf, life }) {
+                    return Err(LinkError::Malformed("records of another origin"));
+                }
+                match a.copy.take(now, lag, piece) {
+                    Ok(keys) => self.aggregate(now, topic, &keys),
+                    Err(NotTaken::Malformed) => {
+                        return Err(LinkError::Malformed("records that make no sense"))
+                    }
+                    Err(NotTaken::Gap) => {
+                        let held = a.copy.copied();
+                        self.counts.resyncs += 1;
+                        self.queue(now, id, Message::Resync(Feed::Own, held));
+                    }
+                }
+            }
+            Message::Resync(feed, held) => {
+                self.counts.resyncs += 1;
+                let own = self.feed;
+                let (Some(feeds), Some(link)) = (self.topics.get(&topic), self.links.get_mut(&id)) else {
+                    return Ok(());
+                };
+                match feed {
+                    Feed::Servers => link.servers = Cursor::at(own, &feeds.servers, *held),
+                    Feed::Leaves => link.leaves = Cursor::at(own, &feeds.leaves, *held),
+                    Feed::Own => return Err(LinkError::OutOfPlace),
+                }
+                self.wake(id, now);
+            }
+            Message::Lacks(mark) => {
+                self.counts.resyncs += 1;
+                if let Some(link) = self.links.get_mut(&id) {
+                    (link.settings, link.outgoing) = (*mark, None);
+                }
+                self.wake(id, now);
+            }
+            Message::Settings { proposed: false, part } => self.recovered(now, id, part),
+            Message::Verdict { version, refused } => {
+                let Some(a) = self.leaves.get_mut(&leaf) else { return Ok(()) };
+                let reason = refused.as_ref().map(|reason| cut(reason, REASON));
+                match reason {
+                    None => (a.in_force, a.turned_down) = (*version, None),
+                    Some(reason) => {
+                        a.turned_down = Some((*version, reason.clone()));
+                        self.turned_down(now, leaf, *version, reason);
+                    }
+                }
+            }
+            _ => return Err(LinkError::OutOfPlace),
+        }
+        Ok(())
+    }
+}
