Move set-ups, replies and listeners out of the file of callers' connections

clients.rs: what a set-up says, how a reply is written and how an address is listened at stand in files of their own; peers and relays listen through node/listen.rs and no longer through the callers' module. Moves alone; the lib tests pass.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -1,21 +1,25 @@
 //! The callers' side: the listener, the callers' connections, and what is said on them.
 
 mod ends;
+mod reply;
+mod set_up;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 
 use hollypaddle_service::lifecycle::{self, Lifecycle};
-use socket2::{Domain, Protocol, Socket, Type};
 
 use self::ends::{End, LastEnds, UNSURE};
+use self::reply::encode;
+use self::set_up::{request, request_class};
 use super::config::LinkClass;
+use super::listen::bind;
 use super::poller::{Key, Ready, Watch};
 use super::steering::{self, Steering};
-use hollypaddle_core::calls::{Calls, Content, NotTaken, Origin, Reply, Request};
+use hollypaddle_core::calls::{Calls, NotTaken, Origin, Reply};
 use hollypaddle_platform::connection::{Connection, Over};
-use hollypaddle_platform::message::{cause, code, kind, Message, MOST};
+use hollypaddle_platform::message::{cause, kind, Message, MOST};
 
 /// Releases kept for callers while none is connected.
 const MOST_OWED: usize = 4096;
@@ -698,97 +702,3 @@
         }
     }
 }
-
-/// Reads a set-up; what is wrong with it is told by the cause of its release. Guards the servers: what
-/// they can't use costs work there, and what they can't read makes them close a connection that carries
-/// others' set-ups. So every field is checked before anything goes on.
-fn request(message: &Message, classes: &[LinkClass]) -> Result<Request, u8> {
-    let field = |code| message.bytes(code).ok_or(cause::MISSING_PARAMETER);
-    let (class, wait) = (field(code::CLASS)?, field(code::WAIT)?);
-    let (number, figures) = (field(code::NUMBER)?, field(code::FIGURES)?);
-    let description = Some(field(code::DESCRIPTION)?.to_vec());
-    let parsed = || {
-        // The newest number of a name that takes new calls: see `hollypaddle_service::classes`.
-        let named = |(_, c): &(usize, &LinkClass)| c.live && c.name.as_bytes() == class;
-        let (index, class) = classes.iter().enumerate().rev().find(named)?;
-        let wait = plain_number(wait)? / 1000.0;
-        let dialled = hexadecimal(number)?;
-        let first = first_choice(std::str::from_utf8(figures).ok()?, class)?;
-        let sound = message.call != 0 && !message.repeats() && wait > 0.0 && wait <= class.longest;
-        let content = Content { number: number.to_vec(), description };
-        let id = message.call;
-        sound.then_some(Request { id, class: index, wait, dialled, first_choice: first, content })
-    };
-    parsed().ok_or(cause::INVALID_PARAMETER)
-}
-
-/// A listener, with SO_REUSEPORT: at an upgrade the new process listens beside the old one at the same
-/// address, and after a drain this one listens again where it was.
-pub(super) fn bind(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_reuse_port(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(backlog)?;
-    let listener: TcpListener = socket.into();
-    listener.set_nonblocking(true)?;
-    Ok(listener)
-}
-
-/// The number of a set-up's class, for the figures; one past the last where it names none.
-fn request_class(message: &Message, classes: &[LinkClass]) -> usize {
-    let class = message.bytes(code::CLASS).unwrap_or_default();
-    classes.iter().rposition(|c| c.live && c.name.as_bytes() == class).unwrap_or(classes.len())
-}
-
-/// Digits and nothing else, so that a sign, an exponent or "nan" is none.
-fn plain_number(text: &[u8]) -> Option<f64> {
-    let digits = !text.is_empty() && text.len() <= 9 && text.iter().all(u8::is_ascii_digit);
-    std::str::from_utf8(text).ok().filter(|_| digits)?.parse().ok()
-}
-
-/// Up to 16 hex digits and nothing else.
-fn hexadecimal(text: &[u8]) -> Option<u64> {
-    let digits = (1..=16).contains(&text.len()) && text.iter().all(u8::is_ascii_hexdigit);
-    u64::from_str_radix(std::str::from_utf8(text).ok().filter(|_| digits)?, 16).ok()
-}
-
-/// The pool of first choice in a set-up's figures, if all of them are in range and none comes twice.
-fn first_choice(figures: &str, class: &LinkClass) -> Option<u32> {
-    let mut seen = BTreeMap::new();
-    for figure in figures.split(';') {
-        let (name, value) = figure.split_once(':')?;
-        let value = value.parse::<f64>().ok().filter(|v| v.is_finite())?;
-        if seen.insert(name, value).is_some() {
-            return None;
-        }
-    }
-    let whole = |v: &f64| v.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(v);
-    let pool = |v: &f64| whole(v) && (class.pools.is_empty() || class.pools.contains(&(*v as u32)));
-    let width = |v: &f64| whole(v) && *v >= 1.0 && class.width.is_none_or(|width| width == *v);
-    let sound = seen.get("width").is_none_or(width)
-        && seen.get("via").is_none_or(|v| *v == -1.0 || whole(v))
-        && seen.get("again").is_none_or(|v| *v == 0.0 || *v == 1.0);
-    seen.get("dest").filter(|v| sound && pool(v)).map(|v| *v as u32)
-}
-
-fn encode(id: u64, reply: Reply) -> Message {
-    let release = Message::new(kind::RELEASE, id);
-    match reply {
-        Reply::Stands(None) => Message::new(kind::ANSWER, id),
-        Reply::Stands(Some(description)) => {
-            Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description)
-        }
-        Reply::Refused(after) => {
-            let refusal = release.caused(cause::CONGESTION);
-            // Where callers are told no time, or at once, nothing is said of it.
-            match (after * 1000.0).round() {
-                ms if ms >= 1.0 => refusal.with(code::RETRY_AFTER, format!("{ms:.0}")),
-                _ => refusal,
-            }
-        }
-        Reply::Failed => release.caused(cause::TEMPORARY_FAILURE),
-        Reply::Over { cut: false } => release.caused(cause::NORMAL),
-        Reply::Over { cut: true } => release.caused(cause::TEMPORARY_FAILURE),
-    }
-}
--- /dev/null
+++ b/crates/gatekeeper/src/node/clients/reply.rs
@@ -0,0 +1,25 @@
+//! Writes what a caller is told of its call.
+
+use hollypaddle_core::calls::Reply;
+use hollypaddle_platform::message::{cause, code, kind, Message};
+
+pub(super) fn encode(id: u64, reply: Reply) -> Message {
+    let release = Message::new(kind::RELEASE, id);
+    match reply {
+        Reply::Stands(None) => Message::new(kind::ANSWER, id),
+        Reply::Stands(Some(description)) => {
+            Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description)
+        }
+        Reply::Refused(after) => {
+            let refusal = release.caused(cause::CONGESTION);
+            // Where callers are told no time, or at once, nothing is said of it.
+            match (after * 1000.0).round() {
+                ms if ms >= 1.0 => refusal.with(code::RETRY_AFTER, format!("{ms:.0}")),
+                _ => refusal,
+            }
+        }
+        Reply::Failed => release.caused(cause::TEMPORARY_FAILURE),
+        Reply::Over { cut: false } => release.caused(cause::NORMAL),
+        Reply::Over { cut: true } => release.caused(cause::TEMPORARY_FAILURE),
+    }
+}
--- a/crates/gatekeeper/src/node/mod.rs
+++ b/crates/gatekeeper/src/node/mod.rs
@@ -11,6 +11,7 @@
 pub mod gates;
 mod hearsay;
 pub mod http;
+mod listen;
 mod output;
 mod peers;
 pub mod poller;
--- a/crates/gatekeeper/src/node/peers.rs
+++ b/crates/gatekeeper/src/node/peers.rs
@@ -19,7 +19,7 @@
 use hollypaddle_replica::{Member, Word};
 use postcard::ser_flavors::Size;
 
-use super::clients::bind;
+use super::listen::bind;
 use super::poller::{Key, Ready, Watch};
 use super::servers::dial;
 
--- a/crates/gatekeeper/src/node/relays.rs
+++ b/crates/gatekeeper/src/node/relays.rs
@@ -18,7 +18,7 @@
 use hollypaddle_relay::{LinkError, LinkId, Node};
 use socket2::SockRef;
 
-use super::clients::bind;
+use super::listen::bind;
 use super::poller::{Key, Ready, Watch};
 use super::servers::dial;
 
--- a/crates/gatekeeper/src/node/tests/upgrade.rs
+++ b/crates/gatekeeper/src/node/tests/upgrade.rs
@@ -21,7 +21,7 @@
 const PLACES: u64 = 43;
 
 fn listen_at(address: SocketAddr) -> TcpListener {
-    super::super::clients::bind(address, 1024).unwrap()
+    super::super::listen::bind(address, 1024).unwrap()
 }
 
 /// Accepts every connection that waits.
