Test that a leaf says again what was lost last

The guard by which a leaf compares its relay's digest with its own stream had no test: with it always true all tests of relay, faults and gatekeeper passed. The new one loses the leaf's last message in skipped time and fails with the guard always true.

--- a/crates/faults/tests/tier.rs
+++ b/crates/faults/tests/tier.rs
@@ -422,6 +422,21 @@
     quiet(&mut world);
 }
 
+/// What a leaf said last is lost on its way, and it says nothing after that: its relay's digest tells that it does not have it.
+/// Guards against a leaf that takes its relay's copy to be its own whatever the digest says.
+#[test]
+fn what_a_leaf_said_last_and_was_lost_is_said_again() {
+    let mut world = world(Plan::of(3, 12), 11);
+    world.loss = 1.0;
+    world.tell(8, 0, Some(ServerFact { started_ms: 5000, place: Place::Draining }));
+    world.pass(0.3);
+    world.loss = 0.0;
+    assert_ne!(world.feeds_equal_the_model(), [], "nothing was lost");
+    // Digests come every 2 s; the second one that differs is answered.
+    world.pass(5.0);
+    quiet(&mut world);
+}
+
 /// One relay serves alone; and two, of which one goes.
 #[test]
 fn few_relays_do() {
