Take back that ends are told again where their connection was reset

Cause, by a forced test: a caller that leaves with the answer unread, and the end behind it, never had the call. A reset tells that something was unread, not what.

So what concerns ends in is taken back.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -1,6 +1,5 @@
 //! The callers' side: the listener, the callers' connections, and what is said on them.
 
-mod ends;
 mod reply;
 mod set_up;
 
@@ -10,7 +9,6 @@
 
 use hollypaddle_service::lifecycle::{self, Lifecycle};
 
-use self::ends::{End, LastEnds, UNSURE};
 use self::reply::encode;
 use self::set_up::{request, request_class};
 use super::config::LinkClass;
@@ -58,21 +56,19 @@
     /// What it was told.
     told: Told,
     senseless: u32,
-    last_ends: LastEnds,
 }
 
 /// A connection that is closed here, see [`LINGER`].
 struct Closing {
     connection: Connection<TcpStream>,
     until: f64,
-    unsure: Vec<End>,
 }
 
-/// A connection that its caller closed just after ends were written to it: they are told elsewhere if the system resets it.
-struct Closed {
-    connection: Connection<TcpStream>,
-    until: f64,
-    unsure: Vec<End>,
+/// The end of a call that stood.
+#[derive(Clone, Copy)]
+struct End {
+    id: u64,
+    cut: bool,
 }
 
 /// What a caller was told: the best of it.
@@ -104,8 +100,6 @@
     connections: BTreeMap<Key, Client>,
     /// Connections closed here for writing, the oldest first, until the peer has closed them too.
     closing: BTreeMap<Key, Closing>,
-    /// Connections closed by callers, the oldest first. They are not watched.
-    closed: VecDeque<Closed>,
     /// For how long a caller is to stay away from a gatekeeper that holds too much; none where callers are not told.
     stay_away: Option<f64>,
     /// Ends of calls that stood, for which there was no connection, and since when.
@@ -145,7 +139,6 @@
             most_waiting,
             connections,
             closing: BTreeMap::new(),
-            closed: VecDeque::new(),
             stay_away: None,
             owed,
             turned_away,
@@ -219,10 +212,9 @@
         let late: Vec<Key> =
             self.closing.iter().filter(|(_, c)| now >= c.until).map(|(key, _)| *key).collect();
         late.into_iter().for_each(|key| self.drop_closing(key, watch));
-        self.look_at_closed(now, watch);
         if let Some(newest) = self.connections.keys().next_back().copied() {
             while let Some((_, end)) = self.owed.pop_front_if(|(since, _)| now - *since >= LATEST) {
-                self.say_end(now, newest, end, Told::Something, watch);
+                self.say(now, newest, &end.message(), Told::Something, watch);
             }
         }
         if let (true, Some(listener)) = (self.paused, &self.listener) {
@@ -297,7 +289,7 @@
             return self.accept(now, watch, calls);
         }
         if self.closing.contains_key(&ready.key) {
-            return self.see_out(now, ready.key, watch);
+            return self.see_out(ready.key, watch);
         }
         let Some(client) = self.connections.get_mut(&ready.key) else { return };
         if ready.writable {
@@ -359,7 +351,7 @@
     }
 
     /// Writes what is left on a connection that is closed here, then its end, and throws away what comes.
-    fn see_out(&mut self, now: f64, key: Key, watch: &Watch) {
+    fn see_out(&mut self, key: Key, watch: &Watch) {
         let Some(closing) = self.closing.get_mut(&key) else { return };
         let before = closing.connection.blocked();
         let written = closing.connection.flush();
@@ -367,10 +359,8 @@
             watch.set(key, closing.connection.stream(), true, false);
             drop(closing.connection.stream().shutdown(Shutdown::Write));
         }
-        let Err(over) = written.and_then(|()| closing.connection.pass_over()) else { return };
-        if let Some(closing) = self.closing.remove(&key) {
-            watch.remove(closing.connection.stream());
-            self.closed_by_caller(now, closing.connection, closing.unsure, &over, watch);
+        if written.is_err() || closing.connection.pass_over().is_err() {
+            self.drop_closing(key, watch);
         }
     }
 
@@ -380,34 +370,6 @@
         }
     }
 
-    /// Takes a connection that its caller closed, and that is watched no more. Ends that were written to it in the last moment
-    /// are told elsewhere if the system resets it, as they were not read then; it may do so a little after the close.
-    fn closed_by_caller(
-        &mut self,
-        now: f64,
-        connection: Connection<TcpStream>,
-        unsure: Vec<End>,
-        over: &Over,
-        watch: &Watch,
-    ) {
-        if matches!(over, Over::Broken(_)) || is_reset(&connection) {
-            unsure.into_iter().for_each(|end| self.tell_end(now, end, watch));
-        } else if !unsure.is_empty() {
-            self.closed.push_back(Closed { connection, until: now + UNSURE, unsure });
-        }
-    }
-
-    /// Tells the ends of connections that were reset since, and forgets those that were not in time.
-    fn look_at_closed(&mut self, now: f64, watch: &Watch) {
-        for closed in std::mem::take(&mut self.closed) {
-            if is_reset(&closed.connection) {
-                closed.unsure.into_iter().for_each(|end| self.tell_end(now, end, watch));
-            } else if now < closed.until {
-                self.closed.push_back(closed);
-            }
-        }
-    }
-
     fn accept(&mut self, now: f64, watch: &mut Watch, calls: &mut Calls) {
         loop {
             if self.held() >= self.most {
@@ -445,18 +407,13 @@
 
     /// Descriptors that callers hold.
     fn held(&self) -> usize {
-        self.connections.len() + self.closing.len() + self.closed.len()
+        self.connections.len() + self.closing.len()
     }
 
-    /// Drops the connection that its caller closed first, or that was closed here first, one with nothing to write if there is
-    /// one; where there is none, closes the one that has been of no use for longest, those told nothing first. Guards against callers locked out by others that connect by
+    /// Drops the connection that was closed here first, one with nothing to write if there is one; where there is none, closes the one that has been of no use for longest, those told nothing first. Guards against callers locked out by others that connect by
     /// hundreds and say nothing, or ask once and keep their connection for good.
     fn make_room(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
-        self.look_at_closed(now, watch);
         for _ in 0..LOOKS {
-            if self.closed.pop_front().is_some() {
-                return;
-            }
             let order = |(key, c): &(&Key, &Closing)| (c.connection.blocked(), **key);
             if let Some(first) = self.closing.iter().min_by_key(order).map(|(key, _)| *key) {
                 return self.drop_closing(first, watch);
@@ -492,7 +449,6 @@
             used_at: now,
             told: Told::Nothing,
             senseless: 0,
-            last_ends: LastEnds::default(),
         };
         self.connections.insert(key, client);
         Ok(())
@@ -559,43 +515,25 @@
             self.tell_end(now, End { id, cut }, watch);
             return true;
         }
-        let said = match reply {
-            Reply::Over { cut } => self.say_end(now, origin, End { id, cut }, told, watch),
-            reply => self.say(now, origin, &encode(id, reply), told, watch),
-        };
+        let said = self.say(now, origin, &encode(id, reply), told, watch);
         // Whoever gets answers reads them: a connection for what was owed.
-        if said {
-            for (_, end) in std::mem::take(&mut self.owed) {
-                self.say_end(now, origin, end, told, watch);
-            }
+        for (_, end) in std::mem::take(&mut self.owed) {
+            self.say(now, origin, &end.message(), told, watch);
         }
         said
     }
 
     /// Tells the end of a call whose caller's own connection is gone. What is said to somebody who never had a call is lost:
     /// the end goes to one that was told of a call that stands, the newest of them as the least likely to be closing.
+    ///
+    /// An end that was written to the caller's own connection is not told again, also where that is reset. A reset tells that
+    /// something was unread there, not what: where the answer was, the caller never had the call, and whoever hears of its
+    /// end has an answer that no server made.
     fn tell_end(&mut self, now: f64, end: End, watch: &Watch) {
         match self.heir() {
-            Some(key) => drop(self.say_end(now, key, end, Told::Answer, watch)),
-            None => self.owe(now, end),
-        }
-    }
-
-    /// Says the end of a call that stood on a connection; where that cannot be written, it is owed. Returns whether it was
-    /// written or waits to be.
-    fn say_end(&mut self, now: f64, key: Key, end: End, told: Told, watch: &Watch) -> bool {
-        let said = self.say(now, key, &encode(end.id, Reply::Over { cut: end.cut }), told, watch);
-        match self.connections.get_mut(&key).filter(|_| said) {
-            Some(client) => client.last_ends.end_written(now, end),
-            None => self.owe(now, end),
-        }
-        said
-    }
-
-    fn owe(&mut self, now: f64, end: End) {
-        match self.owed.len() < MOST_OWED {
-            true => self.owed.push_back((now, end)),
-            false => log::debug!(call:% = format_args!("{:016x}", end.id); "end-dropped"),
+            Some(key) => drop(self.say(now, key, &end.message(), Told::Answer, watch)),
+            None if self.owed.len() < MOST_OWED => self.owed.push_back((now, end)),
+            None => log::debug!(call:% = format_args!("{:016x}", end.id); "end-dropped"),
         }
     }
 
@@ -631,7 +569,6 @@
     fn say(&mut self, now: f64, key: Key, message: &Message, told: Told, watch: &Watch) -> bool {
         let Some(client) = self.connections.get_mut(&key) else { return false };
         (client.used_at, client.told) = (now, client.told.max(told));
-        client.last_ends.written(now);
         let said = client.connection.send(message);
         match &said {
             Ok(_) => {}
@@ -648,13 +585,9 @@
         let Some(client) = self.connections.get_mut(&key) else { return };
         let Err(error) = end else { return client.watch(key, watch) };
         log::debug!(caller = key, reason:% = error; "caller-closed");
-        let Some(mut client) = self.connections.remove(&key) else { return };
+        let Some(client) = self.connections.remove(&key) else { return };
         match error {
-            Over::Closed | Over::Broken(_) => {
-                watch.remove(client.connection.stream());
-                let unsure = client.last_ends.unsure(now);
-                self.closed_by_caller(now, client.connection, unsure, &error, watch);
-            }
+            Over::Closed | Over::Broken(_) => watch.remove(client.connection.stream()),
             _ => self.close_in_order(now, key, client, watch, calls),
         }
         calls.origin_lost(now, key);
@@ -668,22 +601,22 @@
             drop(client.connection.stream().shutdown(Shutdown::Write));
         }
         client.watch(key, watch);
-        let unsure = client.last_ends.unsure(now);
-        self.closing.insert(key, Closing { connection: client.connection, until: now + LINGER, unsure });
+        self.closing.insert(key, Closing { connection: client.connection, until: now + LINGER });
     }
 }
 
-/// Whether the system has reset a connection that is read to its end: its peer closed it without reading all.
-fn is_reset(connection: &Connection<TcpStream>) -> bool {
-    matches!(connection.stream().take_error(), Ok(Some(_)))
-}
-
 /// Whether a connection has to stay: set-ups are open on it, calls stand that came on it, as their callers wait for the end
 /// there, or it is the one that stays for others.
 fn carries(key: Key, heir: Option<Key>, calls: &Calls) -> bool {
     calls.open_from(key) > 0 || calls.standing_from(key) > 0 || Some(key) == heir
 }
 
+impl End {
+    fn message(self) -> Message {
+        encode(self.id, Reply::Over { cut: self.cut })
+    }
+}
+
 impl Client {
     /// Whether it was of no use for so long: one that was told nothing, counted from its connect, and any
     /// other, counted from the last word.
--- a/crates/gatekeeper/src/node/tests/ends.rs
+++ b/crates/gatekeeper/src/node/tests/ends.rs
@@ -1,9 +1,12 @@
 //! The end of a call that stood reaches a caller, also where the connection that it is written to goes in that moment.
 //!
-//! What happened: bytes that the system takes count as told, but a caller that closes its connection before it reads them has
-//! not heard them. The gatekeeper forgot the connection, and the caller kept a call that was over: where it closes between the
+//! What happens: bytes that the system takes count as told, but a caller that closes its connection before it reads them has
+//! not heard them. The gatekeeper forgets the connection, and the caller keeps a call that is over: where it closes between the
 //! read of a turn and its writes, and where it closes with the end unread. What shows it is a reset: the connection's pending
-//! error once it was read to its end, or the error of the read. Found by reading; these tests failed before.
+//! error once it was read to its end, or the error of the read.
+//!
+//! Not mended, see docs/incidents: a reset does not tell what was unread. Told elsewhere on that evidence, ends were told twice,
+//! and told of calls whose caller had not read the answer either, which breaks a rule. Those two are tested here as well.
 
 use std::net::Shutdown;
 
@@ -113,3 +116,21 @@
     w.pass(1.0);
     assert_eq!((ends_told(&w, 1), ends_told(&w, 2)), (0, 1), "{:?}", w.heard);
 }
+
+/// The caller leaves with the answer unread, and the end behind it: it never knew of the call, and nobody else is told. What
+/// another connection hears of it is an answer that no server made for it.
+#[test]
+fn an_end_whose_answer_was_not_read_is_told_to_nobody() {
+    let mut w = World::new(1);
+    w.stand(9);
+    let mut leaving = w.caller();
+    leaving.send(&set_up(1, 3000)).unwrap();
+    w.at_servers(1, kind::SET_UP);
+    w.servers_say(&answer(1));
+    (0..2).for_each(|_| w.turn());
+    w.servers_say(&release(1, cause::NORMAL));
+    (0..2).for_each(|_| w.turn());
+    drop(leaving);
+    w.pass(1.0);
+    assert_eq!(ends_told(&w, 1), 0, "{:?}", w.heard);
+}
