Take no server's message that the next one on its connection completes

What callers saw: an answer that stands with a description that no server made, its end being the first bytes of another message.

Cause: a server stops an answer short and leaves the connection open. What is written behind it completes it by its length, any bytes make a description, and Connection::take passed it on before it found the rest unreadable.

Why this works: the head of the next message stands within the one that was cut short, or across its end. A head tells length, type and a call's 64-bit id; of a call that is at this server it can't be there by chance. Of other calls the whole message has to make sense. Where more has to come to tell, the message is held back for 4 ms at most. What is found counts as a reset of the attempt, as other spoilt answers do.

--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -572,6 +572,7 @@
             true => {
                 let now = self.clock.now();
                 let wait = self.wheel.next_in(now).unwrap_or(BEAT).min(BEAT);
+                let wait = self.servers.release_due().map_or(wait, |at| wait.min((at - now).max(0.0)));
                 self.subjects.wants_turn_at().map_or(wait, |at| wait.min((at - now).max(GIVES)))
             }
             false => 0.0,
@@ -611,6 +612,7 @@
                 }
             }
         }
+        self.servers.release_held(&mut Turn { now, watch: &mut self.watch, calls: &mut self.calls });
         let mut beat = false;
         for timer in self.wheel.advance(now) {
             match timer {
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -17,6 +17,7 @@
 use super::config::Link;
 use super::poller::{Key, Ready, Watch};
 use hollypaddle_core::calls::{Calls, Content, End, Order};
+use hollypaddle_platform::boundary::{Candidate, Cut, Verdict};
 use hollypaddle_platform::connection::{Connection, Over};
 use hollypaddle_platform::list::{Listed, Readiness, Snapshot};
 use hollypaddle_platform::message::{cause, code, kind, Message};
@@ -49,6 +50,8 @@
 /// A message begun and not ended for so long makes its connection useless, in seconds: messages are
 /// short, and what follows on that connection would be taken for the rest of this one.
 const STALLED: f64 = 0.25;
+/// A message of which it can't be told yet whether it was cut short is held back for so long, in seconds.
+const HOLD: f64 = 0.004;
 /// Connections that broke as soon as they were up after which the next one waits its time.
 const QUICK_ENDS: u32 = 3;
 /// Most bytes that wait to be written to one server.
@@ -73,6 +76,8 @@
     heard_at: f64,
     /// Watched for writing too.
     writing: bool,
+    /// Since when a message is held back, see [`HOLD`].
+    held_since: Option<f64>,
     /// Set-ups out on this connection.
     open: BTreeMap<u64, Out>,
     /// Give-ups being written: the position at which each ends, and its call.
@@ -119,6 +124,8 @@
     /// When it last said anything, and since when something is without an answer that should have one.
     word_at: f64,
     silent_at: Option<f64>,
+    /// Messages that were cut short, so far.
+    cut_short: u64,
 }
 
 impl Link {
@@ -313,24 +320,35 @@
         let mut messages = Vec::new();
         let mut end = if ready.writable { channel.connection.flush() } else { Ok(()) };
         if end.is_ok() && ready.readable {
-            end = channel.connection.read(&mut messages);
+            let calls = &*turn.calls;
+            end = channel.connection.read_judged(&mut messages, &|candidate| judge(candidate, pool, calls));
         }
-        channel.settle(pool, ready.key, turn);
-        if !messages.is_empty() {
-            (channel.heard_at, server.heard_at, server.unreachable) = (turn.now, turn.now, false);
-            (server.word_at, server.silent_at) = (turn.now, None);
-        }
-        for message in messages {
-            if let Err(reason) = server.heard(pool, ready.key, message, (&self.telemetry, &self.link), turn) {
-                end = Err(reason);
-                break;
-            }
-        }
-        if let Err(error) = end {
-            server.broken(pool, ready.key, &error, &self.link, turn);
+        server.take(pool, ready.key, (messages, end), (&self.telemetry, &self.link), turn);
+    }
+
+    /// Takes the messages that were held back for long enough.
+    pub fn release_held(&mut self, turn: &mut Turn) {
+        let due = |c: &Channel| c.held_since.is_some_and(|since| turn.now - since >= HOLD);
+        let due: Vec<(PoolId, Key)> = (self.servers.iter())
+            .flat_map(|(pool, s)| s.channels.iter().map(move |(key, c)| (*pool, *key, c)))
+            .filter_map(|(pool, key, c)| due(c).then_some((pool, key)))
+            .collect();
+        for (pool, key) in due {
+            let Some(server) = self.servers.get_mut(&pool) else { continue };
+            let Some(channel) = server.channels.get_mut(&key) else { continue };
+            let (mut messages, calls) = (Vec::new(), &*turn.calls);
+            let judge = |candidate: Candidate| judge(candidate, pool, calls);
+            let end = channel.connection.release_held(&mut messages, &judge);
+            server.take(pool, key, (messages, end), (&self.telemetry, &self.link), turn);
         }
     }
 
+    /// When the next message that is held back is due.
+    pub fn release_due(&self) -> Option<f64> {
+        let held = self.servers.values().flat_map(|s| s.channels.values()).filter_map(|c| c.held_since);
+        held.min_by(f64::total_cmp).map(|since| since + HOLD)
+    }
+
     /// Looks after connections. Called now and then.
     pub fn beat(&mut self, turn: &mut Turn) {
         for (&pool, server) in &mut self.servers {
@@ -361,6 +379,7 @@
             patience,
             word_at: f64::NEG_INFINITY,
             silent_at: None,
+            cut_short: 0,
         }
     }
 
@@ -413,6 +432,7 @@
                     since: turn.now,
                     heard_at: turn.now,
                     writing: true,
+                    held_since: None,
                     open: BTreeMap::new(),
                     leaving: VecDeque::new(),
                 };
@@ -685,6 +705,45 @@
 
     // ---- Hearing
 
+    /// Takes what was read on a connection: its messages, and how the read ended.
+    fn take(
+        &mut self,
+        pool: PoolId,
+        key: Key,
+        (messages, mut end): (Vec<Message>, Result<(), Over>),
+        known: (&Telemetry, &Link),
+        turn: &mut Turn,
+    ) {
+        let Some(channel) = self.channels.get_mut(&key) else { return };
+        channel.note_held(turn.now);
+        channel.settle(pool, key, turn);
+        if !messages.is_empty() {
+            (channel.heard_at, self.heard_at, self.unreachable) = (turn.now, turn.now, false);
+            (self.word_at, self.silent_at) = (turn.now, None);
+        }
+        for message in messages {
+            if let Err(reason) = self.heard(pool, key, message, known, turn) {
+                end = Err(reason);
+                break;
+            }
+        }
+        if let Err(error) = end {
+            if let Over::CutShort(cut) = &error {
+                self.count_cut_short(cut);
+            }
+            self.broken(pool, key, &error, known.1, turn);
+        }
+    }
+
+    /// Counts a message that was cut short, and tells of it each time that there are twice as many.
+    fn count_cut_short(&mut self, cut: &Cut) {
+        self.cut_short += 1;
+        if self.cut_short.is_power_of_two() {
+            let (server, times) = (self.name.as_str(), self.cut_short);
+            log::warn!(server, times, message:% = cut; "message-cut-short");
+        }
+    }
+
     /// Takes a message; an error tells that its connection is of no more use.
     fn heard(
         &mut self,
@@ -747,6 +806,14 @@
     }
 }
 
+/// Judges whether a message was sent whole. One of a call that is at the server cannot be part of another message.
+fn judge(candidate: Candidate, pool: PoolId, calls: &Calls) -> Verdict {
+    match candidate.is_followed_by_message() {
+        true => candidate.verdict(|id| calls.is_at(pool, id)),
+        false => Verdict::CutShort,
+    }
+}
+
 /// A line of the list, as the decision module takes it.
 fn entry(pool: PoolId, listed: &Listed) -> PoolEntry {
     let readiness = match listed.readiness {
@@ -781,6 +848,12 @@
         end
     }
 
+    /// Notes since when a message is held back, if one is.
+    fn note_held(&mut self, now: f64) {
+        let since = self.held_since.unwrap_or(now);
+        self.held_since = self.connection.holds_message().then_some(since);
+    }
+
     /// Reports the give-ups that are out.
     fn settle(&mut self, pool: PoolId, key: Key, turn: &mut Turn) {
         let written = self.connection.written();
--- a/crates/gatekeeper/src/node/tests/connections.rs
+++ b/crates/gatekeeper/src/node/tests/connections.rs
@@ -7,7 +7,7 @@
 
 impl World {
     /// On a clock that moves only when the test says so.
-    fn still(servers: usize) -> World {
+    pub(super) fn still(servers: usize) -> World {
         let mut w = World::new(servers);
         w.node = Gatekeeper::on_clock(config(&w.listeners, &w.dns), Clock::still(1e9)).unwrap();
         w.servers.clear();
--- a/crates/gatekeeper/src/node/tests/cut_messages.rs
+++ b/crates/gatekeeper/src/node/tests/cut_messages.rs
@@ -22,7 +22,10 @@
 
 /// Three set-ups that are open on the only connection to the only server, and that connection.
 fn with_three_open() -> (World, Peer) {
-    let mut w = World::new(1);
+    three_open_in(World::new(1))
+}
+
+fn three_open_in(mut w: World) -> (World, Peer) {
     w.stand(9);
     for id in IDS {
         w.caller.send(&set_up(id, 9000)).unwrap();
@@ -69,3 +72,98 @@
         }
     }
 }
+
+/// Writes bytes on a connection, and gives the gatekeeper turns to read them.
+fn write_then_turn(w: &mut World, peer: &Peer, bytes: &[u8], turns: usize) {
+    write_raw(peer, bytes);
+    for _ in 0..turns {
+        w.turn();
+    }
+}
+
+/// The server answers what comes again on another connection: each call has one final answer, as the server made it or a refusal.
+fn answered_as_made_or_refused(w: &mut World, case: &str) {
+    w.pass(1.0);
+    for id in IDS {
+        w.servers_say(&described_answer(id));
+    }
+    w.pass(0.5);
+    for id in IDS {
+        let heard = heard_of(w, id);
+        assert_eq!(heard.len(), 1, "{case}, call {id:x}: {heard:?}");
+        let refused = heard[0].kind == kind::RELEASE;
+        assert!(refused || *heard[0] == described_answer(id), "{case}, call {id:x}: {heard:?}");
+    }
+}
+
+/// Guards against an answer that is completed just as a read ends, when nothing behind it tells yet.
+#[test]
+fn an_answer_completed_at_the_end_of_a_read_waits_for_what_follows() {
+    let next = encoded(&described_answer(IDS[1]));
+    for missing in 1..=25 {
+        let (mut w, carrying) = three_open_in(World::still(1));
+        let whole = encoded(&described_answer(IDS[0]));
+        write_then_turn(&mut w, &carrying, &whole[..whole.len() - missing], 3);
+        write_then_turn(&mut w, &carrying, &next[..missing], 3);
+        write_then_turn(&mut w, &carrying, &next[missing..], 3);
+        answered_as_made_or_refused(&mut w, &format!("{missing} bytes missing"));
+    }
+}
+
+/// Guards against an answer that is completed by messages of other types, by more than one of them, or by no message.
+#[test]
+fn an_answer_that_stops_short_is_not_completed_by_anything_else() {
+    let end = encoded(&release(IDS[1], cause::TEMPORARY_FAILURE));
+    let report = encoded(&Message::new(kind::STATE, 0).with(code::REPORT, "free:12;size:40"));
+    let ahead = encoded(&described_answer(0x7d11_c05a_3e88_f402));
+    let whole = encoded(&described_answer(IDS[0]));
+    let behind = [
+        ("an end", end.clone()),
+        ("a report", report.clone()),
+        ("an answer ahead", ahead),
+        ("ends and a report", [end.clone(), end, report].concat()),
+        ("noise", vec![0xa7; 60]),
+    ];
+    for (name, behind) in &behind {
+        for missing in [1, 7, 15, 19, 24] {
+            let (mut w, carrying) = with_three_open();
+            write_then_turn(&mut w, &carrying, &whole[..whole.len() - missing], 3);
+            write_then_turn(&mut w, &carrying, behind, 3);
+            answered_as_made_or_refused(&mut w, &format!("{missing} bytes missing, {name} behind"));
+        }
+    }
+}
+
+/// Guards against a release whose cause is the first byte of the next message: `full` would be a failure, an end a cut.
+#[test]
+fn a_release_that_stops_short_is_not_completed_by_the_next_message() {
+    let (mut w, carrying) = with_three_open();
+    let end = encoded(&release(9, cause::NORMAL));
+    write_then_turn(&mut w, &carrying, &end[..end.len() - 1], 3);
+    write_then_turn(&mut w, &carrying, &encoded(&described_answer(IDS[0])), 3);
+    w.pass(0.5);
+    let of_the_end: Vec<&Message> =
+        w.heard.iter().filter(|m| m.call == 9 && m.kind == kind::RELEASE).collect();
+    assert!(of_the_end.is_empty(), "{of_the_end:?}");
+    // The server says it again on the next connection.
+    w.servers_say(&release(9, cause::NORMAL));
+    w.heard(9, kind::RELEASE, Some(cause::NORMAL));
+    answered_as_made_or_refused(&mut w, "a release cut short");
+}
+
+/// Guards against honest answers that come in pieces being refused, or passed on later than 5 ms after their last byte.
+#[test]
+fn an_answer_in_two_pieces_stands_within_5_ms() {
+    let whole = encoded(&described_answer(IDS[0]));
+    for cut in 1..whole.len() {
+        let (mut w, carrying) = three_open_in(World::still(1));
+        write_then_turn(&mut w, &carrying, &whole[..cut], 3);
+        write_then_turn(&mut w, &carrying, &whole[cut..], 1);
+        w.node.skip(0.005);
+        for _ in 0..3 {
+            w.turn();
+        }
+        let heard = heard_of(&w, IDS[0]);
+        assert_eq!(heard, [&described_answer(IDS[0])], "cut after {cut} bytes");
+    }
+}
--- /dev/null
+++ b/crates/platform/src/boundary.rs
@@ -0,0 +1,171 @@
+//! Whether a message that is complete by its own length was sent whole.
+//!
+//! A peer that stops a message short and goes on with the next one leaves a stream in which the first bytes of the next
+//! one stand for the rest of this one. By its length such a message is complete, and any bytes make a description. What
+//! gives it away is the head of the next message within it, or bytes behind it that begin no message.
+
+use std::fmt;
+
+use crate::message::{code, kind, Message, HEAD, LENGTH, MOST, PARAMETER_HEAD};
+
+/// Longest message of a type that carries no more than a cause.
+const MOST_OF_SHORT: usize = 64;
+
+/// Where the value of the first parameter begins.
+const FIRST_VALUE: usize = LENGTH + HEAD + PARAMETER_HEAD;
+
+/// A message that is complete by its own length, with the bytes that came behind it.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The message's bytes and all that came behind it so far.
+    pub data: &'a [u8],
+    /// The message's length, with its length field.
+    pub length: usize,
+    /// Whether its first bytes came in an earlier read than its last.
+    pub split: bool,
+}
+
+/// A message that was cut short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut {
+    /// Its type, see [`kind`].
+    pub kind: u8,
+    /// Its call's 64-bit id.
+    pub call: u64,
+    /// Its length in bytes, as it says, with its length field.
+    pub length: usize,
+    /// Bytes that came behind it.
+    pub behind: usize,
+    /// Whether its first bytes came in an earlier read than its last.
+    pub split: bool,
+}
+
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Cut { kind, call, length, behind, split } = self;
+        let reads = if *split { "several reads" } else { "one read" };
+        write!(f, "a message of type {kind} and {length} bytes for call {call:016x} was cut short: {behind} bytes behind it, {reads}")
+    }
+}
+
+/// What the bytes tell of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It was sent whole, as far as can be told.
+    Whole,
+    /// It was cut short, and its last bytes are another message's.
+    CutShort,
+    /// Its last bytes may be the beginning of another message, of which more has to come to tell.
+    Undecided,
+}
+
+/// Whether bytes are the beginning of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Start {
+    No,
+    Possible,
+    Certain,
+}
+
+impl Candidate<'_> {
+    /// What is told of the message where it was cut short.
+    pub fn cut(&self) -> Cut {
+        let mut head = [0; HEAD];
+        let body = self.data.get(LENGTH..).unwrap_or_default();
+        for (to, from) in head.iter_mut().zip(body) {
+            *to = *from;
+        }
+        let [kind, call @ ..] = head;
+        let behind = self.data.len().saturating_sub(self.length);
+        Cut { kind, call: u64::from_be_bytes(call), length: self.length, behind, split: self.split }
+    }
+
+    /// Judges a message by the heads of messages within it. `known` tells whether an id is one of a call that the peer
+    /// may speak of.
+    pub fn verdict(&self, known: impl Fn(u64) -> bool) -> Verdict {
+        let mut verdict = Verdict::Whole;
+        // Of a message that came at once, with nothing behind it, the last few bytes alone tell nothing.
+        let more_may_come = self.split || self.data.len() > self.length;
+        for start in LENGTH..self.length {
+            let rest = &self.data[start..];
+            match start_of_message(rest, &known) {
+                Start::Certain => return Verdict::CutShort,
+                // The head of the first parameter is like that of a message where a description has the right length.
+                Start::Possible if start < FIRST_VALUE => {}
+                Start::Possible if more_may_come || rest.len() >= LENGTH + HEAD => {
+                    verdict = Verdict::Undecided;
+                }
+                Start::Possible | Start::No => {}
+            }
+        }
+        verdict
+    }
+
+    /// Whether what came behind the message can be the beginning of another one.
+    pub fn is_followed_by_message(&self) -> bool {
+        let behind = &self.data[self.length..];
+        behind.is_empty() || start_of_message(behind, &|_| true) != Start::No
+    }
+}
+
+/// Judges bytes that may be the beginning of a message.
+fn start_of_message(data: &[u8], known: &impl Fn(u64) -> bool) -> Start {
+    let [high, after_high @ ..] = data else { return Start::Possible };
+    let [low, body @ ..] = after_high else {
+        return possible_if(usize::from(*high) << 8 < MOST);
+    };
+    let length = LENGTH + usize::from(u16::from_be_bytes([*high, *low]));
+    let [kind, after_kind @ ..] = body else {
+        return possible_if((LENGTH + HEAD..=MOST).contains(&length));
+    };
+    if !(LENGTH + HEAD..=longest(*kind)).contains(&length) {
+        return Start::No;
+    }
+    match after_kind.first_chunk() {
+        None => Start::Possible,
+        Some(id) if known(u64::from_be_bytes(*id)) => Start::Certain,
+        Some(_) => start_by_parameters(data),
+    }
+}
+
+/// Judges bytes with a sound head of a call that is not known.
+fn start_by_parameters(data: &[u8]) -> Start {
+    match Message::decode(data) {
+        Ok(Some((message, _))) if is_complete(&message) => Start::Certain,
+        Ok(Some(_)) | Err(_) => Start::No,
+        Ok(None) => possible_if(data.get(LENGTH + HEAD).is_none_or(|first| code::ALL.contains(first))),
+    }
+}
+
+fn possible_if(possible: bool) -> Start {
+    match possible {
+        true => Start::Possible,
+        false => Start::No,
+    }
+}
+
+/// Longest message of a type; 0 where there is no such type.
+fn longest(message_kind: u8) -> usize {
+    match message_kind {
+        kind::SET_UP | kind::ANSWER | kind::RELEASE | kind::STATE => MOST,
+        kind::PROGRESS | kind::RELEASE_HEARD | kind::TEST | kind::TEST_RESULT => MOST_OF_SHORT,
+        _ => 0,
+    }
+}
+
+/// Whether a message has what its type asks for.
+fn is_complete(message: &Message) -> bool {
+    let has = |code| message.bytes(code).is_some();
+    !message.repeats()
+        && match message.kind {
+            kind::SET_UP => has(code::CLASS) && has(code::WAIT) && has(code::NUMBER),
+            kind::ANSWER => has(code::DESCRIPTION),
+            kind::RELEASE => message.cause().is_some(),
+            kind::STATE => has(code::REPORT),
+            kind::TEST | kind::TEST_RESULT => has(code::CAUSE),
+            _ => true,
+        }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/boundary/tests.rs
@@ -0,0 +1,96 @@
+use super::*;
+use crate::message::cause;
+use proptest::prelude::*;
+
+const FIRST: u64 = 0x091b_7584_a226_5b1f;
+const SECOND: u64 = 0xe4c3_02d9_517f_8a66;
+
+fn answer(id: u64, description: &[u8]) -> Message {
+    Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description)
+}
+
+fn encoded(message: &Message) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    message.encode(&mut bytes);
+    bytes
+}
+
+fn known(id: u64) -> bool {
+    [FIRST, SECOND].contains(&id)
+}
+
+/// Judges the first message in the bytes; none where they begin with none.
+fn judged(data: &[u8], split: bool) -> Option<Verdict> {
+    let (_, length) = Message::decode(data).ok()??;
+    let candidate = Candidate { data, length, split };
+    let followed = candidate.is_followed_by_message();
+    Some(if followed { candidate.verdict(known) } else { Verdict::CutShort })
+}
+
+/// What may come behind a message: an answer or a release of a call that is known or not, a report, progress.
+fn next_message(which: usize, description: &[u8]) -> Message {
+    let unknown = !SECOND;
+    match which {
+        0 => answer(SECOND, description),
+        1 => Message::new(kind::RELEASE, SECOND).caused(cause::NORMAL),
+        2 => answer(unknown, description),
+        3 => Message::new(kind::RELEASE, unknown).caused(cause::NORMAL),
+        4 => Message::new(kind::STATE, 0).with(code::REPORT, "x0:12;queue:3"),
+        _ => Message::new(kind::PROGRESS, SECOND),
+    }
+}
+
+proptest! {
+    /// Guards against a message that is completed by the next one, wherever it was cut and whatever the next one is.
+    #[test]
+    fn a_message_cut_anywhere_is_not_taken_for_whole(
+        description in prop::collection::vec(any::<u8>(), 1..60), next in 0usize..6, other in prop::collection::vec(any::<u8>(), 1..60),
+        releases: bool, cut in 0usize..1000,
+    ) {
+        let first = match releases {
+            true => Message::new(kind::RELEASE, FIRST).caused(cause::FULL).with(code::NOTE, description),
+            false => answer(FIRST, &description),
+        };
+        let mut bytes = encoded(&first);
+        // Cut behind its call, so that it still tells whose it is.
+        let head = LENGTH + HEAD;
+        bytes.truncate(head + cut % (bytes.len() - head));
+        bytes.extend(encoded(&next_message(next, &other)));
+        bytes.extend(encoded(&answer(SECOND, b"made for the second")));
+        let verdict = judged(&bytes, false);
+        prop_assert!(matches!(verdict, None | Some(Verdict::CutShort)), "{verdict:?}");
+    }
+
+    /// Guards against honest messages that are refused or held back: whole ones with whole ones behind them.
+    #[test]
+    fn a_message_sent_whole_is_taken_at_once(
+        text in "[ -*,-~]{1,80}", next in prop::option::of(0usize..6), other in prop::collection::vec(any::<u8>(), 1..60),
+    ) {
+        let mut bytes = encoded(&answer(FIRST, text.as_bytes()));
+        if let Some(next) = next {
+            bytes.extend(encoded(&next_message(next, &other)));
+        }
+        prop_assert_eq!(judged(&bytes, false), Some(Verdict::Whole));
+    }
+
+    /// Guards against a panic on bytes from the network.
+    #[test]
+    fn any_bytes_are_judged(data in prop::collection::vec(any::<u8>(), 0..300), split: bool) {
+        let _ = judged(&data, split);
+    }
+}
+
+/// Guards against an answer of pieces that is passed on before it can be told whose its last bytes are.
+#[test]
+fn the_beginning_of_a_head_at_the_end_leaves_it_undecided() {
+    let next = encoded(&answer(SECOND, b"made for the second"));
+    let whole = encoded(&answer(FIRST, b"made for the first of them"));
+    for missing in 1..=10 {
+        let mut bytes = whole[..whole.len() - missing].to_vec();
+        bytes.extend(&next[..missing]);
+        assert_eq!(judged(&bytes, true), Some(Verdict::Undecided), "{missing} bytes missing");
+        bytes.extend(&next[missing..]);
+        assert_eq!(judged(&bytes, true), Some(Verdict::CutShort), "{missing} bytes missing");
+    }
+    assert_eq!(judged(&whole, true), Some(Verdict::Whole));
+}
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io::{self, ErrorKind, Read, Write};
 
+use crate::boundary::{Candidate, Cut, Verdict};
 use crate::message::Message;
 
 /// What a connection carries: something with an end of its own in a stream of bytes.
@@ -38,6 +39,8 @@
     Broken(io::Error),
     /// The peer sent what is no message.
     Unreadable(Box<dyn std::error::Error + Send + Sync>),
+    /// The peer stopped a message short and went on with the next one.
+    CutShort(Cut),
     /// The peer does not read what it is sent.
     Stuck,
     /// The peer began a message and does not end it.
@@ -56,6 +59,7 @@
             Over::Closed => write!(f, "closed by the peer"),
             Over::Broken(error) => write!(f, "{error}"),
             Over::Unreadable(reason) => write!(f, "{reason}"),
+            Over::CutShort(cut) => write!(f, "{cut}"),
             Over::Stuck => write!(f, "the peer does not read what it is sent"),
             Over::Stalled => write!(f, "a message was begun and not ended"),
             Over::Silent => write!(f, "silent, while answers come on another"),
@@ -81,14 +85,30 @@
     /// Whole messages read so far; and which message was last seen half read, and since when.
     messages: u64,
     half: Option<(u64, f64)>,
+    /// Whether the first bytes of the input are a whole message that is held back, see [`Connection::read_judged`].
+    held: bool,
 }
 
+/// Judges messages that are complete by their own length.
+pub type Judge<'a> = &'a dyn Fn(Candidate) -> Verdict;
+
 impl<S: Read + Write, M: Frame> Connection<S, M> {
     /// Wraps a non-blocking stream.
     pub fn new(stream: S, most_waiting: usize) -> Self {
         let (input, output, half) = (Vec::new(), Vec::new(), None);
         let carries = std::marker::PhantomData;
-        Connection { stream, carries, input, output, queued: 0, written: 0, most_waiting, messages: 0, half }
+        Connection {
+            stream,
+            carries,
+            input,
+            output,
+            queued: 0,
+            written: 0,
+            most_waiting,
+            messages: 0,
+            half,
+            held: false,
+        }
     }
 
     /// The stream, to watch it.
@@ -100,12 +120,53 @@
     /// turns out to be over: what was sent before its end counts. Reads on until nothing is there, so that an end
     /// right behind a message is known together with it: whoever asked and left is gone before anything is decided.
     pub fn read(&mut self, messages: &mut Vec<M>) -> Result<(), Over> {
+        self.read_judged(messages, &|_| Verdict::Whole)
+    }
+
+    /// Reads as [`Connection::read`] does, and has each message judged. One that was cut short ends the connection; one on
+    /// which the judge is undecided is held back, with all behind it, until more comes, the connection ends, or
+    /// [`Connection::release_held`] is called.
+    pub fn read_judged(&mut self, messages: &mut Vec<M>, judge: Judge) -> Result<(), Over> {
+        let earlier = self.input.len();
+        let end = self.read_stream(earlier, messages, judge);
+        match &end {
+            // Nothing comes any more that could tell.
+            Err(Over::Closed | Over::Broken(_)) if self.held => self.release_held(messages, judge).and(end),
+            _ => end,
+        }
+    }
+
+    /// Whether a whole message is held back.
+    pub fn holds_message(&self) -> bool {
+        self.held
+    }
+
+    /// Takes the message that is held back as whole, and what is behind it as the judge says.
+    pub fn release_held(&mut self, messages: &mut Vec<M>, judge: Judge) -> Result<(), Over> {
+        if !std::mem::take(&mut self.held) {
+            return Ok(());
+        }
+        if let Ok(Some((message, length))) = M::decode(&self.input) {
+            messages.push(message);
+            self.messages += 1;
+            self.input.drain(..length);
+        }
+        self.take(0, messages, judge)
+    }
+
+    fn read_stream(&mut self, earlier: usize, messages: &mut Vec<M>, judge: Judge) -> Result<(), Over> {
         let mut chunk = [0; CHUNK];
         let mut reads = 0;
+        let before = self.messages;
         while reads < READS {
             match self.stream.read(&mut chunk) {
                 Ok(0) => return Err(Over::Closed),
-                Ok(n) => self.take(&chunk[..n], messages)?,
+                Ok(n) => {
+                    self.input.extend(&chunk[..n]);
+                    // Only the message that was begun then has bytes of an earlier read.
+                    let earlier = if self.messages == before { earlier } else { 0 };
+                    self.take(earlier, messages, judge)?;
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 Err(error) => return Err(Over::Broken(error)),
@@ -138,19 +199,29 @@
         self.half.is_some() && now - since >= limit
     }
 
-    fn take(&mut self, data: &[u8], messages: &mut Vec<M>) -> Result<(), Over> {
-        self.input.extend(data);
+    /// Takes the messages that are whole. The first `earlier` bytes of the input came in an earlier read.
+    fn take(&mut self, earlier: usize, messages: &mut Vec<M>, judge: Judge) -> Result<(), Over> {
+        self.held = false;
         let mut used = 0;
         let end = loop {
-            match M::decode(&self.input[used..]) {
-                Ok(Some((message, length))) => {
-                    messages.push(message);
-                    self.messages += 1;
-                    used += length;
-                }
+            let data = &self.input[used..];
+            let (message, length) = match M::decode(data) {
+                Ok(Some(whole)) => whole,
                 Ok(None) => break Ok(()),
                 Err(reason) => break Err(Over::Unreadable(reason)),
+            };
+            let candidate = Candidate { data, length, split: used < earlier };
+            match judge(candidate) {
+                Verdict::Whole => {}
+                Verdict::CutShort => break Err(Over::CutShort(candidate.cut())),
+                Verdict::Undecided => {
+                    self.held = true;
+                    break Ok(());
+                }
             }
+            messages.push(message);
+            self.messages += 1;
+            used += length;
         };
         self.input.drain(..used);
         // Many idle connections would each hold on to the room of their largest message.
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -9,9 +9,12 @@
 
 /// Longest message, with its length field.
 pub const MOST: usize = 16 * 1024;
-const LENGTH: usize = 2;
-const HEAD: usize = 1 + 8;
-const PARAMETER_HEAD: usize = 1 + 2;
+/// Bytes of the length field.
+pub(crate) const LENGTH: usize = 2;
+/// Bytes of type and call.
+pub(crate) const HEAD: usize = 1 + 8;
+/// Bytes of a parameter's code and length.
+pub(crate) const PARAMETER_HEAD: usize = 1 + 2;
 
 /// Message types.
 pub mod kind {
@@ -57,6 +60,10 @@
     pub const CAUSE: u8 = 58;
     /// The description.
     pub const DESCRIPTION: u8 = 61;
+
+    /// All of them.
+    pub const ALL: [u8; 11] =
+        [CLASS, WAIT, AGAIN, NUMBER, FIGURES, RETRY_AFTER, NOTE, FULL_WAIT, REPORT, CAUSE, DESCRIPTION];
 }
 
 /// Release causes.
