Send no set-up on that the next one on its connection completed

What servers saw: a set-up with a description that no caller sent, where a caller stops one short and goes on with another; found as the mirror of the answers cut short.

Cause: Connection::take, as for answers: by its length such a set-up is whole.

Why this works: the set-up is judged as servers' messages are; nothing is held back on this side.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -16,6 +16,7 @@
 use super::poller::{Key, Ready, Watch};
 use super::steering::{self, Steering};
 use hollypaddle_core::calls::{Calls, NotTaken, Origin, Reply};
+use hollypaddle_platform::boundary::{Candidate, Verdict};
 use hollypaddle_platform::connection::{Connection, Over};
 use hollypaddle_platform::message::{cause, kind, Message, MOST};
 
@@ -310,7 +311,7 @@
     fn take(&mut self, now: f64, key: Key, watch: &Watch, calls: &mut Calls) {
         let Some(client) = self.connections.get_mut(&key) else { return };
         let mut messages = Vec::new();
-        let mut end = client.connection.read(&mut messages);
+        let mut end = client.connection.read_judged(&mut messages, &judge);
         for message in messages {
             if let Err(reason) = self.heard(now, key, &message, watch, calls) {
                 end = Err(reason);
@@ -647,6 +648,15 @@
     }
 }
 
+/// Judges whether a set-up was sent whole. None is held back until more can tell: what callers send next is seldom more than a
+/// turn away, and an answer is due at their deadline.
+fn judge(candidate: Candidate) -> Verdict {
+    match candidate.verdict(|_| false) {
+        Verdict::CutShort => Verdict::CutShort,
+        Verdict::Whole | Verdict::Undecided => Verdict::Whole,
+    }
+}
+
 /// Whether a connection has to stay: set-ups are open on it, calls stand that came on it, as their callers wait for the end
 /// there, or it is the one that stays for others.
 fn carries(key: Key, heir: Option<Key>, calls: &Calls) -> bool {
--- a/crates/gatekeeper/src/node/tests/cut_messages.rs
+++ b/crates/gatekeeper/src/node/tests/cut_messages.rs
@@ -167,3 +167,32 @@
         assert_eq!(heard, [&described_answer(IDS[0])], "cut after {cut} bytes");
     }
 }
+
+/// Guards against a set-up that no caller sent going on to a server: one that stops short and is completed by the next.
+#[test]
+fn a_set_up_that_stops_short_is_not_completed_by_the_next_one() {
+    let described = |id: u64| {
+        Message::new(kind::SET_UP, id)
+            .with(code::CLASS, "meter-read")
+            .with(code::WAIT, "9000")
+            .with(code::NUMBER, format!("{id:016x}"))
+            .with(code::FIGURES, "dest:0;width:1;via:-1")
+            .with(code::DESCRIPTION, description(id))
+    };
+    for missing in [1, 2, 3, 5, 8, 10, 11, 12, 20, 25] {
+        for turns_between in [0, 3] {
+            let mut w = World::new(1);
+            w.stand(9);
+            let caller = w.caller();
+            let whole = encoded(&described(IDS[0]));
+            write_then_turn(&mut w, &caller, &whole[..whole.len() - missing], turns_between);
+            write_then_turn(&mut w, &caller, &encoded(&described(IDS[1])), 0);
+            write_then_turn(&mut w, &caller, &encoded(&described(IDS[2])), 3);
+            w.pass(0.5);
+            for sent_on in w.at_servers.iter().filter(|m| IDS.contains(&m.call) && m.kind == kind::SET_UP) {
+                let carried = sent_on.bytes(code::DESCRIPTION);
+                assert_eq!(carried, Some(&description(sent_on.call)[..]), "{missing} bytes missing");
+            }
+        }
+    }
+}
--- a/crates/platform/src/boundary.rs
+++ b/crates/platform/src/boundary.rs
@@ -63,7 +63,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Start {
     No,
+    /// As far as they are there.
     Possible,
+    /// Of a call that is known, or whole and sound.
     Certain,
 }
 
@@ -153,7 +155,7 @@
     }
 }
 
-/// Whether a message has what its type asks for.
+/// Whether a message has what its type asks for. One that carries nothing shows nothing: its few fixed bytes come by chance.
 fn is_complete(message: &Message) -> bool {
     let has = |code| message.bytes(code).is_some();
     !message.repeats()
@@ -163,7 +165,7 @@
             kind::RELEASE => message.cause().is_some(),
             kind::STATE => has(code::REPORT),
             kind::TEST | kind::TEST_RESULT => has(code::CAUSE),
-            _ => true,
+            _ => false,
         }
 }
 
--- a/crates/platform/src/boundary/tests.rs
+++ b/crates/platform/src/boundary/tests.rs
@@ -73,6 +73,27 @@
         prop_assert_eq!(judged(&bytes, false), Some(Verdict::Whole));
     }
 
+    /// Guards against honest set-ups of which an id, a length or a code is taken for the head of another message.
+    #[test]
+    fn a_set_up_sent_whole_is_not_refused(
+        id in prop_oneof![0u64..1000, any::<u64>()], description in prop::collection::vec(any::<u8>(), 0..60), alone: bool,
+    ) {
+        let set_up = |id: u64| {
+            Message::new(kind::SET_UP, id)
+                .with(code::CLASS, "meter-read")
+                .with(code::WAIT, "3000")
+                .with(code::NUMBER, format!("{id:016x}"))
+                .with(code::FIGURES, "dest:0;width:1;via:-1")
+                .with(code::DESCRIPTION, &description[..])
+        };
+        let mut bytes = encoded(&set_up(id));
+        if !alone {
+            bytes.extend(encoded(&set_up(id.wrapping_add(1))));
+        }
+        let candidate = Candidate { data: &bytes, length: encoded(&set_up(id)).len(), split: false };
+        prop_assert_ne!(candidate.verdict(|_| false), Verdict::CutShort);
+    }
+
     /// Guards against a panic on bytes from the network.
     #[test]
     fn any_bytes_are_judged(data in prop::collection::vec(any::<u8>(), 0..300), split: bool) {
