Hold what callers heard against what servers said, in the soak

Callers now keep each reply with its time, description and cause, servers each answer and end that they wrote. Servers come that hold calls for a while, stop answers short with others behind them, and answer twice and ahead.

handover.rs starts its programs as the other tests do: where one does not serve, its exit status and its log are told; its addresses are no longer ones that were free a moment before.

--- a/crates/gatekeeper/tests/handover.rs
+++ b/crates/gatekeeper/tests/handover.rs
@@ -2,38 +2,27 @@
 //! it is ready, and the first is told SIGTERM, all under load. Every request sent has to be heard and
 //! answered; none may be turned back by a refused or closed connection.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use hollypaddle_platform::message::{cause, kind, Message};
+use hollypaddle_standin::program::Program;
 use hollypaddle_standin::resolver::{self, Listed};
-use hollypaddle_standin::{answer, peer, release, set_up, Peer};
+use hollypaddle_standin::{answer, free_addresses, peer, release, set_up, Peer};
 
 /// How long the load runs in all, and how many requests are out at once.
 const LOAD: Duration = Duration::from_secs(6);
 const AT_ONCE: usize = 8;
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
-fn start(config: &std::path::Path, listen: SocketAddr, control: SocketAddr) -> Child {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_hollypaddle"))
-        .env("PROXY_NAME", "n0")
-        .env("PROXY_LISTEN", listen.to_string())
-        .env("PROXY_CONFIG", config)
-        .env("PROXY_CONTROL", control.to_string())
-        .env_remove("RUST_LOG")
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-    assert!(lines.by_ref().any(|l| l.unwrap().contains("serving")), "it did not start");
-    // The rest of its log is read away, so that it never blocks on a full pipe.
-    std::thread::spawn(move || lines.for_each(drop));
-    child
+/// Starts the program; fails with its exit code and its log where it does not serve.
+fn start(folder: &Path, name: &str, config: &str, listen: SocketAddr, control: SocketAddr) -> Program {
+    let config = config.replacen('{', &format!(r#"{{"control":"{control}","#), 1);
+    let program = Path::new(env!("CARGO_BIN_EXE_hollypaddle"));
+    let mut program = Program::start_with(program, folder, name, &config, "", &listen.to_string()).unwrap();
+    program.serving().unwrap();
+    program
 }
 
 fn ready(control: SocketAddr) -> bool {
@@ -75,12 +64,11 @@
         dns.local_addr().unwrap(),
         resolver::known(1, &[listed])
     );
-    let path = std::env::temp_dir().join(format!("hollypaddle-handover-{}.json", std::process::id()));
-    std::fs::write(&path, text).unwrap();
-    let listen = free_address();
-    let (old_control, new_control) = (free_address(), free_address());
-    let mut old = start(&path, listen, old_control);
-    let mut new: Option<Child> = None;
+    let folder = tempfile::tempdir().unwrap();
+    let addresses = free_addresses(3).unwrap();
+    let (listen, old_control, new_control) = (addresses[0], addresses[1], addresses[2]);
+    let mut old = start(folder.path(), "n0", &text, listen, old_control);
+    let mut new: Option<Program> = None;
     let mut servers: Vec<Peer> = Vec::new();
     let (mut out, mut next, mut answered, mut turned_back) = (Vec::<Request>::new(), 1u64, 0u64, Vec::new());
     let began = Instant::now();
@@ -93,11 +81,10 @@
         );
         // The upgrade: the new process after 1 s, SIGTERM to the old one once the new one is ready.
         if new.is_none() && began.elapsed() > Duration::from_secs(1) {
-            new = Some(start(&path, listen, new_control));
+            new = Some(start(folder.path(), "n1", &text, listen, new_control));
         }
         if new.is_some() && !termed && ready(new_control) {
-            let pid = old.id().to_string();
-            assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+            old.signal("-TERM").unwrap();
             termed = true;
         }
         // Callers: one request a connection, as many at once as the bound.
@@ -147,22 +134,17 @@
     // Bounded: an old process that does not end is a failure, not a hang.
     let deadline = Instant::now() + Duration::from_secs(10);
     let status = loop {
-        if let Some(status) = old.try_wait().unwrap() {
+        if let Some(status) = old.child.try_wait().unwrap() {
             break status;
         }
         if Instant::now() > deadline {
-            let _ = old.kill();
-            let _ = new.as_mut().map(Child::kill);
             panic!("the old process did not end within 10 s of SIGTERM");
         }
         std::thread::sleep(Duration::from_millis(20));
     };
     assert!(status.success(), "the old process ended badly: {status}");
-    let mut new = new.unwrap();
     assert!(ready(new_control), "the new process serves on");
-    let _ = new.kill();
-    let _ = new.wait();
-    std::fs::remove_file(&path).unwrap();
+    drop(new);
     assert!(answered > 100, "too little load to tell: {answered}");
     assert!(turned_back.is_empty(), "{} of {} turned back: {turned_back:?}", turned_back.len(), next - 1);
 }
--- a/crates/gatekeeper/tests/restarts/callers.rs
+++ b/crates/gatekeeper/tests/restarts/callers.rs
@@ -3,12 +3,12 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 
-use hollypaddle_platform::message::{cause, kind, Message};
+use hollypaddle_platform::message::{cause, code, kind, Message};
 use hollypaddle_standin::{peer, release, set_up, Peer};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::judge::{Call, History};
+use crate::judge::{Call, History, Reply, What};
 use crate::plan::{manner, Manner, Plan};
 
 /// Seconds between the two pieces of a set-up, and before a cancel.
@@ -126,7 +126,7 @@
         let message = set_up("meter-read", rng.gen_range(0..self.pools), id, self.wait_ms);
         let connection = &mut self.connections[n];
         connection.deaf = manner == Manner::Deaf;
-        let mut call = Call { deaf: connection.deaf, ..Call::default() };
+        let mut call = Call { sent: true, deaf: connection.deaf, kept: connection.kept, ..Call::default() };
         connection.open.push(id);
         if manner == Manner::Pieces {
             let mut bytes = Vec::new();
@@ -172,7 +172,7 @@
             }
             let mut heard = Vec::new();
             let end = connection.peer.read(&mut heard);
-            heard.iter().for_each(|message| connection.take(message, history));
+            heard.iter().for_each(|message| connection.take(now, message, history));
             if end.is_err() {
                 for id in connection.open.drain(..) {
                     history.calls.entry(id).or_default().ended = Some(connection.seen);
@@ -192,13 +192,13 @@
 }
 
 impl Connection {
-    fn take(&mut self, message: &Message, history: &mut History) {
-        let call = history.calls.entry(message.call).or_default();
-        match message.kind {
-            kind::ANSWER => call.answers += 1,
-            kind::RELEASE => call.releases += 1,
+    fn take(&mut self, now: f64, message: &Message, history: &mut History) {
+        let what = match message.kind {
+            kind::ANSWER => What::Answer(message.bytes(code::DESCRIPTION).unwrap_or_default().to_vec()),
+            kind::RELEASE => What::Release(message.cause()),
             _ => return,
-        }
+        };
+        history.calls.entry(message.call).or_default().replies.push(Reply { at: now, what });
         self.open.retain(|id| *id != message.call);
     }
 }
--- a/crates/gatekeeper/tests/restarts/main.rs
+++ b/crates/gatekeeper/tests/restarts/main.rs
@@ -130,6 +130,7 @@
             }
             if paused_until.is_some_and(|until| now >= until) {
                 paused_until = None;
+                self.history.paused += PAUSE;
                 program.signal("-CONT").unwrap();
             }
             let due = signals.first().is_some_and(|(at, _)| now >= term + at) && paused_until.is_none();
--- a/crates/gatekeeper/tests/restarts/plan.rs
+++ b/crates/gatekeeper/tests/restarts/plan.rs
@@ -18,6 +18,12 @@
     Full,
     /// It answers, and resets its connection after so many set-ups.
     Resets(usize),
+    /// Each stands at once and ends so many seconds later.
+    Holds(f64),
+    /// Each stands at once; of so many answers one stops short of its length, with the next ones behind it.
+    StopsShort(usize),
+    /// Each stands at once, is answered twice, and another answer under an id that nobody knows comes ahead.
+    Repeats,
 }
 
 /// What a signal does, besides being sent.
@@ -102,12 +108,15 @@
 }
 
 fn service(rng: &mut ChaCha8Rng) -> Service {
-    match rng.gen_range(0..10) {
+    match rng.gen_range(0..13) {
         0..=3 => Service::Answers(0.0),
         4..=6 => Service::Answers(rng.gen_range(0.01..0.3)),
         7 => Service::Hangs,
         8 => Service::Full,
-        _ => Service::Resets(rng.gen_range(5..50)),
+        9 => Service::Resets(rng.gen_range(5..50)),
+        10 => Service::Holds(rng.gen_range(0.05..0.5)),
+        11 => Service::StopsShort(rng.gen_range(5..30)),
+        _ => Service::Repeats,
     }
 }
 
--- a/crates/gatekeeper/tests/restarts/servers.rs
+++ b/crates/gatekeeper/tests/restarts/servers.rs
@@ -1,10 +1,11 @@
 //! The session servers of a run.
 
+use std::io::Write;
 use std::net::TcpListener;
 
-use hollypaddle_platform::message::{cause, kind, Message};
+use hollypaddle_platform::message::{cause, code, kind, Message};
 use hollypaddle_standin::resolver::Listed;
-use hollypaddle_standin::{answer, full, peer, release, Peer};
+use hollypaddle_standin::{full, peer, release, Peer};
 
 use crate::judge::Attempt;
 use crate::plan::Service;
@@ -15,8 +16,17 @@
     brought: usize,
     /// Attempts open on it, by their place in the record.
     open: Vec<usize>,
-    /// Answers that are due, and to which attempt.
-    due: Vec<(f64, usize)>,
+    /// What is due, and for which attempt.
+    due: Vec<(f64, usize, Due)>,
+    /// Answers written so far.
+    answered: usize,
+}
+
+/// What a server writes at its time.
+#[derive(Clone, Copy, PartialEq)]
+enum Due {
+    Answer,
+    End,
 }
 
 struct Server {
@@ -75,7 +85,7 @@
             while let Ok((stream, _)) = server.listener.accept() {
                 let peer = peer(stream).unwrap();
                 let (open, due) = (Vec::new(), Vec::new());
-                server.connections.push(Connection { peer, brought: 0, open, due });
+                server.connections.push(Connection { peer, brought: 0, open, due, answered: 0 });
             }
             let service = server.service;
             server.connections.retain_mut(|connection| {
@@ -100,6 +110,15 @@
     attempt.ended.get_or_insert(now);
 }
 
+/// The answer to an attempt: no other one has its description.
+fn answer_to(attempt: usize, id: u64) -> Message {
+    Message::new(kind::ANSWER, id).with(code::DESCRIPTION, format!("made for {id:016x}, attempt {attempt}"))
+}
+
+fn description(answer: &Message) -> Option<Vec<u8>> {
+    answer.bytes(code::DESCRIPTION).map(<[u8]>::to_vec)
+}
+
 impl Connection {
     /// One turn; returns whether the connection stays.
     fn turn(&mut self, turn: Turn, service: Service, attempts: &mut Vec<Attempt>) -> bool {
@@ -113,10 +132,13 @@
                 _ => {}
             }
         }
-        let (due, later): (Vec<_>, Vec<_>) = self.due.drain(..).partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) = self.due.drain(..).partition(|(at, ..)| *at <= now);
         self.due = later;
-        for (_, attempt) in due {
-            self.answer(now, attempt, attempts);
+        for (_, attempt, what) in due {
+            match what {
+                Due::Answer => self.answer(now, attempt, service, attempts),
+                Due::End => self.end_call(now, &mut attempts[attempt]),
+            }
         }
         let reset = matches!(service, Service::Resets(most) if self.brought >= most);
         if reset {
@@ -130,12 +152,21 @@
     fn set_up(&mut self, turn: Turn, message: &Message, service: Service, attempts: &mut Vec<Attempt>) {
         let now = turn.now;
         let attempt = attempts.len();
-        attempts.push(Attempt { id: message.call, after: turn.last, begun: now, ended: None });
+        attempts.push(Attempt {
+            id: message.call,
+            after: turn.last,
+            begun: now,
+            ended: None,
+            answer: None,
+            call_ended: None,
+        });
         self.brought += 1;
         self.open.push(attempt);
         match service {
-            Service::Answers(after) => self.due.push((now + after, attempt)),
-            Service::Resets(_) => self.due.push((now, attempt)),
+            Service::Answers(after) => self.due.push((now + after, attempt, Due::Answer)),
+            Service::Resets(_) | Service::Holds(_) | Service::StopsShort(_) | Service::Repeats => {
+                self.due.push((now, attempt, Due::Answer));
+            }
             Service::Hangs => {}
             Service::Full => {
                 let _ = self.peer.send(&full(message.call, "throttled"));
@@ -144,14 +175,47 @@
         }
     }
 
-    fn answer(&mut self, now: f64, attempt: usize, attempts: &mut [Attempt]) {
+    fn answer(&mut self, now: f64, attempt: usize, service: Service, attempts: &mut [Attempt]) {
         if attempts[attempt].ended.is_some() {
             return;
         }
         let id = attempts[attempt].id;
-        let _ = self.peer.send(&answer(id));
-        let _ = self.peer.send(&release(id, cause::NORMAL));
+        let answer = answer_to(attempt, id);
+        self.answered += 1;
+        if matches!(service, Service::StopsShort(every) if self.answered.is_multiple_of(every)) {
+            return self.stop_short(&answer);
+        }
+        if service == Service::Repeats {
+            // Ids of callers are small numbers.
+            let _ = self.peer.send(&answer_to(attempt, !id));
+            let _ = self.peer.send(&answer);
+        }
+        if self.peer.send(&answer).is_ok() {
+            attempts[attempt].answer = description(&answer);
+        }
         self.close(now, attempt, attempts);
+        match service {
+            Service::Holds(hold) => self.due.push((now + hold, attempt, Due::End)),
+            // The reset may destroy it.
+            Service::Resets(_) => drop(self.peer.send(&release(id, cause::NORMAL))),
+            _ => self.end_call(now, &mut attempts[attempt]),
+        }
+    }
+
+    /// Writes an answer less its last bytes, from one to all of the description by its call's id.
+    fn stop_short(&mut self, answer: &Message) {
+        let mut bytes = Vec::new();
+        answer.encode(&mut bytes);
+        let described = description(answer).map_or(1, |description| description.len());
+        let missing = 1 + answer.call as usize % described;
+        // The connection may have gone; then this attempt ends with it.
+        let _ = self.peer.stream().write_all(&bytes[..bytes.len() - missing]);
+    }
+
+    fn end_call(&mut self, now: f64, attempt: &mut Attempt) {
+        if self.peer.send(&release(attempt.id, cause::NORMAL)).is_ok() {
+            attempt.call_ended = Some(now);
+        }
     }
 
     /// The gatekeeper gives it up.
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{sync_channel, Receiver};
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde_json::Value;
@@ -93,8 +93,7 @@
     /// Waits for an event of the log.
     pub fn event(&mut self, name: &str) -> io::Result<Value> {
         loop {
-            let line = self.lines.recv_timeout(PATIENCE);
-            let line = line.map_err(|_| io::Error::other(format!("no event {name:?} in {:?}", self.log)))?;
+            let line = self.lines.recv_timeout(PATIENCE).map_err(|end| self.no_event(name, end))?;
             self.log.push(line.clone());
             if line["event"] == name {
                 return Ok(line);
@@ -102,6 +101,16 @@
         }
     }
 
+    /// Tells why an event did not come: how the process ended, if it has, and its log.
+    fn no_event(&mut self, name: &str, end: RecvTimeoutError) -> io::Error {
+        let status = match end {
+            // Its log is closed: it has ended, or is about to.
+            RecvTimeoutError::Disconnected => self.child.wait().map(Some),
+            RecvTimeoutError::Timeout => self.child.try_wait(),
+        };
+        io::Error::other(format!("no event {name:?}; exit status {status:?}, log {:?}", self.log))
+    }
+
     /// Takes what it has written since, so that it never waits to write.
     pub fn take_lines(&mut self) {
         self.log.extend(self.lines.try_iter());
