Close no connection to make room whose answer came in the same turn

What callers saw: set-ups that were taken and never answered, where many connect in one moment.

Cause: a turn reads all sockets and then writes. A call whose answer and end were read counts as over, and its connection, told nothing for 0.25 s, as of no use; the listener, read in the same turn, had it closed to make room before the answer was written.

Why this works: what is owed to a caller in this turn stands among the effects; such a connection is not looked at.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -298,6 +298,12 @@
         self.open.get(&origin).copied().unwrap_or(0)
     }
 
+    /// Whether something is still to be told to an origin's caller in this turn.
+    pub fn owes_reply(&self, origin: Origin) -> bool {
+        let owed = |effect: &Effect| matches!(effect, Effect::Caller { origin: to, .. } if *to == origin);
+        self.effects.iter().any(owed)
+    }
+
     /// Ids of the calls of an origin that wait for their final answer.
     pub fn ids_from(&self, origin: Origin) -> Vec<u64> {
         if self.open_from(origin) == 0 {
--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -426,7 +426,9 @@
             }
             let heir = self.kept(calls);
             let idle = |key: Key, c: &Client, calls: &Calls| {
-                calls.open_from(key) == 0 && Some(key) != heir && c.unused(now, MUTE_SHORT, MUTE_SHORT)
+                // An answer that came in this turn is not written yet.
+                let needed = calls.open_from(key) > 0 || calls.owes_reply(key) || Some(key) == heir;
+                !needed && c.unused(now, MUTE_SHORT, MUTE_SHORT)
             };
             let unused = self.connections.iter().filter(|(key, client)| idle(**key, client, calls));
             let order =
--- a/crates/gatekeeper/src/node/tests/rare.rs
+++ b/crates/gatekeeper/src/node/tests/rare.rs
@@ -375,3 +375,29 @@
         w.heard(id, kind::RELEASE, Some(cause::CONGESTION));
     }
 }
+
+/// Guards against an answer lost as its caller's connection is closed to make room in the turn in which the answer comes.
+#[test]
+fn a_connection_whose_answer_has_just_come_makes_no_room() {
+    let mut w = World::still(1);
+    w.caller.send(&set_up(1, 9000)).unwrap();
+    w.at_servers(1, kind::SET_UP);
+    let mut others: Vec<Peer> = (0..80).map(|_| w.caller()).collect();
+    for (id, other) in (100..).zip(&mut others) {
+        other.send(&set_up(id, 9000)).unwrap();
+    }
+    // All places are taken, others wait in the queue, and the listener is not looked at until the next beat.
+    w.pass(0.4);
+    (0..3).for_each(|_| w.turn());
+    let server = w.servers[0].stream().try_clone().unwrap();
+    w.node.before_writing = Some(Box::new(move || {
+        let mut bytes = Vec::new();
+        answer(1).encode(&mut bytes);
+        release(1, cause::NORMAL).encode(&mut bytes);
+        (&server).write_all(&bytes).unwrap();
+    }));
+    // The answer comes before the look at the queue, which is due, and both are read in the next turn.
+    w.node.skip(0.06);
+    w.turn();
+    w.heard(1, kind::ANSWER, None);
+}
