Count the time to end from when SIGTERM may have been sent

What callers saw: calls open as the program was killed, 3.7 s after SIGTERM.

Cause: the time to end was counted from when the signal was seen. A process that is paused as it is sent sees it late, and the kill does not wait for that.

Why this works: the signal came after the turn before the one that saw it; the time counts from there. How long new set-ups are taken still counts from when it was seen.

--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -107,6 +107,14 @@
     pub reload: Arc<AtomicBool>,
 }
 
+/// SIGTERM was seen. A process that was paused sees it late, and is killed all the same so long after it was sent.
+#[derive(Clone, Copy)]
+struct Stopping {
+    seen_at: f64,
+    /// When it was last known not to have been sent.
+    sent_after: f64,
+}
+
 /// One gatekeeper.
 pub struct Gatekeeper {
     clock: Clock,
@@ -290,7 +298,8 @@
         signals: &Signals,
         load: impl Fn() -> Result<Config, ConfigError>,
     ) -> io::Result<()> {
-        let (mut stopping, mut closed) = (None, None);
+        let (mut stopping, mut closed): (Option<Stopping>, Option<f64>) = (None, None);
+        let mut not_stopped_at = self.clock.now();
         loop {
             self.turn()?;
             let now = self.clock.now();
@@ -302,10 +311,11 @@
                 log::info!(open, standing; "stopping");
                 self.life.stop(now);
                 self.clients.steer_away(now);
-                stopping = Some(now);
+                stopping = Some(Stopping { seen_at: now, sent_after: not_stopped_at });
             }
-            if let Some(since) = stopping {
-                if now - since >= LAST_REQUESTS {
+            not_stopped_at = now;
+            if let Some(Stopping { seen_at, sent_after }) = stopping {
+                if now - seen_at >= LAST_REQUESTS {
                     if closed.is_none() && self.clients.stop_listening(now, &mut self.watch, &mut self.calls)
                     {
                         closed = Some(now);
@@ -313,7 +323,7 @@
                     // Connections taken from the queue as the listener closed have not been read yet. Counted from the close
                     // itself: a process without a processor for a while closes late.
                     let read = closed.is_some_and(|at| now - at >= READ_AFTER_CLOSE);
-                    if (read && self.calls.count() == (0, 0)) || now - since >= self.last {
+                    if (read && self.calls.count() == (0, 0)) || now - sent_after >= self.last {
                         return self.finish(now);
                     }
                 }
--- a/crates/gatekeeper/tests/restarts/main.rs
+++ b/crates/gatekeeper/tests/restarts/main.rs
@@ -27,6 +27,8 @@
 const SEED: u64 = 1;
 const RUNS: u64 = 24;
 const SIDE_BY_SIDE: u64 = 4;
+/// A run that is paused from just before SIGTERM on for 0.1 s, and again right after.
+const PAUSED_AROUND_SIGTERM: u64 = 3065;
 /// Requests on open connections come for so long after the last new connection at the full rate, and then at a part of it.
 const FULL_RATE: f64 = 0.2;
 const RATE_AFTER: f64 = 0.2;
@@ -246,3 +248,9 @@
     assert!(calls as u64 > 20 * runs, "too few set-ups to tell: {calls}");
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
+
+/// Guards against a program that is killed with calls unanswered, as a pause let it see SIGTERM late.
+#[test]
+fn a_program_paused_around_sigterm_ends_before_it_would_be_killed() {
+    assert_eq!(judge(&Run::new(PAUSED_AROUND_SIGTERM).play()), []);
+}
