Tell the control address of handover.rs in the environment again

Cause: moved it into the platform's file, and no test set PROXY_CONTROL any more: a check was lost. Change: Program::start_in takes what stands in the environment; start_with is as before.

--- a/crates/gatekeeper/tests/handover.rs
+++ b/crates/gatekeeper/tests/handover.rs
@@ -18,9 +18,10 @@
 
 /// Starts the program; fails with its exit code and its log where it does not serve.
 fn start(folder: &Path, name: &str, config: &str, listen: SocketAddr, control: SocketAddr) -> Program {
-    let config = config.replacen('{', &format!(r#"{{"control":"{control}","#), 1);
+    let (listen, control) = (listen.to_string(), control.to_string());
+    let environment = [("PROXY_LISTEN", listen.as_str()), ("PROXY_CONTROL", control.as_str())];
     let program = Path::new(env!("CARGO_BIN_EXE_hollypaddle"));
-    let mut program = Program::start_with(program, folder, name, &config, "", &listen.to_string()).unwrap();
+    let mut program = Program::start_in(program, folder, name, config, "", &environment).unwrap();
     program.serving().unwrap();
     program
 }
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -64,6 +64,18 @@
         config: &str,
         conf: &str,
         listen: &str,
+    ) -> io::Result<Program> {
+        Program::start_in(program, folder, name, config, conf, &[("PROXY_LISTEN", listen)])
+    }
+
+    /// The same, with what stands in the environment beside its name and the file.
+    pub fn start_in(
+        program: &Path,
+        folder: &Path,
+        name: &str,
+        config: &str,
+        conf: &str,
+        environment: &[(&str, &str)],
     ) -> io::Result<Program> {
         let (platform, own) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.conf")));
         std::fs::write(&platform, config)?;
@@ -72,8 +84,8 @@
             .args(["run", "--log-format", "json", "--config"])
             .arg(&own)
             .env("PROXY_NAME", name)
-            .env("PROXY_LISTEN", listen)
             .env("PROXY_CONFIG", &platform)
+            .envs(environment.iter().copied())
             .env_remove("RUST_LOG")
             .stderr(Stdio::piped())
             .spawn()?;
