Split the file of callers' connections, and name its parts by the field's terms

Ends of calls and closes of connections stand in files of their own now; what they are called follows the field: best reply, undelivered ends, successor connection, poll, receive, in place of told, owed, heir, look and heard. Nothing else changes.

--- /dev/null
+++ b/crates/gatekeeper/src/node/clients/closing.rs
@@ -0,0 +1,194 @@
+//! Connections of callers that are closed by this side, or found to be over.
+
+use std::net::{Shutdown, TcpStream};
+
+use hollypaddle_core::calls::{Calls, Reply};
+use hollypaddle_platform::connection::{Connection, Over};
+use hollypaddle_service::lifecycle::{self, Lifecycle};
+
+use super::reply::encode;
+use super::{BestReply, Client, Clients};
+use crate::node::poller::{Key, Watch};
+
+/// A caller that was sent nothing and waits for nothing is closed after so long, in seconds, and so is one that began a
+/// message and does not end it: it is owed a message or a close within 3 s of connecting.
+const MUTE: f64 = 2.0;
+/// One that was sent something and waits for nothing is closed after so long, in seconds. Usual callers close such a
+/// connection themselves after 4 s.
+const IDLE: f64 = 8.0;
+/// A connection closed here is read to its end for so long, in seconds, with what comes thrown away: closed outright
+/// with something unread in it, the system resets it, and a reset can destroy an answer that the peer has not read yet.
+const LINGER: f64 = 1.0;
+
+/// Connections of no use looked at to make room for one more.
+const LOOKS: usize = 8;
+
+/// While places are short, one that waits for nothing makes room for others after so long, in seconds, mute ones first. A usual caller's set-up comes right behind its connect.
+const MUTE_SHORT: f64 = 0.25;
+
+/// A connection that is closed here, see [`LINGER`].
+pub(super) struct Closing {
+    connection: Connection<TcpStream>,
+    /// When it is dropped.
+    until: f64,
+}
+
+/// Whether a connection has to stay: set-ups are open on it, calls stand that came on it, as their callers wait for the end
+/// there, or it is the one that stays for others.
+fn is_needed(key: Key, reserved: Option<Key>, calls: &Calls) -> bool {
+    calls.open_from(key) > 0 || calls.standing_from(key) > 0 || Some(key) == reserved
+}
+
+impl Clients {
+    /// Closes the connections that have been of no use for too long, and drops those that were closed long enough ago.
+    pub(super) fn close_unused(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
+        let (keys, reserved) = (self.connections.keys().copied().collect::<Vec<Key>>(), self.reserved(calls));
+        for key in keys {
+            let idle = |c: &mut Client, calls: &Calls| {
+                let unused = c.unused(now, MUTE, IDLE) && !is_needed(key, reserved, calls);
+                unused || c.connection.stalled(now, MUTE)
+            };
+            if self.connections.get_mut(&key).is_some_and(|c| idle(c, calls)) {
+                self.close_if(now, key, idle, watch, calls);
+            }
+        }
+        let late: Vec<Key> =
+            self.closing.iter().filter(|(_, c)| now >= c.until).map(|(key, _)| *key).collect();
+        late.into_iter().for_each(|key| self.drop_closing(key, watch));
+    }
+
+    /// While drained, closes the connections that the lifecycle lets go: those that wait for nothing and
+    /// have been quiet a while.
+    pub fn drain(&mut self, now: f64, life: &Lifecycle, watch: &Watch, calls: &mut Calls) {
+        let reserved = self.reserved(calls);
+        let quiet = |(key, c): (&Key, &Client)| {
+            if Some(*key) == reserved {
+                return None;
+            }
+            let state = lifecycle::Connection {
+                since: c.since,
+                used_at: c.used_at,
+                told: c.best_reply != BestReply::None,
+                open: calls.open_from(*key),
+                standing: calls.standing_from(*key),
+                writing: c.connection.blocked(),
+            };
+            life.closes(now, &state).then_some(*key)
+        };
+        let closing: Vec<Key> = self.connections.iter().filter_map(quiet).collect();
+        for key in closing {
+            self.close_if(now, key, |c, calls| calls.open_from(key) == 0 && c.used_at < now, watch, calls);
+        }
+    }
+
+    /// Closes a connection that nothing seems to come on, if that is so still once it was read a last time. Guards against
+    /// a set-up that came since the poll, or long ago while this process had no processor: it would be lost.
+    pub(super) fn close_if(
+        &mut self,
+        now: f64,
+        key: Key,
+        idle: impl Fn(&mut Client, &Calls) -> bool,
+        watch: &Watch,
+        calls: &mut Calls,
+    ) {
+        self.read(now, key, watch, calls);
+        let Some(client) = self.connections.get_mut(&key) else { return };
+        if idle(client, calls) {
+            let reason = if client.connection.stalled(now, MUTE) { Over::Stalled } else { Over::Idle };
+            self.close_if_over(now, key, Err(reason), watch, calls);
+        }
+    }
+
+    /// Closes every connection, once all that waits on it is written.
+    pub fn close_all(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
+        let keys: Vec<Key> = self.connections.keys().copied().collect();
+        keys.into_iter().for_each(|key| self.close_if_over(now, key, Err(Over::Idle), watch, calls));
+    }
+
+    /// Whether connections that are closed here are not closed by their peers yet.
+    pub fn closing(&self) -> bool {
+        !self.closing.is_empty()
+    }
+
+    /// Writes what is left on a connection that is closed here, then its end, and throws away what comes.
+    pub(super) fn finish_closing(&mut self, key: Key, watch: &Watch) {
+        let Some(closing) = self.closing.get_mut(&key) else { return };
+        let before = closing.connection.blocked();
+        let written = closing.connection.flush();
+        if before && written.is_ok() && !closing.connection.blocked() {
+            watch.set(key, closing.connection.stream(), true, false);
+            drop(closing.connection.stream().shutdown(Shutdown::Write));
+        }
+        if written.is_err() || closing.connection.pass_over().is_err() {
+            self.drop_closing(key, watch);
+        }
+    }
+
+    pub(super) fn drop_closing(&mut self, key: Key, watch: &Watch) {
+        if let Some(closing) = self.closing.remove(&key) {
+            watch.remove(closing.connection.stream());
+        }
+    }
+
+    /// Drops the connection that was closed here first, one with nothing to write if there is one; where there is none, closes
+    /// the one that has been of no use for longest, those that were sent nothing first. Guards against callers locked out by
+    /// others that connect by hundreds and send nothing, or ask once and keep their connection for good.
+    pub(super) fn make_room(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
+        for _ in 0..LOOKS {
+            let order = |(key, c): &(&Key, &Closing)| (c.connection.blocked(), **key);
+            if let Some(first) = self.closing.iter().min_by_key(order).map(|(key, _)| *key) {
+                return self.drop_closing(first, watch);
+            }
+            let reserved = self.reserved(calls);
+            let idle = |key: Key, c: &Client, calls: &Calls| {
+                // An answer that came in this turn is not written yet.
+                let needed = calls.open_from(key) > 0 || calls.owes_reply(key) || Some(key) == reserved;
+                !needed && c.unused(now, MUTE_SHORT, MUTE_SHORT)
+            };
+            let unused = self.connections.iter().filter(|(key, client)| idle(**key, client, calls));
+            let order = |key: &Key, c: &Client| {
+                (calls.standing_from(*key) > 0, c.best_reply != BestReply::None, c.used_at)
+            };
+            let oldest = unused.min_by(|a, b| {
+                let (a, b) = (order(a.0, a.1), order(b.0, b.1));
+                (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
+            });
+            let Some(key) = oldest.map(|(key, _)| *key) else { return };
+            self.close_if(now, key, |c, calls| idle(key, c, calls), watch, calls);
+            if self.held() < self.most {
+                return;
+            }
+        }
+    }
+
+    /// Closes a connection that was found to be over, for this reason.
+    pub(super) fn close_if_over(
+        &mut self,
+        now: f64,
+        key: Key,
+        end: Result<(), Over>,
+        watch: &Watch,
+        calls: &mut Calls,
+    ) {
+        let Some(client) = self.connections.get_mut(&key) else { return };
+        let Err(error) = end else { return client.watch(key, watch) };
+        log::debug!(caller = key, reason:% = error; "caller-closed");
+        let Some(client) = self.connections.remove(&key) else { return };
+        match error {
+            Over::Closed | Over::Broken(_) => watch.remove(client.connection.stream()),
+            _ => self.close_in_order(now, key, client, watch, calls),
+        }
+        calls.origin_lost(now, key);
+    }
+
+    /// Closes a connection for what its caller sent, or as of no use. It is still owed the answers to what it sent before.
+    fn close_in_order(&mut self, now: f64, key: Key, mut client: Client, watch: &Watch, calls: &Calls) {
+        let answered = |id: &u64| client.connection.send(&encode(*id, Reply::Failed)).is_ok();
+        let _ = calls.ids_from(key).iter().all(answered);
+        if !client.connection.blocked() {
+            drop(client.connection.stream().shutdown(Shutdown::Write));
+        }
+        client.watch(key, watch);
+        self.closing.insert(key, Closing { connection: client.connection, until: now + LINGER });
+    }
+}
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -284,7 +284,7 @@
     /// Calls this between the next look at a caller's connection and what is written on it.
     #[cfg(test)]
     pub fn after_next_look(&mut self, hook: impl FnOnce() + 'static) {
-        self.clients.after_look = Some(Box::new(hook));
+        self.clients.after_poll = Some(Box::new(hook));
     }
 
     /// Lets time pass at once.
@@ -575,7 +575,7 @@
     /// that is not accepted, has lost that.
     fn answer_rest(&mut self, now: f64) {
         self.clients.take_last(now, &mut self.watch, &mut self.calls);
-        self.clients.take_all(now, &self.watch, &mut self.calls);
+        self.clients.read_all(now, &self.watch, &mut self.calls);
         self.answer_open(now);
         // What was read on the way to telling these.
         if self.calls.count().0 > 0 {
--- a/crates/gatekeeper/src/node/fleet.rs
+++ b/crates/gatekeeper/src/node/fleet.rs
@@ -169,10 +169,10 @@
 
     /// Hands the ends for which no caller is here to members that have some.
     pub fn hand_over(&mut self, now: f64, clients: &mut Clients) {
-        let here = clients.has_heir();
+        let here = clients.has_successor();
         self.member.callers(here);
         if !here && self.member.others_have_callers() {
-            clients.hand_over().for_each(|(id, cut)| self.member.owes(now, id, cut));
+            clients.take_undelivered().for_each(|(id, cut)| self.member.owes(now, id, cut));
         }
     }
 
