Send the end of a call again where its caller left it unread

Callers saw: a call that stood and is over was never released towards them, where they closed the connection with the end unread, or in the moment of its write.

Cause: a write that the system took counted as delivery.

Change: what was sent is kept for each connection with its place in the stream (node/delivery.rs). Once the connection is over, what was never written is unread, and after a reset so is the last message; both go to another connection, for 8 s in all. What stands before the last message may have been read: it is counted (ends_unconfirmed), not told again. A connection closed by its caller right after an end is held for 0.25 s, watched for a reset alone. The evidence is taken from reads, failed writes, the look before a write (which uses a reset up) and the pending error, also on connections that this side has closed.

A caller that aborts with all read hears of its end once more, as it cannot be told from one that left it unread; a test holds that.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -5,15 +5,17 @@
 mod reply;
 mod set_up;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 
 use self::closing::Closing;
 use self::ends::CallEnd;
+pub use self::ends::EndCounts;
 use self::reply::encode;
 use self::set_up::{request, request_class};
 use super::config::LinkClass;
+use super::delivery::Pending;
 use super::listen::bind;
 use super::poller::{Key, Ready, Watch};
 use super::steering::{self, Steering};
@@ -39,6 +41,9 @@
     used_at: f64,
     best_reply: BestReply,
     senseless: u32,
+    pending_ends: Pending<CallEnd>,
+    /// A write or a look at it failed: it was reset, and the system tells that only once.
+    reset_seen: bool,
 }
 
 /// The best that a connection was sent so far.
@@ -72,8 +77,13 @@
     closing: BTreeMap<Key, Closing>,
     /// For how long a caller is to stay away from a gatekeeper that holds too much; none where callers are not told.
     stay_away: Option<f64>,
-    /// Ends of calls that stood, for which there was no connection, and since when.
-    undelivered: VecDeque<(f64, CallEnd)>,
+    /// Ends of calls that stood, for which there is no connection.
+    undelivered: VecDeque<CallEnd>,
+    /// Ends that were not read on a connection that is over, to be sent on another one at once.
+    unread: VecDeque<CallEnd>,
+    /// Connections on which ends wait to be written together.
+    unwritten: BTreeSet<Key>,
+    end_counts: EndCounts,
     /// Classes of set-ups turned away here, for lack of room, until the figures take them.
     pub turned_away: Vec<usize>,
     /// Called between the last accept and the close of the listener, with its address.
@@ -114,6 +124,9 @@
             closing: BTreeMap::new(),
             stay_away: None,
             undelivered,
+            unread: VecDeque::new(),
+            unwritten: BTreeSet::new(),
+            end_counts: EndCounts::default(),
             turned_away,
             #[cfg(test)]
             before_close: None,
@@ -175,7 +188,8 @@
     /// Closes connections that are of no use to anyone, and carries on after a pause. Called now and then.
     pub fn beat(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
         self.close_unused(now, watch, calls);
-        self.send_undelivered(now, watch);
+        self.queue_undelivered(now);
+        self.deliver_ends(now, watch, calls);
         if let (true, Some(listener)) = (self.paused, &self.listener) {
             self.paused = false;
             watch.set(self.listener_key, listener, true, false);
@@ -221,19 +235,19 @@
     /// Takes what is ready, if it is a caller's.
     pub fn ready(&mut self, now: f64, ready: Ready, watch: &mut Watch, calls: &mut Calls) {
         if ready.key == self.listener_key {
-            return self.accept(now, watch, calls);
-        }
-        if self.closing.contains_key(&ready.key) {
-            return self.finish_closing(ready.key, watch);
-        }
-        let Some(client) = self.connections.get_mut(&ready.key) else { return };
-        if ready.writable {
-            let end = client.connection.flush();
-            self.close_if_over(now, ready.key, end, watch, calls);
-        }
-        if ready.readable {
-            self.read(now, ready.key, watch, calls);
+            self.accept(now, watch, calls);
+        } else if self.closing.contains_key(&ready.key) {
+            self.finish_closing(now, ready.key, watch);
+        } else if let Some(client) = self.connections.get_mut(&ready.key) {
+            if ready.writable {
+                let end = client.connection.flush();
+                self.close_if_over(now, ready.key, end, watch, calls);
+            }
+            if ready.readable {
+                self.read(now, ready.key, watch, calls);
+            }
         }
+        self.deliver_ends(now, watch, calls);
     }
 
     /// Takes what has come on a connection.
@@ -291,6 +305,19 @@
         }
     }
 
+    /// Whether something waits to be written on a connection.
+    #[cfg(test)]
+    pub fn blocked(&self) -> bool {
+        self.connections.values().any(|client| client.connection.blocked())
+    }
+
+    /// Has few bytes fill the system's buffers on the way to callers.
+    #[cfg(test)]
+    pub fn shrink_send_buffers(&self) {
+        let sockets = self.connections.values().map(|client| client.connection.stream());
+        sockets.for_each(|socket| drop(socket2::SockRef::from(socket).set_send_buffer_size(4096)));
+    }
+
     /// Descriptors that callers hold.
     fn held(&self) -> usize {
         self.connections.len() + self.closing.len()
@@ -308,6 +335,8 @@
             used_at: now,
             best_reply: BestReply::None,
             senseless: 0,
+            pending_ends: Pending::default(),
+            reset_seen: false,
         };
         self.connections.insert(key, client);
         Ok(())
@@ -354,6 +383,7 @@
                 client.used_at = now;
                 calls.caller_release(now, message.call);
             }
+            kind::RELEASE_HEARD => client.pending_ends.confirm(|end| end.id == message.call),
             kind::TEST => {
                 client.used_at = now;
                 let passed = Message::new(kind::TEST_RESULT, message.call).caused(1);
@@ -365,7 +395,7 @@
     }
 
     /// Sends a caller what became of a call. Returns whether it could be sent: not where its connection is gone, but for the
-    /// end of a call that stood, which goes to another one.
+    /// end of a call that stood, which goes to another one then.
     pub fn reply(
         &mut self,
         now: f64,
@@ -375,42 +405,38 @@
         watch: &Watch,
         calls: &mut Calls,
     ) -> bool {
-        let stood = calls.stands(id);
-        if matches!(reply, Reply::Stands(_) | Reply::Over { .. }) {
-            self.poll_connection(now, origin, watch, calls);
-        }
-        // Cancelled meanwhile, and released at its server: no answer is owed.
-        if stood && !calls.stands(id) && self.connections.contains_key(&origin) {
+        if let Reply::Over { cut } = reply {
+            self.queue_end(now, origin, CallEnd { id, cut, ended_at: now }, BestReply::Outcome);
             return true;
         }
-        let best_reply =
-            if matches!(reply, Reply::Stands(_)) { BestReply::Standing } else { BestReply::Outcome };
+        let stands = matches!(reply, Reply::Stands(_));
+        if stands {
+            let stood = calls.stands(id);
+            let connected = self.poll_connection(now, origin, watch, calls);
+            // Cancelled meanwhile, and released at its server: no answer is owed.
+            if stood && !calls.stands(id) && connected {
+                return true;
+            }
+        }
+        // Before a call stands, a caller whose connection is gone has given it up.
         if !self.connections.contains_key(&origin) {
-            // Before a call stands, a caller whose connection is gone has given it up; and what stood belongs to no connection.
-            let Reply::Over { cut } = reply else { return false };
-            self.send_end_to_successor(now, CallEnd { id, cut }, watch, calls);
-            return true;
+            return false;
         }
+        let best_reply = if stands { BestReply::Standing } else { BestReply::Outcome };
         let sent = self.send(now, origin, &encode(id, reply), best_reply, watch);
         // Whoever gets answers reads them: a connection for what could not be sent before.
-        for (_, end) in std::mem::take(&mut self.undelivered) {
-            self.send(now, origin, &end.message(), best_reply, watch);
+        for end in std::mem::take(&mut self.undelivered) {
+            self.queue_end(now, origin, end, best_reply);
         }
         sent
     }
 
-    /// Says something; returns whether it is written or waits to be.
+    /// Sends a message; returns whether it is written or waits to be.
     fn send(&mut self, now: f64, key: Key, message: &Message, best_reply: BestReply, watch: &Watch) -> bool {
         let Some(client) = self.connections.get_mut(&key) else { return false };
         (client.used_at, client.best_reply) = (now, client.best_reply.max(best_reply));
-        let sent = client.connection.send(message);
-        match &sent {
-            Ok(_) => {}
-            // Nobody reads there: shut, it is found ready with its end, in its turn.
-            Err(Over::Stuck) => drop(client.connection.stream().shutdown(Shutdown::Both)),
-            // So is a broken one.
-            Err(error) => log::debug!(caller = key, error:%; "caller-broken"),
-        }
+        let sent = client.connection.send(message).map(drop);
+        client.take_written(key, &sent);
         client.watch(key, watch);
         sent.is_ok()
     }
@@ -435,6 +461,20 @@
         }
     }
 
+    /// Takes the result of a write.
+    fn take_written(&mut self, key: Key, written: &Result<(), Over>) {
+        match written {
+            Ok(()) => {}
+            // Nobody reads there: shut, it is found ready with its end, in its turn.
+            Err(Over::Stuck) => drop(self.connection.stream().shutdown(Shutdown::Both)),
+            // So is a broken one.
+            Err(error) => {
+                self.reset_seen = true;
+                log::debug!(caller = key, error:%; "caller-broken");
+            }
+        }
+    }
+
     fn watch(&mut self, key: Key, watch: &Watch) {
         let writing = self.connection.blocked();
         if writing != self.writing {
--- a/crates/gatekeeper/src/node/clients/closing.rs
+++ b/crates/gatekeeper/src/node/clients/closing.rs
@@ -6,8 +6,10 @@
 use hollypaddle_platform::connection::{Connection, Over};
 use hollypaddle_service::lifecycle::{self, Lifecycle};
 
+use super::ends::CallEnd;
 use super::reply::encode;
 use super::{BestReply, Client, Clients};
+use crate::node::delivery::{Closed, Pending};
 use crate::node::poller::{Key, Watch};
 
 /// A caller that was sent nothing and waits for nothing is closed after so long, in seconds, and so is one that began a
@@ -26,13 +28,28 @@
 /// While places are short, one that waits for nothing makes room for others after so long, in seconds, mute ones first. A usual caller's set-up comes right behind its connect.
 const MUTE_SHORT: f64 = 0.25;
 
-/// A connection that is closed here, see [`LINGER`].
+/// A connection that its caller closed is watched for a reset for so long, in seconds, where the ends of calls were sent on it
+/// last. Time enough for the system of a peer that is far away to answer what crossed the close.
+const RESET_WAIT: f64 = 0.25;
+
+/// A connection that one side has closed.
 pub(super) struct Closing {
     connection: Connection<TcpStream>,
+    side: ClosedBy,
+    pending_ends: Pending<CallEnd>,
     /// When it is dropped.
     until: f64,
 }
 
+/// Which side has closed a connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ClosedBy {
+    /// This one; see [`LINGER`].
+    Us,
+    /// The caller; see [`RESET_WAIT`].
+    Caller,
+}
+
 /// Whether a connection has to stay: set-ups are open on it, calls stand that came on it, as their callers wait for the end
 /// there, or it is the one that stays for others.
 fn is_needed(key: Key, reserved: Option<Key>, calls: &Calls) -> bool {
@@ -54,7 +71,7 @@
         }
         let late: Vec<Key> =
             self.closing.iter().filter(|(_, c)| now >= c.until).map(|(key, _)| *key).collect();
-        late.into_iter().for_each(|key| self.drop_closing(key, watch));
+        late.into_iter().for_each(|key| self.drop_closing(now, key, watch));
     }
 
     /// While drained, closes the connections that the lifecycle lets go: those that wait for nothing and
@@ -107,27 +124,57 @@
 
     /// Whether connections that are closed here are not closed by their peers yet.
     pub fn closing(&self) -> bool {
-        !self.closing.is_empty()
+        self.closing.values().any(|closing| closing.side == ClosedBy::Us)
     }
 
-    /// Writes what is left on a connection that is closed here, then its end, and throws away what comes.
-    pub(super) fn finish_closing(&mut self, key: Key, watch: &Watch) {
+    /// Writes what is left on a connection that is closed here, then its end, and throws away what comes. On one that its caller
+    /// has closed nothing can come but a reset.
+    pub(super) fn finish_closing(&mut self, now: f64, key: Key, watch: &Watch) {
         let Some(closing) = self.closing.get_mut(&key) else { return };
+        if closing.side == ClosedBy::Caller {
+            return self.drop_closing(now, key, watch);
+        }
         let before = closing.connection.blocked();
         let written = closing.connection.flush();
         if before && written.is_ok() && !closing.connection.blocked() {
             watch.set(key, closing.connection.stream(), true, false);
             drop(closing.connection.stream().shutdown(Shutdown::Write));
         }
-        if written.is_err() || closing.connection.pass_over().is_err() {
-            self.drop_closing(key, watch);
+        let Err(reason) = written.and_then(|()| closing.connection.pass_over()) else { return };
+        if let Some(Closing { connection, pending_ends, .. }) = self.closing.remove(&key) {
+            let reset = matches!(reason, Over::Broken(_));
+            self.closed_by_caller(now, key, connection, pending_ends, reset, watch);
         }
     }
 
-    pub(super) fn drop_closing(&mut self, key: Key, watch: &Watch) {
-        if let Some(closing) = self.closing.remove(&key) {
-            watch.remove(closing.connection.stream());
+    /// Takes a connection that its caller has closed. It stays while a reset would tell that the caller left ends unread.
+    fn closed_by_caller(
+        &mut self,
+        now: f64,
+        key: Key,
+        connection: Connection<TcpStream>,
+        mut pending_ends: Pending<CallEnd>,
+        reset_seen: bool,
+        watch: &Watch,
+    ) {
+        let reset = reset_seen || is_reset(&connection);
+        if !reset && !connection.blocked() && pending_ends.awaits_evidence(now, connection.written()) {
+            // Nothing but errors is waited for: its end makes it readable for good.
+            watch.set(key, connection.stream(), false, false);
+            let (side, until) = (ClosedBy::Caller, now + RESET_WAIT);
+            self.closing.insert(key, Closing { connection, side, pending_ends, until });
+            return;
         }
+        watch.remove(connection.stream());
+        let closed = if reset { Closed::Reset } else { Closed::InOrder };
+        self.ends_closed(now, &mut pending_ends, closed, &connection);
+    }
+
+    fn drop_closing(&mut self, now: f64, key: Key, watch: &Watch) {
+        let Some(mut closing) = self.closing.remove(&key) else { return };
+        watch.remove(closing.connection.stream());
+        let closed = if is_reset(&closing.connection) { Closed::Reset } else { Closed::InOrder };
+        self.ends_closed(now, &mut closing.pending_ends, closed, &closing.connection);
     }
 
     /// Drops the connection that was closed here first, one with nothing to write if there is one; where there is none, closes
@@ -137,7 +184,7 @@
         for _ in 0..LOOKS {
             let order = |(key, c): &(&Key, &Closing)| (c.connection.blocked(), **key);
             if let Some(first) = self.closing.iter().min_by_key(order).map(|(key, _)| *key) {
-                return self.drop_closing(first, watch);
+                return self.drop_closing(now, first, watch);
             }
             let reserved = self.reserved(calls);
             let idle = |key: Key, c: &Client, calls: &Calls| {
@@ -175,7 +222,10 @@
         log::debug!(caller = key, reason:% = error; "caller-closed");
         let Some(client) = self.connections.remove(&key) else { return };
         match error {
-            Over::Closed | Over::Broken(_) => watch.remove(client.connection.stream()),
+            Over::Closed | Over::Broken(_) => {
+                let reset = client.reset_seen || matches!(error, Over::Broken(_));
+                self.closed_by_caller(now, key, client.connection, client.pending_ends, reset, watch);
+            }
             _ => self.close_in_order(now, key, client, watch, calls),
         }
         calls.origin_lost(now, key);
@@ -189,6 +239,13 @@
             drop(client.connection.stream().shutdown(Shutdown::Write));
         }
         client.watch(key, watch);
-        self.closing.insert(key, Closing { connection: client.connection, until: now + LINGER });
+        let Client { connection, pending_ends, .. } = client;
+        let (side, until) = (ClosedBy::Us, now + LINGER);
+        self.closing.insert(key, Closing { connection, side, pending_ends, until });
     }
 }
+
+/// Whether the system has seen a reset of a connection since it was last read or written. It tells this once.
+fn is_reset(connection: &Connection<TcpStream>) -> bool {
+    matches!(connection.stream().take_error(), Ok(Some(_)))
+}
--- a/crates/gatekeeper/src/node/clients/ends.rs
+++ b/crates/gatekeeper/src/node/clients/ends.rs
@@ -1,12 +1,15 @@
 //! The ends of calls that stood, and the connections on which they are sent to callers.
 
 use std::io::ErrorKind;
+use std::net::TcpStream;
 
-use hollypaddle_core::calls::{Calls, Reply};
+use hollypaddle_core::calls::{Calls, Reply, NO_ORIGIN};
+use hollypaddle_platform::connection::Connection;
 use hollypaddle_platform::message::Message;
 
 use super::reply::encode;
 use super::{BestReply, Clients};
+use crate::node::delivery::{Closed, Pending};
 use crate::node::poller::{Key, Watch};
 
 /// Ends kept for callers while none is connected.
@@ -15,13 +18,18 @@
 /// connection has to do.
 const ANY_CONNECTION_AFTER: f64 = 0.5;
 
+/// The end of a call is delivered within so many seconds, or not at all.
+const DELIVERY_LIMIT: f64 = 8.0;
+
 /// The end of a call that stood.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct CallEnd {
     /// The call.
     pub id: u64,
     /// Whether it was cut.
     pub cut: bool,
+    /// When it ended.
+    pub ended_at: f64,
 }
 
 impl CallEnd {
@@ -31,33 +39,90 @@
     }
 }
 
+/// What became of ends on connections that were reset, since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndCounts {
+    /// Sent again on another connection, as they were not read on theirs.
+    pub redelivered: u64,
+    /// Not sent again, as nothing tells whether they were read.
+    pub unconfirmed: u64,
+}
+
 impl Clients {
-    /// Sends the end of a call whose caller's own connection is gone on the successor connection, or keeps it until there is one.
-    ///
-    /// An end that was written to the caller's own connection is not told again, also where that is reset. A reset tells that
-    /// something was unread there, not what: where the answer was, the caller never had the call, and whoever hears of its
-    /// end has an answer that no server made.
-    pub(super) fn send_end_to_successor(&mut self, now: f64, end: CallEnd, watch: &Watch, calls: &mut Calls) {
-        while let Some(key) = self.successor().filter(|key| !self.poll_connection(now, *key, watch, calls)) {
-            log::debug!(caller = key; "caller-left");
+    /// What became of ends on connections that were reset.
+    pub fn end_counts(&self) -> EndCounts {
+        self.end_counts
+    }
+
+    /// Puts the end of a call in line on a connection, or on the successor connection where that one is gone. Where there is
+    /// none, it is kept until there is one. [`Clients::deliver_ends`] writes it.
+    pub(super) fn queue_end(&mut self, now: f64, key: Key, end: CallEnd, best_reply: BestReply) {
+        let key = if self.connections.contains_key(&key) { Some(key) } else { self.successor() };
+        let Some((key, client)) = key.and_then(|key| Some((key, self.connections.get_mut(&key)?))) else {
+            return self.keep_undelivered(end);
+        };
+        let position = client.connection.queue(&end.message());
+        client.pending_ends.sent(now, end, position, end.ended_at + DELIVERY_LIMIT);
+        client.used_at = now;
+        client.best_reply = client.best_reply.max(best_reply);
+        self.unwritten.insert(key);
+    }
+
+    fn keep_undelivered(&mut self, end: CallEnd) {
+        match self.undelivered.len() < MAX_UNDELIVERED {
+            true => self.undelivered.push_back(end),
+            false => log::debug!(call:% = format_args!("{:016x}", end.id); "end-dropped"),
         }
-        match self.successor() {
-            Some(key) => drop(self.send(now, key, &end.message(), BestReply::Outcome, watch)),
-            None if self.undelivered.len() < MAX_UNDELIVERED => self.undelivered.push_back((now, end)),
-            None => log::debug!(call:% = format_args!("{:016x}", end.id); "end-dropped"),
+    }
+
+    /// Writes the ends that are in line, and those that were not read on connections that are over on others.
+    pub fn deliver_ends(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
+        while !(self.unread.is_empty() && self.unwritten.is_empty()) {
+            // A connection that is found to be over adds to those that were not read.
+            while let Some(end) = self.unread.pop_front() {
+                log::debug!(call:% = format_args!("{:016x}", end.id); "end-redelivered");
+                self.end_counts.redelivered += 1;
+                self.queue_end(now, NO_ORIGIN, end, BestReply::Outcome);
+            }
+            while let Some(key) = self.unwritten.pop_first() {
+                self.write_ends(now, key, watch, calls);
+            }
         }
     }
 
+    fn write_ends(&mut self, now: f64, key: Key, watch: &Watch, calls: &mut Calls) {
+        if !self.poll_connection(now, key, watch, calls) {
+            return log::debug!(caller = key; "caller-left");
+        }
+        let Some(client) = self.connections.get_mut(&key) else { return };
+        let written = client.connection.write_queued();
+        client.take_written(key, &written);
+        client.watch(key, watch);
+    }
+
+    /// Takes what became of the ends on a connection that is over, of which so many bytes were written.
+    pub(super) fn ends_closed(
+        &mut self,
+        now: f64,
+        pending: &mut Pending<CallEnd>,
+        closed: Closed,
+        connection: &Connection<TcpStream>,
+    ) {
+        let outcome = pending.close(now, closed, connection.written());
+        self.end_counts.unconfirmed += outcome.unconfirmed;
+        self.unread.extend(outcome.unread);
+    }
+
     /// Reads what a caller has sent since its connection was read; returns whether it is still there. Guards against something
     /// written to a connection that was closed meanwhile: the system takes it, and nobody reads it.
     pub(super) fn poll_connection(&mut self, now: f64, key: Key, watch: &Watch, calls: &mut Calls) -> bool {
-        let Some(client) = self.connections.get(&key) else { return false };
-        let nothing_came = matches!(
-            client.connection.stream().peek(&mut [0]),
-            Err(error) if error.kind() == ErrorKind::WouldBlock
-        );
-        if !nothing_came {
-            self.read(now, key, watch, calls);
+        let Some(client) = self.connections.get_mut(&key) else { return false };
+        match client.connection.stream().peek(&mut [0]) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            came => {
+                client.reset_seen |= came.is_err();
+                self.read(now, key, watch, calls);
+            }
         }
         #[cfg(test)]
         if let Some(hook) = self.after_poll.take() {
@@ -73,7 +138,7 @@
 
     /// Takes the ends for which no caller is there, and whether each was cut; they are for others to send then.
     pub fn take_undelivered(&mut self) -> impl Iterator<Item = (u64, bool)> + '_ {
-        self.undelivered.drain(..).map(|(_, end)| (end.id, end.cut))
+        self.undelivered.drain(..).map(|end| (end.id, end.cut))
     }
 
     /// The connection that stays open for the ends of calls whose caller's own connection is gone. Guards against ends that
@@ -90,16 +155,18 @@
     /// The connection on which the end of a call is sent whose caller's own connection is gone: one that was sent an answer, as
     /// whoever never had a call passes over it; the newest of them as the least likely to be closing.
     fn successor(&self) -> Option<Key> {
-        let known = self.connections.iter().filter(|(_, c)| c.best_reply >= BestReply::Outcome);
+        let known =
+            self.connections.iter().filter(|(_, c)| c.best_reply >= BestReply::Outcome && !c.reset_seen);
         known.max_by_key(|(&key, c)| (c.best_reply, key)).map(|(key, _)| *key)
     }
 
-    /// Sends the ends that have waited long enough on any connection.
-    pub(super) fn send_undelivered(&mut self, now: f64, watch: &Watch) {
+    /// Puts the ends in line that have waited long enough for a better connection, on any.
+    pub(super) fn queue_undelivered(&mut self, now: f64) {
         let Some(newest) = self.connections.keys().next_back().copied() else { return };
-        let due = |(since, _): &mut (f64, CallEnd)| now - *since >= ANY_CONNECTION_AFTER;
-        while let Some((_, end)) = self.undelivered.pop_front_if(due) {
-            self.send(now, newest, &end.message(), BestReply::Notice, watch);
+        let due = |end: &mut CallEnd| now - end.ended_at >= ANY_CONNECTION_AFTER;
+        while let Some(end) = self.undelivered.pop_front_if(due) {
+            // Whether its caller ever has a call is not known.
+            self.queue_end(now, newest, end, BestReply::Notice);
         }
     }
 }
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -281,6 +281,18 @@
         self.clients.before_close = Some(Box::new(hook));
     }
 
+    /// Whether something waits to be written to a caller.
+    #[cfg(test)]
+    pub fn blocked_callers(&self) -> bool {
+        self.clients.blocked()
+    }
+
+    /// Has few bytes fill the system's buffers on the way to callers.
+    #[cfg(test)]
+    pub fn shrink_send_buffers(&self) {
+        self.clients.shrink_send_buffers();
+    }
+
     /// Calls this between the next look at a caller's connection and what is written on it.
     #[cfg(test)]
     pub fn after_next_look(&mut self, hook: impl FnOnce() + 'static) {
@@ -510,7 +522,15 @@
         let (discovered, ejected) = self.servers.counts();
         let outstanding = (open + standing) as u64;
         let unusable_lists = self.resolver.unusable_answers();
-        let mut report = self.figures.report(Gauges { outstanding, discovered, ejected, unusable_lists });
+        let ends = self.clients.end_counts();
+        let mut report = self.figures.report(Gauges {
+            outstanding,
+            discovered,
+            ejected,
+            unusable_lists,
+            ends_redelivered: ends.redelivered,
+            ends_unconfirmed: ends.unconfirmed,
+        });
         // Written where the servers' sockets are, and counted there.
         report.forwards += self.calls.forwards;
         report.fleet = self.subjects.fellows.fleet.as_ref().map(|fleet| fleet.figures(&self.calls));
@@ -687,41 +707,57 @@
     /// Hands the module what happened and carries out what it says, until neither brings anything new.
     /// Each round ends attempts or calls, of which there are only so many.
     fn decide(&mut self, now: f64) {
-        let mut actions = Vec::new();
         // Set-ups that waited for a connection, with nothing new in this turn.
         let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
         if turn.calls.effects.is_empty() {
             self.servers.send_waiting(&mut turn);
         }
-        while !(self.calls.events.is_empty() && self.calls.effects.is_empty()) {
-            for effect in std::mem::take(&mut self.calls.effects) {
-                self.effect(now, effect);
-            }
-            let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
-            self.servers.send_waiting(&mut turn);
-            for mut event in std::mem::take(&mut self.calls.events) {
-                if let Event::List { entries, .. } = &mut event {
-                    self.subjects.overlay(entries, self.list_at);
-                }
-                self.controller.handle(now, event, &mut actions);
+        loop {
+            while self.has_news() {
+                self.decide_round(now);
             }
-            for action in actions.drain(..) {
-                match action {
-                    Action::Send { call, pool, limit } => self.calls.send(now, call, pool, limit),
-                    Action::Refuse { call, retry_after } => self.calls.refuse(call, retry_after),
-                    Action::Fail { call } => self.calls.fail(call),
-                    Action::Cancel { call, attempt } => self.calls.cancel(call, attempt),
-                    Action::Timer { at, token } => self.wheel.set(at, Timer::Module(token)),
-                    // Pools that shut and open again under load would fill the log with the traffic.
-                    Action::Log(text) => log::debug!(text = text.as_str(); "module"),
-                    // The list is asked for all the time.
-                    Action::Subscribe => {}
-                }
+            self.clients.deliver_ends(now, &self.watch, &mut self.calls);
+            // Before the ends were written, the connections were read once more.
+            if !self.has_news() {
+                break;
             }
         }
         self.untold.clear();
     }
 
+    /// Whether something is to be told to the module or to be carried out.
+    fn has_news(&self) -> bool {
+        !(self.calls.events.is_empty() && self.calls.effects.is_empty())
+    }
+
+    fn decide_round(&mut self, now: f64) {
+        let mut actions = Vec::new();
+        for effect in std::mem::take(&mut self.calls.effects) {
+            self.effect(now, effect);
+        }
+        let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
+        self.servers.send_waiting(&mut turn);
+        for mut event in std::mem::take(&mut self.calls.events) {
+            if let Event::List { entries, .. } = &mut event {
+                self.subjects.overlay(entries, self.list_at);
+            }
+            self.controller.handle(now, event, &mut actions);
+        }
+        for action in actions {
+            match action {
+                Action::Send { call, pool, limit } => self.calls.send(now, call, pool, limit),
+                Action::Refuse { call, retry_after } => self.calls.refuse(call, retry_after),
+                Action::Fail { call } => self.calls.fail(call),
+                Action::Cancel { call, attempt } => self.calls.cancel(call, attempt),
+                Action::Timer { at, token } => self.wheel.set(at, Timer::Module(token)),
+                // Pools that shut and open again under load would fill the log with the traffic.
+                Action::Log(text) => log::debug!(text = text.as_str(); "module"),
+                // The list is asked for all the time.
+                Action::Subscribe => {}
+            }
+        }
+    }
+
     fn effect(&mut self, now: f64, effect: Effect) {
         match effect {
             Effect::Caller { origin, id, class, reply } => {
--- a/crates/gatekeeper/src/node/mod.rs
+++ b/crates/gatekeeper/src/node/mod.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod config;
 pub mod control;
+mod delivery;
 pub mod event_loop;
 mod events;
 mod fleet;
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -6,6 +6,7 @@
 mod ends;
 mod rare;
 mod said;
+mod unread_ends;
 mod upgrade;
 
 use std::collections::BTreeSet;
--- /dev/null
+++ b/crates/gatekeeper/src/node/tests/unread_ends.rs
@@ -0,0 +1,228 @@
+//! The end of a call that stood is sent again on another connection where its caller left it unread, and only there.
+
+use std::io::Read;
+use std::net::Shutdown;
+use std::time::Duration;
+
+use super::ends::{assert_told_once, ends_told, with_a_call, with_a_call_of, with_an_unread_answer};
+use super::*;
+
+/// The call's end is written to its caller's connection and waits there to be read.
+fn end_written(w: &mut World, id: u64) {
+    w.servers_say(&release(id, cause::NORMAL));
+    (0..2).for_each(|_| w.turn());
+    assert_eq!(ends_told(w, id), 0, "its caller's connection is there");
+}
+
+/// Reads until the end of the call is there.
+fn read_end(w: &mut World, caller: &mut Peer, id: u64) {
+    let mut received = Vec::new();
+    let is_end = |m: &Message| (m.call, m.kind) == (id, kind::RELEASE);
+    w.until("the end", |_| caller.read(&mut received).is_err() || received.iter().any(is_end));
+}
+
+/// Guards against an end lost with the write that finds its connection reset: the system tells of the reset there alone.
+#[test]
+fn an_end_whose_write_fails_is_told_on_another_connection() {
+    let mut w = World::new(1);
+    let leaving = with_an_unread_answer(&mut w, 1);
+    w.servers_say(&release(1, cause::NORMAL));
+    w.node.after_next_look(move || drop(leaving));
+    w.pass(1.0);
+    assert_told_once(&w, 1);
+}
+
+/// Guards against an end lost where the look before its write finds its connection reset.
+#[test]
+fn an_end_whose_connection_is_found_reset_before_the_write_is_told_on_another_connection() {
+    let mut w = World::new(1);
+    let leaving = with_an_unread_answer(&mut w, 1);
+    w.servers_say(&release(1, cause::NORMAL));
+    w.node.before_writing = Some(Box::new(move || drop(leaving)));
+    w.pass(1.0);
+    assert_told_once(&w, 1);
+}
+
+/// Guards against an end lost in a chain of connections that are left one after the other with it unread.
+#[test]
+fn an_end_left_unread_on_three_connections_is_told_on_the_fourth() {
+    let mut w = World::new(1);
+    let first = with_a_call(&mut w);
+    let second = with_a_call_of(&mut w, 2);
+    let third = with_a_call_of(&mut w, 3);
+    end_written(&mut w, 1);
+    for leaving in [first, third, second] {
+        assert_eq!(ends_told(&w, 1), 0, "{:?}", w.heard);
+        drop(leaving);
+        (0..2).for_each(|_| w.turn());
+    }
+    w.pass(1.0);
+    assert_told_once(&w, 1);
+}
+
+/// Guards against an end sent for ever from one connection that is left to the next: it is owed for 8 s.
+#[test]
+fn an_end_left_unread_is_told_to_nobody_once_it_is_too_late() {
+    let mut w = World::new(1);
+    let mut leaving = with_a_call(&mut w);
+    // A second call keeps the connection in use.
+    leaving.send(&set_up(2, 3000)).unwrap();
+    w.at_servers(2, kind::SET_UP);
+    w.servers_say(&answer(2));
+    w.turn();
+    end_written(&mut w, 1);
+    w.pass(8.1);
+    drop(leaving);
+    w.pass(1.0);
+    assert_eq!(ends_told(&w, 1), 0, "{:?}", w.heard);
+}
+
+/// Guards against an end lost on a connection that this side closes in order, and whose caller then leaves it unread.
+#[test]
+fn an_end_left_unread_on_a_connection_closed_by_this_side_is_told_on_another_one() {
+    let mut w = World::new(1);
+    let leaving = with_a_call(&mut w);
+    end_written(&mut w, 1);
+    leaving.stream().write_all(&[0xff; 64]).unwrap();
+    (0..2).for_each(|_| w.turn());
+    drop(leaving);
+    w.pass(1.0);
+    assert_told_once(&w, 1);
+}
+
+/// Guards against an end lost on a connection that its caller half-closes, and then closes with it unread.
+#[test]
+fn an_end_left_unread_after_a_half_close_is_told_on_another_connection() {
+    let mut w = World::new(1);
+    let leaving = with_a_call(&mut w);
+    end_written(&mut w, 1);
+    leaving.stream().shutdown(Shutdown::Write).unwrap();
+    (0..2).for_each(|_| w.turn());
+    drop(leaving);
+    w.pass(1.0);
+    assert_told_once(&w, 1);
+}
+
+/// Guards against an end told twice to a caller that half-closes its connection and reads it there.
+#[test]
+fn an_end_that_was_read_after_a_half_close_is_told_once() {
+    let mut w = World::new(1);
+    let mut leaving = with_a_call(&mut w);
+    end_written(&mut w, 1);
+    leaving.stream().shutdown(Shutdown::Write).unwrap();
+    w.turn();
+    read_end(&mut w, &mut leaving, 1);
+    drop(leaving);
+    w.pass(1.0);
+    assert_eq!(ends_told(&w, 1), 0, "{:?}", w.heard);
+}
+
+/// Guards against an end lost for fear of telling it twice: a caller that aborts with all read looks like one that leaves it
+/// unread, and hears of it once more.
+#[test]
+fn an_end_whose_caller_aborts_is_told_on_another_connection() {
+    let mut w = World::new(1);
+    let mut aborting = with_a_call(&mut w);
+    end_written(&mut w, 1);
+    read_end(&mut w, &mut aborting, 1);
+    abort(aborting);
+    w.pass(1.0);
+    assert_told_once(&w, 1);
+}
+
+/// Guards against an end told twice that was read, where another one of the same write was not: the last message alone is unread
+/// for certain.
+#[test]
+fn an_end_that_was_read_of_two_written_together_is_told_once() {
+    let mut w = World::new(1);
+    let mut leaving = with_a_call(&mut w);
+    leaving.send(&set_up(2, 3000)).unwrap();
+    w.at_servers(2, kind::SET_UP);
+    w.servers_say(&answer(2));
+    let mut received = Vec::new();
+    w.until("its answer", |_| leaving.read(&mut received).is_err() || !received.is_empty());
+    let mut bytes = Vec::new();
+    [1, 2].iter().for_each(|id| release(*id, cause::NORMAL).encode(&mut bytes));
+    w.servers[0].stream().write_all(&bytes).unwrap();
+    (0..2).for_each(|_| w.turn());
+    let mut first = vec![0; bytes.len() / 2];
+    leaving.stream().read_exact(&mut first).unwrap();
+    assert_eq!(Message::decode(&first).unwrap().map(|(m, _)| m.call), Some(1));
+    drop(leaving);
+    w.pass(1.0);
+    assert_eq!(ends_told(&w, 1), 0);
+    assert_told_once(&w, 2);
+}
+
+/// Guards against an end lost in this process, on a connection whose caller reads nothing and closes in the end.
+#[test]
+fn an_end_that_was_never_written_is_told_on_another_connection() {
+    let mut w = World::new(1);
+    let leaving = with_a_call(&mut w);
+    socket2::SockRef::from(leaving.stream()).set_recv_buffer_size(4096).unwrap();
+    w.node.shrink_send_buffers();
+    // Results of tests fill all buffers on the way.
+    let tests: Vec<u8> = (0..200_u64).flat_map(encoded_test).collect();
+    w.until_blocked(|| {
+        let _ = leaving.stream().write(&tests);
+    });
+    w.servers_say(&release(1, cause::NORMAL));
+    (0..4).for_each(|_| w.turn());
+    assert_eq!(ends_told(&w, 1), 0);
+    drop(leaving);
+    w.pass(1.0);
+    assert_told_once(&w, 1);
+}
+
+/// Guards against an end told twice although its caller confirmed it.
+#[test]
+fn an_end_that_was_confirmed_is_told_once() {
+    let mut w = World::new(1);
+    let mut aborting = with_a_call(&mut w);
+    end_written(&mut w, 1);
+    read_end(&mut w, &mut aborting, 1);
+    aborting.send(&Message::new(kind::RELEASE_HEARD, 1)).unwrap();
+    (0..2).for_each(|_| w.turn());
+    abort(aborting);
+    w.pass(1.0);
+    assert_eq!(ends_told(&w, 1), 0, "{:?}", w.heard);
+}
+
+/// Guards against descriptors and time spent on connections that their callers closed: they are let go after 0.25 s.
+#[test]
+fn a_connection_closed_after_its_end_was_read_is_let_go() {
+    let mut w = World::new(1);
+    let mut leaving = with_a_call(&mut w);
+    end_written(&mut w, 1);
+    read_end(&mut w, &mut leaving, 1);
+    leaving.stream().shutdown(Shutdown::Write).unwrap();
+    w.pass(0.4);
+    // The gatekeeper has closed its side as well.
+    let mut received = Vec::new();
+    w.until("the close", |_| leaving.read(&mut received).is_err());
+}
+
+impl World {
+    /// Turns, with a step before each, until something waits to be written to a caller.
+    fn until_blocked(&mut self, mut step: impl FnMut()) {
+        for _ in 0..TURNS {
+            if self.node.blocked_callers() {
+                return;
+            }
+            step();
+            self.turn();
+        }
+        panic!("nothing waits to be written");
+    }
+}
+
+fn encoded_test(id: u64) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    Message::new(kind::TEST, id).caused(0).encode(&mut bytes);
+    bytes
+}
+
+/// Closes a connection with a reset, whatever was read.
+fn abort(caller: Peer) {
+    socket2::SockRef::from(caller.stream()).set_linger(Some(Duration::ZERO)).unwrap();
+}
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -234,13 +234,26 @@
     /// Puts a message in line and writes what can be written. Returns the position at which the
     /// message ends, to compare with [`Connection::written`].
     pub fn send(&mut self, message: &M) -> Result<u64, Over> {
+        let end = self.queue(message);
+        self.write_queued()?;
+        Ok(end)
+    }
+
+    /// Puts a message in line, to be written together with others by [`Connection::write_queued`]. Returns the position at
+    /// which it ends.
+    pub fn queue(&mut self, message: &M) -> u64 {
         let before = self.output.len();
         message.encode(&mut self.output);
         self.queued += (self.output.len() - before) as u64;
+        self.queued
+    }
+
+    /// Writes what can be written; an error where too much waits then.
+    pub fn write_queued(&mut self) -> Result<(), Over> {
         self.flush()?;
         match self.output.len() {
             n if n > self.most_waiting => Err(Over::Stuck),
-            _ => Ok(self.queued),
+            _ => Ok(()),
         }
     }
 
--- a/crates/service/src/figures.rs
+++ b/crates/service/src/figures.rs
@@ -36,6 +36,10 @@
     pub ejected: u64,
     /// Answers of the resolver that could not be taken, since the start.
     pub unusable_lists: u64,
+    /// Ends of calls that were sent again on another connection, as they were not read on theirs, since the start.
+    pub ends_redelivered: u64,
+    /// Ends of calls on connections that were reset of which nothing tells whether they were read, since the start.
+    pub ends_unconfirmed: u64,
 }
 
 /// What is told of the fleet, where there is one: gauges of members, records and calls adopted now, and counts.
@@ -173,7 +177,14 @@
         figures.reloaded(true);
         figures.reloaded(false);
         figures.reloaded(false);
-        let gauges = Gauges { outstanding: 14, discovered: 6, ejected: 1, unusable_lists: 2 };
+        let gauges = Gauges {
+            outstanding: 14,
+            discovered: 6,
+            ejected: 1,
+            unusable_lists: 2,
+            ends_redelivered: 5,
+            ends_unconfirmed: 3,
+        };
         let json = serde_json::to_value(figures.report(gauges)).unwrap();
         assert_eq!(json["succeeded"]["valve-set"], 2);
         assert_eq!(json["succeeded"]["meter-read"], 0);
@@ -183,6 +194,8 @@
         assert_eq!(json["outstanding"], 14);
         assert_eq!(json["discovered"], 6);
         assert_eq!(json["unusable_lists"], 2);
+        assert_eq!(json["ends_redelivered"], 5);
+        assert_eq!(json["ends_unconfirmed"], 3);
         assert_eq!(json["ejected"], 1);
         assert_eq!(json["sighup_applied"], 1);
         assert_eq!(json["sighup_rejected"], 2);
