Play callers that leave ends unread in the soak, and judge what becomes of them

Cause: the soak's callers read all they were sent, so an end left unread at a close was never played, and ends on connections that close were not judged.

Change: one in eight callers on a new connection reads its answer and closes with the end unread, closes with both unread, half-closes, or reads both and resets. They read message by message and record what was unread as they closed. A tenth rule: an end that was the last message unread is told to a caller that is there, within 1 s or before the process ends by itself. Ends before the last are excused and counted. An end told twice is excused once for each reset of its caller's, right after it was read, and for nothing else.

--- a/crates/gatekeeper/tests/restarts/callers.rs
+++ b/crates/gatekeeper/tests/restarts/callers.rs
@@ -3,12 +3,13 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 
-use hollypaddle_platform::message::{cause, code, kind, Message};
+use hollypaddle_platform::message::{cause, Message};
 use hollypaddle_standin::{peer, release, set_up, Peer};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::judge::{Call, History, Reply, What};
+use crate::history::{Call, History, What};
+use crate::leavers::{never_read, Leaver, Step};
 use crate::plan::{manner, Manner, Plan};
 
 /// Seconds between the two pieces of a set-up, and before a cancel.
@@ -43,6 +44,7 @@
     kept: usize,
     pools: u32,
     connections: Vec<Connection>,
+    leavers: Vec<Leaver>,
     next_id: u64,
     next_at: f64,
 }
@@ -57,6 +59,7 @@
             kept: plan.kept,
             pools: plan.servers.len() as u32,
             connections: Vec::new(),
+            leavers: Vec::new(),
             next_id: 1,
             next_at: 0.0,
         }
@@ -71,7 +74,8 @@
 
     /// Set-ups whose answer is waited for.
     pub fn waiting(&self) -> usize {
-        self.connections.iter().filter(|c| !c.deaf).map(|c| c.open.len()).sum()
+        let others: usize = self.connections.iter().filter(|c| !c.deaf).map(|c| c.open.len()).sum();
+        others + self.leavers.iter().filter(|leaver| leaver.waits()).count()
     }
 
     /// Connects; nothing where the gatekeeper does not listen any more.
@@ -102,7 +106,7 @@
         self.next_at = self.next_at.max(now - 0.05);
         while self.next_at <= now {
             self.next_at += 1.0 / (self.rate * part);
-            let fresh = self.connections.iter().filter(|c| !c.kept).count();
+            let fresh = self.connections.iter().filter(|c| !c.kept).count() + self.leavers.len();
             let on_new = connects && fresh < MOST_NEW && rng.gen_bool(ON_NEW);
             let connection = match on_new {
                 true => self.open(now, false),
@@ -126,7 +130,8 @@
         let message = set_up("meter-read", rng.gen_range(0..self.pools), id, self.wait_ms);
         let connection = &mut self.connections[n];
         connection.deaf = manner == Manner::Deaf;
-        let mut call = Call { sent: true, deaf: connection.deaf, kept: connection.kept, ..Call::default() };
+        let deaf = matches!(manner, Manner::Deaf | Manner::LeavesBoth);
+        let mut call = Call { sent: true, deaf, kept: connection.kept, ..Call::default() };
         connection.open.push(id);
         if manner == Manner::Pieces {
             let mut bytes = Vec::new();
@@ -143,6 +148,10 @@
                 call.left = Some(now);
                 drop(self.connections.swap_remove(n));
             }
+            Manner::LeavesEnd | Manner::LeavesBoth | Manner::HalfCloses | Manner::Aborts => {
+                let peer = self.connections.swap_remove(n).peer;
+                self.leavers.push(Leaver::new(peer, id, manner, now, rng));
+            }
             Manner::Plain | Manner::Pieces | Manner::Deaf => {}
         }
         history.calls.insert(id, call);
@@ -166,6 +175,7 @@
 
     /// Takes what has come.
     pub fn hear(&mut self, now: f64, history: &mut History) {
+        self.hear_leavers(now, history);
         self.connections.retain_mut(|connection| {
             if connection.deaf {
                 return true;
@@ -180,25 +190,35 @@
                 return false;
             }
             connection.seen = now;
+            if connection.kept {
+                history.kept_until = now;
+            }
             connection.kept || !connection.open.is_empty()
         });
     }
 
+    fn hear_leavers(&mut self, now: f64, history: &mut History) {
+        for mut leaver in std::mem::take(&mut self.leavers) {
+            match leaver.turn(now, history) {
+                Step::Stays => self.leavers.push(leaver),
+                Step::Closes => leaver.close(now, history),
+                Step::Lost => {}
+            }
+        }
+    }
+
     /// The run is over: what still waits on an open connection was never answered.
     pub fn finish(&mut self, history: &mut History) {
         // What came together with the end of the process.
         self.hear(f64::INFINITY, history);
+        self.connections.iter().filter(|c| c.deaf).for_each(|c| never_read(&c.peer, history));
     }
 }
 
 impl Connection {
     fn take(&mut self, now: f64, message: &Message, history: &mut History) {
-        let what = match message.kind {
-            kind::ANSWER => What::Answer(message.bytes(code::DESCRIPTION).unwrap_or_default().to_vec()),
-            kind::RELEASE => What::Release(message.cause()),
-            _ => return,
-        };
-        history.calls.entry(message.call).or_default().replies.push(Reply { at: now, what });
+        let Some(what) = What::of(message) else { return };
+        history.heard(now, message.call, what);
         self.open.retain(|id| *id != message.call);
     }
 }
--- a/crates/gatekeeper/tests/restarts/judge.rs
+++ b/crates/gatekeeper/tests/restarts/judge.rs
@@ -1,122 +1,93 @@
-//! What callers and servers saw of one run, and the rules of the platform that it is held against.
+//! The rules of the platform that the history of a run is held against.
 
 use std::collections::BTreeMap;
 
 use hollypaddle_platform::message::cause;
 
+use crate::history::{Attempt, Call, Departure, History};
+#[cfg(test)]
+use crate::history::{Reply, What};
+
 /// A set-up that crosses the close of its connection by less is sent again by its caller, and is not lost.
 const CROSSING: f64 = 0.05;
 /// No attempt begins so long after its caller has closed or cancelled; the sockets' slack is in it.
 const AFTER_LEAVING: f64 = 0.15;
 /// Two attempts that overlap by less are one after the other, as seen from two sides.
-const SLACK: f64 = 0.05;
+pub const SLACK: f64 = 0.05;
 /// The end of a call that stood reaches its caller so long after its server has written it.
 const END_TOLD: f64 = 1.0;
+/// A process that ends by itself tells before that what was left unread so long before.
+const LEFT_BEFORE_OVER: f64 = 0.3;
 /// SIGKILL comes once the longest deadline, counted as 3 s where it is shorter, and this have passed.
 pub const KILL_AFTER: f64 = 0.7;
 
-/// A set-up, as its caller saw it. Times are seconds of the run.
-#[derive(Clone, Debug, Default)]
-pub struct Call {
-    /// When its last byte was written.
-    pub written: Option<f64>,
-    /// When its caller closed or cancelled.
-    pub left: Option<f64>,
-    /// Its caller does not read.
-    pub deaf: bool,
-    /// Its connection stays open after an answer.
-    pub kept: bool,
-    /// It was sent; else something was said of a call that nobody asked for.
-    pub sent: bool,
-    /// What its caller heard of it, in order.
-    pub replies: Vec<Reply>,
-    /// When its connection was last seen open, before it ended without one of them.
-    pub ended: Option<f64>,
+/// A rule, and what broke it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// The rule.
+    pub rule: &'static str,
+    /// What broke it.
+    pub what: String,
 }
 
-impl Call {
-    /// The descriptions of the answers that its caller heard.
-    fn answers(&self) -> impl Iterator<Item = &[u8]> {
-        self.replies.iter().filter_map(|reply| match &reply.what {
-            What::Answer(description) => Some(&description[..]),
-            What::Release(_) => None,
-        })
+impl History {
+    /// Whether an end that was left at a departure can be judged: its process is known, and it ran on with callers there.
+    fn judged(&self, departure: &Departure) -> bool {
+        // Which process a caller came to is not known while two listen.
+        let known = self.successor.is_none_or(|at| departure.connected < at);
+        known && self.kept_until.min(self.over()) > departure.closed + LEFT_BEFORE_OVER + self.paused
     }
 
-    /// The releases that its caller heard: when, and with which cause.
-    fn releases(&self) -> impl Iterator<Item = (f64, Option<u8>)> + '_ {
-        self.replies.iter().filter_map(|reply| match reply.what {
-            What::Release(why) => Some((reply.at, why)),
-            What::Answer(_) => None,
-        })
+    /// When the process ended.
+    fn over(&self) -> f64 {
+        self.exit.map_or(f64::INFINITY, |(at, _)| at)
     }
-}
 
-/// Something that a caller heard of its call.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Reply {
-    /// When it was read.
-    pub at: f64,
-    /// What it was.
-    pub what: What,
-}
-
-/// What a caller can hear.
-#[derive(Clone, Debug, PartialEq)]
-pub enum What {
-    /// The call stands, with this description.
-    Answer(Vec<u8>),
-    /// A refusal, a failure, or the end of a call that stood: the cause.
-    Release(Option<u8>),
+    /// When an end is told at the latest that could be told from this moment on.
+    fn due(&self, since: f64) -> f64 {
+        since + END_TOLD + SLACK + self.paused
+    }
 }
 
-/// An attempt, as its server saw it.
-#[derive(Clone, Debug)]
-pub struct Attempt {
-    /// The call.
-    pub id: u64,
-    /// When it was looked for in vain for the last time, and when it had arrived whole.
-    pub after: f64,
-    /// The latter.
-    pub begun: f64,
-    /// When its end was written, it was given up or its connection ended.
-    pub ended: Option<f64>,
-    /// The description of the answer that was written whole.
-    pub answer: Option<Vec<u8>>,
-    /// When the end of the call, which stood, was written.
-    pub call_ended: Option<f64>,
+/// Ends that callers left unread as they closed, by their place there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndsLeft {
+    /// Last, and held against the rule.
+    pub judged: usize,
+    /// Last, where the run was over too soon, or two processes listened.
+    pub unjudged: usize,
+    /// Before the last message: a gatekeeper has no evidence that they were unread.
+    pub before_last: usize,
 }
 
-/// One run.
-#[derive(Clone, Debug, Default)]
-pub struct History {
-    /// By id.
-    pub calls: BTreeMap<u64, Call>,
-    /// In the order of their beginnings.
-    pub attempts: Vec<Attempt>,
-    /// When SIGTERM was sent.
-    pub term: f64,
-    /// The longest deadline.
-    pub deadline: f64,
-    /// For how long the process was paused, in all.
-    pub paused: f64,
-    /// When the process ended, and whether with exit code 0; none where it had to be killed.
-    pub exit: Option<(f64, bool)>,
-}
+impl EndsLeft {
+    /// Those of one run.
+    pub fn of(history: &History) -> EndsLeft {
+        let mut left = EndsLeft::default();
+        for departure in history.departures.iter().filter(|departure| departure.closed.is_finite()) {
+            let Some((last, before)) = departure.unread.split_last() else { continue };
+            left.before_last += history.ends(before).count();
+            let last = history.ends(std::slice::from_ref(last)).count();
+            let judged = history.judged(departure);
+            *(if judged { &mut left.judged } else { &mut left.unjudged }) += last;
+        }
+        left
+    }
 
-/// A rule, and what broke it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Broken {
-    /// The rule.
-    pub rule: &'static str,
-    /// What broke it.
-    pub what: String,
+    /// Both together.
+    pub fn and(self, other: EndsLeft) -> EndsLeft {
+        EndsLeft {
+            judged: self.judged + other.judged,
+            unjudged: self.unjudged + other.unjudged,
+            before_last: self.before_last + other.before_last,
+        }
+    }
 }
 
 type Check = fn(&History) -> Vec<String>;
 
 /// The rules by name.
-pub const RULES: [(&str, Check); 9] = [
+pub const RULES: [(&str, Check); 10] = [
     ("a set-up that was taken is answered", unanswered),
     ("a call has one final answer", answered_twice),
     ("one attempt of a call is out at a time", two_out),
@@ -126,6 +97,7 @@
     ("a call that stands is answered before its end", ended_unanswered),
     ("the end of a call reaches its caller in time", end_not_told),
     ("nothing is said of a call that nobody asked for", of_nobodys_call),
+    ("an end left unread is told to a caller that is there", left_end_not_told),
 ];
 
 /// What breaks a rule.
@@ -148,8 +120,12 @@
 }
 
 fn answered_twice(history: &History) -> Vec<String> {
-    let twice = |call: &Call| call.answers().count() > 1 || call.releases().count() > 1;
-    let told = |(id, call): (&u64, &Call)| twice(call).then(|| format!("call {id}: {:?}", call.replies));
+    // A reset that a caller makes by itself looks like one by something unread.
+    let aborted =
+        |id: &u64| history.departures.iter().filter(|departure| departure.aborted.contains(id)).count();
+    let twice =
+        |id: &u64, call: &Call| call.answers().count() > 1 || call.releases().count() > 1 + aborted(id);
+    let told = |(id, call): (&u64, &Call)| twice(id, call).then(|| format!("call {id}: {:?}", call.replies));
     history.calls.iter().filter_map(told).collect()
 }
 
@@ -204,10 +180,10 @@
 
 /// Of connections that their callers keep open: an end that is written to one that closes may be lost, see KNOWN-RED.txt.
 fn end_not_told(history: &History) -> Vec<String> {
-    let over = history.exit.map_or(f64::INFINITY, |(at, _)| at);
+    let over = history.over();
     let late = |attempt: &Attempt| {
         let (written, call) = (attempt.call_ended?, history.calls.get(&attempt.id)?);
-        let due = written + END_TOLD + SLACK + history.paused;
+        let due = history.due(written);
         let answered = call.answers().any(|heard| attempt.answer.as_deref() == Some(heard));
         let excused = !call.kept || call.ended.is_some_and(|ended| ended <= due) || over <= due;
         let told = call.releases().any(|(at, _)| at <= due);
@@ -222,6 +198,22 @@
     unknown.map(|(id, call)| format!("call {id:016x}: {:?}", call.replies)).collect()
 }
 
+/// An end that was the last message unread: an end before that may have been read, as far as its gatekeeper can tell.
+fn left_end_not_told(history: &History) -> Vec<String> {
+    let lost = |(n, departure): (usize, &Departure)| {
+        let id = history.ends(departure.unread.last_chunk::<1>()?).next()?;
+        let due = history.due(departure.closed);
+        // What came together with the end of the process is read after it.
+        let in_time = |at| at <= due || history.over() <= due;
+        let read = history.calls.get(&id).is_some_and(|call| call.releases().any(|(at, _)| in_time(at)));
+        // Told to one that left it unread in its turn, or never reads.
+        let left_again = history.departures[n + 1..].iter().any(|later| later.left_release(id));
+        let what = format!("call {id}, left at {:.3} with {:?}", departure.closed, departure.unread);
+        (history.judged(departure) && !read && !left_again).then_some(what)
+    };
+    history.departures.iter().enumerate().filter_map(lost).collect()
+}
+
 /// A run without fault, with one call of each kind.
 fn sound() -> History {
     let reply = |at, what| Reply { at, what };
@@ -229,17 +221,26 @@
     let sent = Call { sent: true, kept: true, ..Call::default() };
     let answered = Call { written: Some(0.1), replies, ..sent.clone() };
     let left = Call { written: Some(0.2), left: Some(0.3), ended: Some(0.3), ..sent.clone() };
-    let crossed = Call { written: Some(1.0), ended: Some(1.04), ..sent };
+    let crossed = Call { written: Some(1.0), ended: Some(1.04), ..sent.clone() };
+    let heard = vec![reply(0.2, What::Answer(vec![8])), reply(0.35, What::Release(Some(cause::NORMAL)))];
+    let end_left = Call { written: Some(0.1), kept: false, replies: heard, ..sent };
+    let unread = vec![(4, What::Release(Some(cause::NORMAL)))];
+    let departure = Departure { closed: 0.3, unread, ..Departure::default() };
     let attempt =
         |id, begun, ended| Attempt { id, after: begun, begun, ended, answer: None, call_ended: None };
+    let left_at_its_end =
+        Attempt { answer: Some(vec![8]), call_ended: Some(0.25), ..attempt(4, 0.11, Some(0.15)) };
     let stood = Attempt { answer: Some(vec![7]), call_ended: Some(0.9), ..attempt(1, 0.5, Some(0.6)) };
     History {
-        calls: BTreeMap::from([(1, answered), (2, left), (3, crossed)]),
-        attempts: vec![attempt(1, 0.11, Some(0.12)), stood, attempt(2, 0.35, Some(0.4))],
+        calls: BTreeMap::from([(1, answered), (2, left), (3, crossed), (4, end_left)]),
+        attempts: vec![attempt(1, 0.11, Some(0.12)), stood, attempt(2, 0.35, Some(0.4)), left_at_its_end],
         term: 0.5,
         deadline: 3.0,
         paused: 0.0,
         exit: Some((2.0, true)),
+        successor: None,
+        departures: vec![departure],
+        kept_until: 2.0,
     }
 }
 
@@ -251,7 +252,7 @@
 /// Each rule finds the fault that is planted for it, and no other rule does.
 #[test]
 fn faults_put_in_on_purpose_are_found() {
-    let planted: [fn(&mut History); 9] = [
+    let planted: [fn(&mut History); 10] = [
         |h| h.calls.get_mut(&3).unwrap().ended = Some(1.06),
         |h| {
             let replies = &mut h.calls.get_mut(&1).unwrap().replies;
@@ -264,6 +265,7 @@
         |h| drop(h.calls.get_mut(&1).unwrap().replies.remove(0)),
         |h| drop(h.calls.get_mut(&1).unwrap().replies.pop()),
         |h| h.calls.get_mut(&2).unwrap().sent = false,
+        |h| drop(h.calls.get_mut(&4).unwrap().replies.pop()),
     ];
     for ((rule, _), plant) in RULES.into_iter().zip(planted) {
         let mut history = sound();
@@ -274,3 +276,81 @@
     let late = History { exit: Some((4.3, true)), ..sound() };
     assert_eq!(judge(&late).len(), 1);
 }
+
+/// The rules that are broken once the sound run is changed.
+#[cfg(test)]
+fn broken_by(change: fn(&mut History)) -> Vec<&'static str> {
+    let mut history = sound();
+    change(&mut history);
+    judge(&history).iter().map(|broken| broken.rule).collect()
+}
+
+/// Guards against ends taken for told as they were unread once more, and against any end excused that was the last message.
+#[test]
+fn an_end_that_is_left_again_is_due_again() {
+    let chain: fn(&mut History) = |h| {
+        h.departures.push(Departure { closed: 0.34, ..h.departures[0].clone() });
+        h.departures.push(Departure { closed: 0.345, ..h.departures[0].clone() });
+    };
+    assert_eq!(broken_by(chain), [""; 0]);
+    let unheard: fn(&mut History) = |h| {
+        h.departures.push(Departure { closed: 0.34, ..h.departures[0].clone() });
+        h.calls.get_mut(&4).unwrap().replies.pop();
+    };
+    assert_eq!(broken_by(unheard), ["an end left unread is told to a caller that is there"]);
+    let late: fn(&mut History) = |h| h.calls.get_mut(&4).unwrap().replies[1].at = 1.36;
+    assert_eq!(broken_by(late), ["an end left unread is told to a caller that is there"]);
+    let over_before: fn(&mut History) = |h| {
+        h.exit = Some((1.0, true));
+        h.calls.get_mut(&4).unwrap().replies.pop();
+    };
+    assert_eq!(broken_by(over_before), ["an end left unread is told to a caller that is there"]);
+    let cut: fn(&mut History) = |h| {
+        h.departures[0].unread[0].1 = What::Release(Some(cause::TEMPORARY_FAILURE));
+        h.calls.get_mut(&4).unwrap().replies.pop();
+    };
+    assert_eq!(broken_by(cut), ["an end left unread is told to a caller that is there"]);
+}
+
+/// Guards against a rule that asks for what nobody can know or do: which of several unread ends were unread, who came to which
+/// of two processes, or what would have been told after the end of the process or of its callers.
+#[test]
+fn an_end_that_cannot_be_told_is_excused() {
+    let lose: fn(&mut History) = |h| drop(h.calls.get_mut(&4).unwrap().replies.pop());
+    let excuses: [fn(&mut History); 5] = [
+        |h| h.departures[0].unread.push((1, What::Release(Some(cause::NORMAL)))),
+        |h| h.successor = Some(0.0),
+        |h| h.exit = Some((0.6, true)),
+        |h| h.kept_until = 0.6,
+        |h| h.paused = 1.4,
+    ];
+    for excuse in excuses {
+        let mut history = sound();
+        lose(&mut history);
+        excuse(&mut history);
+        assert_eq!(judge(&history), []);
+    }
+    let mut history = sound();
+    assert_eq!(EndsLeft::of(&history), EndsLeft { judged: 1, ..EndsLeft::default() });
+    excuses[0](&mut history);
+    assert_eq!(EndsLeft::of(&history), EndsLeft { judged: 1, before_last: 1, ..EndsLeft::default() });
+    excuses[1](&mut history);
+    assert_eq!(EndsLeft::of(&history), EndsLeft { unjudged: 1, before_last: 1, ..EndsLeft::default() });
+}
+
+/// Guards against an end told twice that is excused for anything but a reset by its caller, or for more than one.
+#[test]
+fn only_an_end_whose_caller_reset_its_connection_may_come_once_more() {
+    let twice: fn(&mut History) = |h| {
+        let replies = &mut h.calls.get_mut(&4).unwrap().replies;
+        replies.push(replies[1].clone());
+    };
+    assert_eq!(broken_by(twice), ["a call has one final answer"]);
+    let aborted = |times: usize| {
+        let mut history = sound();
+        history.departures[0] = Departure { closed: 0.3, aborted: vec![4], ..Departure::default() };
+        (0..times).for_each(|_| twice(&mut history));
+        judge(&history).len()
+    };
+    assert_eq!((aborted(1), aborted(2)), (0, 1));
+}
--- a/crates/gatekeeper/tests/restarts/main.rs
+++ b/crates/gatekeeper/tests/restarts/main.rs
@@ -3,7 +3,9 @@
 //! platform's rules. `SEED=n RUNS=1` plays one again, `RUNS=n` plays more; `SIDE_BY_SIDE=n` plays so many at once.
 
 mod callers;
+mod history;
 mod judge;
+mod leavers;
 mod plan;
 mod servers;
 
@@ -18,7 +20,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use callers::Callers;
-use judge::{judge, Broken, History, KILL_AFTER};
+use history::History;
+use judge::{judge, Broken, EndsLeft, KILL_AFTER};
 use plan::{Plan, Signal};
 use servers::Servers;
 
@@ -94,6 +97,7 @@
         while self.now() < self.plan.term_at - BEFORE {
             self.turn(1.0, true);
             if self.plan.upgrade && successor.is_none() {
+                self.history.successor = Some(self.now());
                 successor = Some(self.start("n1"));
             }
         }
@@ -222,13 +226,14 @@
             .collect();
         started.into_iter().map(|(seed, run)| (seed, run.join())).collect::<Vec<_>>()
     });
-    let (mut failed, mut calls) = (Vec::new(), 0);
+    let (mut failed, mut calls, mut left) = (Vec::new(), 0, EndsLeft::default());
     for (seed, history) in played {
         let Ok(history) = history else {
             failed.push(format!("SEED={seed} RUNS=1: the run itself failed"));
             continue;
         };
         calls += history.calls.len();
+        left = left.and(EndsLeft::of(&history));
         let broken: Vec<Broken> = judge(&history);
         if !broken.is_empty() {
             let rules: Vec<String> =
@@ -242,8 +247,12 @@
         }
     }
     println!(
-        "{runs} runs from seed {seed}, {side_by_side} side by side, {calls} set-ups, {} runs failed",
-        failed.len()
+        "{runs} runs from seed {seed}, {side_by_side} side by side, {calls} set-ups, {} runs failed; {} ends left unread last, \
+         {} more not judged, {} before the last",
+        failed.len(),
+        left.judged,
+        left.unjudged,
+        left.before_last,
     );
     assert!(calls as u64 > 20 * runs, "too few set-ups to tell: {calls}");
     assert!(failed.is_empty(), "{}", failed.join("\n"));
--- a/crates/gatekeeper/tests/restarts/plan.rs
+++ b/crates/gatekeeper/tests/restarts/plan.rs
@@ -54,6 +54,14 @@
     Closes,
     /// It never reads.
     Deaf,
+    /// It reads its answer and closes with the end unread.
+    LeavesEnd,
+    /// It reads nothing and closes with both unread.
+    LeavesBoth,
+    /// It closes for writing once it has read its answer, and then altogether.
+    HalfCloses,
+    /// It reads its answer and the end, and resets its connection.
+    Aborts,
 }
 
 /// One run.
@@ -137,6 +145,10 @@
         3 => Manner::Cancels,
         4 => Manner::Closes,
         5 => Manner::Deaf,
+        6..=7 => Manner::LeavesEnd,
+        8 => Manner::LeavesBoth,
+        9 => Manner::HalfCloses,
+        10 => Manner::Aborts,
         _ => Manner::Plain,
     }
 }
--- a/crates/gatekeeper/tests/restarts/servers.rs
+++ b/crates/gatekeeper/tests/restarts/servers.rs
@@ -7,7 +7,7 @@
 use hollypaddle_standin::resolver::Listed;
 use hollypaddle_standin::{full, peer, release, Peer};
 
-use crate::judge::Attempt;
+use crate::history::Attempt;
 use crate::plan::Service;
 
 struct Connection {
