Let half of the soak's callers read all but the last message before they leave their end

Cause: a caller that reads message by message may close between two messages of one write or turn.

Change: half of those that leave their end read what is there but the last message as they close. No rule is changed.

--- a/crates/gatekeeper/tests/restarts/leavers.rs
+++ b/crates/gatekeeper/tests/restarts/leavers.rs
@@ -30,7 +30,7 @@
     connected: f64,
     /// Seconds between what it waits for and its close.
     pause: f64,
-    /// It reads what comes after it has closed for writing.
+    /// It reads what comes after it has closed for writing, or all but the last message before it closes.
     reads_on: bool,
     progress: Progress,
     /// Ends that it read, and when.
@@ -166,9 +166,22 @@
         }
     }
 
+    /// Reads what is there but for the last message.
+    fn read_all_but_last(&mut self, now: f64, history: &mut History) {
+        let mut messages = decode(&unread(self.peer.stream()).unwrap_or_default());
+        messages.pop();
+        for (message, length) in messages {
+            self.pass(length);
+            self.take(now, &message, history);
+        }
+    }
+
     /// Closes its connection, and records what was unread there. Nothing comes between the look and the close but what is
     /// written in the microseconds between them.
-    pub fn close(self, now: f64, history: &mut History) {
+    pub fn close(mut self, now: f64, history: &mut History) {
+        if self.manner == Manner::LeavesEnd && self.reads_on {
+            self.read_all_but_last(now, history);
+        }
         // One that gave up on its answer or end closes as others do.
         let aborts = self.manner == Manner::Aborts && self.progress == Progress::Over;
         if aborts {
--- a/crates/gatekeeper/tests/restarts/plan.rs
+++ b/crates/gatekeeper/tests/restarts/plan.rs
@@ -54,7 +54,7 @@
     Closes,
     /// It never reads.
     Deaf,
-    /// It reads its answer and closes with the end unread.
+    /// It reads its answer, or all but the last message, and closes with the end unread.
     LeavesEnd,
     /// It reads nothing and closes with both unread.
     LeavesBoth,
