Give the three simulated worlds one clock

Cause: the clock of a process (an offset, a drift, and a start whose clock may be set back) stood three times, in world.rs, tier/ and duties.rs, by the same formulas and the same draws. Change: clock::Clock has them once: its random draw, its time, the world's time for a time of its own, and the life of a process that starts.

--- a/crates/faults/src/duties.rs
+++ b/crates/faults/src/duties.rs
@@ -4,11 +4,13 @@
 
 use hollypaddle_duties::spread::Candidate;
 use hollypaddle_duties::{Duties, Duty, DutyKey, Epoch, Fence, Progress, Scope, Settings, Word};
-use hollypaddle_membership::{Life, MemberId};
+use hollypaddle_membership::MemberId;
 use rand::Rng;
 use rand_chacha::rand_core::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::clock::{Clock, MOST_DRIFT};
+
 /// A step, in seconds.
 pub const STEP: f64 = 0.01;
 
@@ -54,8 +56,7 @@
 struct Node {
     duties: Option<Duties>,
     paused: bool,
-    offset: f64,
-    drift: f64,
+    clock: Clock,
     lives: u64,
     /// Looked at its lease, and is about to act: the order is on its way out of it, through a pause too.
     about: Vec<(DutyKey, Epoch, f64)>,
@@ -109,12 +110,11 @@
     /// All members start at once.
     pub fn new(plan: Plan, seed: u64) -> World {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let most = if plan.planted == Some(Planted::FastClocks) { 0.4 } else { 0.01 };
+        let most_drift = if plan.planted == Some(Planted::FastClocks) { 0.4 } else { MOST_DRIFT };
         let node = |rng: &mut ChaCha8Rng| Node {
             duties: None,
             paused: false,
-            offset: 1e6 + rng.gen_range(-3600.0..3600.0),
-            drift: rng.gen_range(-most..most),
+            clock: Clock::random(rng, most_drift),
             lives: 0,
             about: Vec::new(),
             stuck: false,
@@ -142,7 +142,7 @@
     }
 
     fn clock(&self, n: usize) -> f64 {
-        self.nodes[n].offset + self.now * (1.0 + self.nodes[n].drift)
+        self.nodes[n].clock.local(self.now)
     }
 
     /// Starts one that is down, with nothing of its earlier life.
@@ -165,7 +165,7 @@
         self.nodes[n].lives += 1;
         // Its clock may be an hour behind what it was in its last life.
         let back = if self.nodes[n].lives % 3 == 2 { 3600.0 } else { 0.0 };
-        let life = Life { incarnation: ((local - back) * 1e3) as u64, nonce: self.rng.gen() };
+        let life = self.nodes[n].clock.life(self.now, back, self.rng.gen());
         let mut duties = Duties::new(from, id(n), life, plan.settings, &members);
         duties.name(local, (0..plan.duties).map(duty));
         self.nodes[n].duties = Some(duties);
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`check`]: what must hold, over the record of events.
 
 pub mod check;
+mod clock;
 pub mod duties;
 pub mod real;
 pub mod script;
--- a/crates/faults/src/tier/mod.rs
+++ b/crates/faults/src/tier/mod.rs
@@ -30,11 +30,11 @@
 use hollypaddle_relay::settings::Mark;
 use hollypaddle_relay::{Leaf, Relay};
 use hollypaddle_replica::record::{Place as ServerPlace, ServerFact, Topic};
-use rand::Rng;
 use rand_chacha::rand_core::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::check::Broken;
+use crate::clock::{Clock, MOST_DRIFT};
 use meter::Meter;
 use network::Connection;
 use nodes::{Body, Slot};
@@ -123,8 +123,7 @@
             paused: false,
             deaf: false,
             off: false,
-            offset: 1e6 + rng.gen_range(-3600.0..3600.0),
-            drift: rng.gen_range(-0.01..0.01),
+            clock: Clock::random(&mut rng, MOST_DRIFT),
             wake: None,
             want: 0,
             links: HashMap::new(),
@@ -207,12 +206,12 @@
 
     /// The own clock of a node.
     pub fn clock(&self, node: usize) -> f64 {
-        self.slots[node].offset + self.now * (1.0 + self.slots[node].drift)
+        self.slots[node].clock.local(self.now)
     }
 
     /// A time of the world on the own clock of a node.
     fn local(&self, node: usize, at: f64) -> f64 {
-        self.slots[node].offset + at * (1.0 + self.slots[node].drift)
+        self.slots[node].clock.local(at)
     }
 
     /// A leaf, if it lives.
--- a/crates/faults/src/tier/nodes.rs
+++ b/crates/faults/src/tier/nodes.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use hollypaddle_membership::Life;
 use hollypaddle_relay::settings::Mark;
 use hollypaddle_relay::{leaf, relay, Leaf, LinkId, Node, Relay};
 use hollypaddle_replica::record::{ServerFact, ServerKey};
@@ -11,6 +10,7 @@
 use super::meter::Meter;
 use super::queue::nanos;
 use super::{id, Planted, World};
+use crate::clock::Clock;
 
 pub(super) enum Body {
     Relay(Box<Relay>),
@@ -35,8 +35,7 @@
     pub(super) deaf: bool,
     /// Its machine is off: nothing answers for it.
     pub(super) off: bool,
-    pub(super) offset: f64,
-    pub(super) drift: f64,
+    pub(super) clock: Clock,
     /// When its next turn is planned.
     pub(super) wake: Option<u64>,
     pub(super) want: u64,
@@ -78,7 +77,7 @@
         let (now, plan) = (self.clock(node), self.plan.clone());
         // Its clock may be behind what it was in its last life.
         let back = if self.set_back || self.lives % 7 == 3 { 1800.0 } else { 0.0 };
-        let life = Life { incarnation: ((now - back) * 1e3) as u64, nonce: self.rng.gen() };
+        let life = self.slots[node].clock.life(self.now, back, self.rng.gen());
         let own = id(node, &plan);
         let mut timing = plan.timing;
         let body = if node < plan.relays {
--- a/crates/faults/src/tier/turn.rs
+++ b/crates/faults/src/tier/turn.rs
@@ -83,7 +83,7 @@
             }
         }
         let slot = &self.slots[node];
-        let at = ((next - slot.offset) / (1.0 + slot.drift)).max(self.now + 1e-4).min(self.now + 3600.0);
+        let at = slot.clock.world_time(next).max(self.now + 1e-4).min(self.now + 3600.0);
         self.plan_turn(node, nanos(at));
     }
 
--- a/crates/faults/src/world.rs
+++ b/crates/faults/src/world.rs
@@ -12,7 +12,7 @@
 };
 use hollypaddle_lending::TERM;
 use hollypaddle_membership::view::State;
-use hollypaddle_membership::{Life, MemberId};
+use hollypaddle_membership::MemberId;
 use hollypaddle_policy::{
     Candidate, Cause, Event as Heard, Gate, ListKind, Outcome, PoolEntry, PoolId, Readiness,
 };
@@ -25,6 +25,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::check::{self, Broken, History, What};
+use crate::clock::{Clock, MOST_DRIFT};
 use crate::script::{End, Fault, Script};
 
 /// A step, in seconds.
@@ -145,9 +146,7 @@
 struct Node {
     member: Option<Member>,
     paused: bool,
-    /// Its clock: an offset and a drift.
-    offset: f64,
-    drift: f64,
+    clock: Clock,
     lives: u64,
     links: BTreeMap<usize, Link>,
     next_dial: Vec<f64>,
@@ -168,7 +167,7 @@
 
 impl Node {
     fn clock(&self, now: f64) -> f64 {
-        self.offset + now * (1.0 + self.drift)
+        self.clock.local(now)
     }
 
     fn acts(&self) -> bool {
@@ -254,9 +253,7 @@
             .map(|_| Node {
                 member: None,
                 paused: false,
-                // An hour off, either way, and up to 1% too fast or too slow.
-                offset: 1e6 + rng.gen_range(-3600.0..3600.0),
-                drift: rng.gen_range(-0.01..0.01),
+                clock: Clock::random(&mut rng, MOST_DRIFT),
                 lives: 0,
                 links: BTreeMap::new(),
                 next_dial: vec![0.0; plan.members],
@@ -310,7 +307,7 @@
         // Its clock may be an hour behind what the fleet knows of its earlier life.
         let back = if node.lives % 3 == 2 { 3600.0 } else { 0.0 };
         let local = node.clock(self.now);
-        let life = Life { incarnation: ((local - back) * 1e3) as u64, nonce };
+        let life = node.clock.life(self.now, back, nonce);
         let member = Member::new(local, id(n), life, self.plan.settings, members);
         (node.member, node.paused) = (Some(member), false);
         let all = self.plan.members;
