Give the three simulated worlds one account of what scripts do to links

Cause: cut, delay and throttle of one direction, and the reading of the steps that set them, stood in world.rs and tier/, and the first two once more in duties.rs. Change: impairment::Impairment has them once, Fault::between_gatekeepers says between whom a step acts. The queues stay apart, as their logic is not the same: the tier's throttle sends one after the other from when the way is free, the other world's adds to the last arrival; the tier's queue is of events, those of the others are stepped, and only the latter share what std's pop_front_if does already.

--- a/crates/faults/src/duties.rs
+++ b/crates/faults/src/duties.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::clock::{Clock, MOST_DRIFT};
+use crate::impairment::Impairment;
 
 /// A step, in seconds.
 pub const STEP: f64 = 0.01;
@@ -65,8 +66,12 @@
     mark: u64,
 }
 
-/// What is on its way and when it comes, whether the way is cut, and by how much it is slow.
-type Way = (VecDeque<(f64, Word)>, bool, f64);
+/// One direction between two members: what is on its way and when it comes.
+#[derive(Clone, Default)]
+struct Way {
+    items: VecDeque<(f64, Word)>,
+    impairment: Impairment,
+}
 
 /// An order that was carried out: when, of which duty, by whom, under which epoch.
 pub type Done = (f64, DutyKey, usize, Epoch);
@@ -122,7 +127,7 @@
         };
         let nodes = (0..plan.members).map(|_| node(&mut rng)).collect();
         let pairs = (0..plan.members).flat_map(|a| (0..plan.members).map(move |b| (a, b)));
-        let ways = pairs.filter(|(a, b)| a != b).map(|pair| (pair, (VecDeque::new(), false, 0.0))).collect();
+        let ways = pairs.filter(|(a, b)| a != b).map(|pair| (pair, Way::default())).collect();
         let mut world = World {
             plan,
             now: 0.0,
@@ -179,7 +184,7 @@
         // Its connections end with it, and what was on them.
         for ((a, b), way) in &mut self.ways {
             if *a == n || *b == n {
-                way.0.clear();
+                way.items.clear();
             }
         }
         for m in 0..self.nodes.len() {
@@ -202,14 +207,14 @@
     /// Cuts one way, or opens it.
     pub fn cut(&mut self, a: usize, b: usize, cut: bool) {
         if let Some(way) = self.ways.get_mut(&(a, b)) {
-            way.1 = cut;
+            way.impairment.cut = cut;
         }
     }
 
     /// Makes one way slower.
     pub fn slow(&mut self, a: usize, b: usize, delay: f64) {
         if let Some(way) = self.ways.get_mut(&(a, b)) {
-            way.2 = delay;
+            way.impairment.delay_s = delay;
         }
     }
 
@@ -223,7 +228,7 @@
 
     /// Mends all.
     pub fn heal(&mut self) {
-        self.ways.values_mut().for_each(|way| (way.1, way.2) = (false, 0.0));
+        self.ways.values_mut().for_each(|way| way.impairment = Impairment::default());
         for n in 0..self.nodes.len() {
             self.start(n);
             (self.nodes[n].paused, self.nodes[n].stuck) = (false, false);
@@ -325,9 +330,9 @@
         }
         duties.tick(local, &candidates);
         for m in (0..self.nodes.len()).filter(|m| *m != n) {
-            let Some((queue, cut, _)) = self.ways.get_mut(&(m, n)) else { continue };
+            let Some(way) = self.ways.get_mut(&(m, n)).filter(|way| !way.impairment.cut) else { continue };
             let now = self.now;
-            while let Some((_, word)) = queue.pop_front_if(|(at, _)| !*cut && *at <= now) {
+            while let Some((_, word)) = way.items.pop_front_if(|(at, _)| *at <= now) {
                 if let Some(duties) = &mut self.nodes[n].duties {
                     duties.hear(local, id(m), &word);
                 }
@@ -346,10 +351,10 @@
                 if self.plan.loss > 0.0 && self.rng.gen_bool(self.plan.loss) {
                     continue;
                 }
-                let Some((queue, _, delay)) = self.ways.get_mut(&(n, m)) else { continue };
-                let at = self.now + self.plan.delay + *delay;
-                let at = queue.back().map_or(at, |(last, _)| at.max(*last));
-                queue.push_back((at, word));
+                let Some(way) = self.ways.get_mut(&(n, m)) else { continue };
+                let at = self.now + self.plan.delay + way.impairment.delay_s;
+                let at = way.items.back().map_or(at, |(last, _)| at.max(*last));
+                way.items.push_back((at, word));
             }
         }
         if self.rng.gen_bool(0.2) {
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod check;
 mod clock;
 pub mod duties;
+mod impairment;
 pub mod real;
 pub mod script;
 pub mod tier;
--- a/crates/faults/src/script.rs
+++ b/crates/faults/src/script.rs
@@ -77,6 +77,19 @@
     Heal,
 }
 
+impl Fault {
+    /// From which gatekeeper to which it acts, where it acts between two.
+    pub(crate) fn between_gatekeepers(&self) -> Option<(usize, usize)> {
+        match self {
+            Fault::Cut(End::Gatekeeper(from), End::Gatekeeper(to))
+            | Fault::Delay(End::Gatekeeper(from), End::Gatekeeper(to), _)
+            | Fault::Throttle(End::Gatekeeper(from), End::Gatekeeper(to), _)
+            | Fault::Drop(End::Gatekeeper(from), End::Gatekeeper(to)) => Some((*from, *to)),
+            _ => None,
+        }
+    }
+}
+
 /// A script.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Script {
--- a/crates/faults/src/tier/network.rs
+++ b/crates/faults/src/tier/network.rs
@@ -72,7 +72,7 @@
         let bytes = if let Item::Frame(frame) = &item { frame.len() + HEADERS } else { 0 };
         let mut at = self.now + self.delay(from, to);
         if let Some(way) = self.ways.get_mut(&(from, to)) {
-            if let Some(rate) = way.rate {
+            if let Some(rate) = way.impairment.rate {
                 way.free_at = way.free_at.max(self.now) + bytes as f64 / rate;
                 at += way.free_at - self.now;
             }
--- a/crates/faults/src/tier/steps.rs
+++ b/crates/faults/src/tier/steps.rs
@@ -28,30 +28,19 @@
 
     /// One step of a script; those on servers are none here.
     pub fn fault(&mut self, fault: &Fault) {
-        let end = |e: &End| if let End::Gatekeeper(n) = e { Some(*n) } else { None };
         match fault {
             Fault::Kill(n) => self.kill(*n),
             Fault::Start(n) => self.start(*n),
             Fault::Pause(n) => self.pause(*n),
             Fault::Wake(n) => self.wake(*n),
             Fault::Heal => self.heal(),
-            Fault::Cut(a, b) => {
-                if let (Some(a), Some(b)) = (end(a), end(b)) {
-                    self.cut(a, b, true);
+            Fault::Cut(..) | Fault::Delay(..) | Fault::Throttle(..) => {
+                if let Some(pair) = fault.between_gatekeepers() {
+                    self.ways.entry(pair).or_default().impairment.apply(fault);
                 }
             }
-            Fault::Delay(a, b, s) => {
-                if let (Some(a), Some(b)) = (end(a), end(b)) {
-                    self.slow(a, b, *s);
-                }
-            }
-            Fault::Throttle(a, b, rate) => {
-                if let (Some(a), Some(b)) = (end(a), end(b)) {
-                    self.ways.entry((a, b)).or_default().rate = Some(*rate);
-                }
-            }
-            Fault::Drop(a, b) => {
-                if let (Some(a), Some(b)) = (end(a), end(b)) {
+            Fault::Drop(..) => {
+                if let Some((a, b)) = fault.between_gatekeepers() {
                     self.reset(a, b);
                 }
             }
--- a/crates/faults/src/tier/ways.rs
+++ b/crates/faults/src/tier/ways.rs
@@ -1,19 +1,19 @@
 //! The ways between nodes: cut, slow, throttled, and the regions that lose each other.
 
 use super::World;
+use crate::impairment::Impairment;
 
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Way {
-    pub(super) cut: bool,
-    pub(super) delay: f64,
-    pub(super) rate: Option<f64>,
+    pub(super) impairment: Impairment,
+    /// When a throttled way has sent all that was put on it.
     pub(super) free_at: f64,
 }
 
 impl World {
     /// What one says to the other waits, or does so no longer.
     pub fn cut(&mut self, from: usize, to: usize, cut: bool) {
-        self.ways.entry((from, to)).or_default().cut = cut;
+        self.ways.entry((from, to)).or_default().impairment.cut = cut;
         if !cut {
             self.unstall();
         }
@@ -23,10 +23,10 @@
     pub fn cut_off(&mut self, node: usize, says: bool, hears: bool) {
         for other in 0..self.slots.len() {
             if says {
-                self.ways.entry((node, other)).or_default().cut = true;
+                self.ways.entry((node, other)).or_default().impairment.cut = true;
             }
             if hears {
-                self.ways.entry((other, node)).or_default().cut = true;
+                self.ways.entry((other, node)).or_default().impairment.cut = true;
             }
         }
         if node < self.plan.relays {
@@ -50,12 +50,12 @@
 
     /// What one says to the other takes so many seconds longer.
     pub fn slow(&mut self, from: usize, to: usize, delay: f64) {
-        self.ways.entry((from, to)).or_default().delay = delay;
+        self.ways.entry((from, to)).or_default().impairment.delay_s = delay;
     }
 
     pub(super) fn blocked(&self, from: usize, to: usize) -> bool {
         self.regions_cut && self.plan.region(from) != self.plan.region(to)
-            || self.ways.get(&(from, to)).is_some_and(|w| w.cut)
+            || self.ways.get(&(from, to)).is_some_and(|way| way.impairment.cut)
     }
 
     pub(super) fn delay(&self, from: usize, to: usize) -> f64 {
@@ -64,6 +64,6 @@
         } else {
             self.plan.delay.1
         };
-        base + self.ways.get(&(from, to)).map_or(0.0, |w| w.delay)
+        base + self.ways.get(&(from, to)).map_or(0.0, |way| way.impairment.delay_s)
     }
 }
--- a/crates/faults/src/world.rs
+++ b/crates/faults/src/world.rs
@@ -26,7 +26,8 @@
 
 use crate::check::{self, Broken, History, What};
 use crate::clock::{Clock, MOST_DRIFT};
-use crate::script::{End, Fault, Script};
+use crate::impairment::Impairment;
+use crate::script::{Fault, Script};
 
 /// A step, in seconds.
 pub const STEP: f64 = 0.01;
@@ -123,16 +124,7 @@
 #[derive(Clone, Default)]
 struct Way {
     items: VecDeque<(f64, u64, Item)>,
-    cut: bool,
-    delay: f64,
-    /// Bytes a second; none is as fast as may be.
-    rate: Option<f64>,
-}
-
-impl Way {
-    fn troubled(&self) -> bool {
-        self.cut || self.delay > 0.0 || self.rate.is_some()
-    }
+    impairment: Impairment,
 }
 
 #[derive(Clone, Copy)]
@@ -334,7 +326,7 @@
     /// What is known to one member alone as it is killed is lost with it: that may be so of the last moments, or where
     /// it was cut off, and else it is a fault.
     fn unshared(&mut self, n: usize) {
-        let cut = self.ways.iter().any(|((a, b), w)| (*a == n || *b == n) && w.troubled());
+        let cut = self.ways.iter().any(|((a, b), w)| (*a == n || *b == n) && w.impairment.is_impaired());
         let trouble = |(at, w): &(f64, What)| *at > self.now - 2.0 && !check::of_calls(w);
         let may =
             cut || self.nodes[n].paused || self.plan.chaos > 0.0 || self.history.events.iter().any(trouble);
@@ -392,7 +384,7 @@
     /// One end of a connection is closed; the other hears of it when what was said before has come.
     fn close(&mut self, from: usize, to: usize, connection: u64) {
         if let Some(way) = self.ways.get_mut(&(from, to)) {
-            way.items.push_back((self.now + WAY + way.delay, connection, Item::Close));
+            way.items.push_back((self.now + WAY + way.impairment.delay_s, connection, Item::Close));
         }
         // What was on its way here is lost.
         if let Some(way) = self.ways.get_mut(&(to, from)) {
@@ -402,10 +394,6 @@
 
     /// Does what a step of a script says.
     pub fn fault(&mut self, fault: Fault) {
-        let pair = |a: End, b: End| match (a, b) {
-            (End::Gatekeeper(a), End::Gatekeeper(b)) if a != b => Some((a, b)),
-            _ => None,
-        };
         match fault {
             Fault::Kill(n) if n < self.nodes.len() => self.kill(n),
             Fault::Start(n) if n < self.nodes.len() => self.start(n),
@@ -418,26 +406,14 @@
                 self.met(n);
                 self.history.push(self.now, What::Woken(n));
             }
-            Fault::Cut(a, b) => {
-                if let Some(way) = pair(a, b).and_then(|pair| self.ways.get_mut(&pair)) {
-                    way.cut = true;
-                    self.history.push(self.now, What::Faulted);
-                }
-            }
-            Fault::Delay(a, b, seconds) => {
-                if let Some(way) = pair(a, b).and_then(|pair| self.ways.get_mut(&pair)) {
-                    way.delay = seconds;
-                    self.history.push(self.now, What::Faulted);
-                }
-            }
-            Fault::Throttle(a, b, rate) => {
-                if let Some(way) = pair(a, b).and_then(|pair| self.ways.get_mut(&pair)) {
-                    way.rate = Some(rate);
+            Fault::Cut(..) | Fault::Delay(..) | Fault::Throttle(..) => {
+                if let Some(way) = fault.between_gatekeepers().and_then(|pair| self.ways.get_mut(&pair)) {
+                    way.impairment.apply(&fault);
                     self.history.push(self.now, What::Faulted);
                 }
             }
-            Fault::Drop(a, b) => {
-                if let Some((a, b)) = pair(a, b) {
+            Fault::Drop(..) => {
+                if let Some((a, b)) = fault.between_gatekeepers().filter(|(a, b)| a != b) {
                     if let Some(link) = self.nodes[a].links.get(&b).copied() {
                         self.unlink(a, b);
                         self.close(a, b, link.connection);
@@ -446,7 +422,7 @@
                 }
             }
             Fault::Heal => {
-                self.ways.values_mut().for_each(|way| (way.cut, way.delay, way.rate) = (false, 0.0, None));
+                self.ways.values_mut().for_each(|way| way.impairment = Impairment::default());
                 (0..self.nodes.len()).for_each(|n| {
                     self.start(n);
                     self.fault(Fault::Wake(n));
@@ -473,7 +449,7 @@
         self.now += STEP;
         for n in 0..self.nodes.len() {
             let reached = |m: &usize| {
-                let cut = |a, b| self.ways.get(&(a, b)).is_some_and(|way| way.cut);
+                let cut = |a, b| self.ways.get(&(a, b)).is_some_and(|way| way.impairment.cut);
                 *m == n || self.nodes[*m].acts() && !cut(n, *m) && !cut(*m, n)
             };
             let count = (0..self.nodes.len()).filter(reached).count();
@@ -588,7 +564,7 @@
 
     /// What has come on the way between two, one by one.
     fn arrived(&mut self, from: usize, to: usize) -> Option<(u64, Item)> {
-        let way = self.ways.get_mut(&(from, to)).filter(|w| !w.cut)?;
+        let way = self.ways.get_mut(&(from, to)).filter(|way| !way.impairment.cut)?;
         let (_, connection, item) = way.items.pop_front_if(|(at, ..)| *at <= self.now)?;
         Some((connection, item))
     }
@@ -642,7 +618,8 @@
                 continue;
             }
             self.nodes[n].next_dial[peer] = self.now + DIAL;
-            let cut = self.ways.get(&(n, peer)).is_some_and(|w| w.cut) || self.ways[&(peer, n)].cut;
+            let cut = self.ways.get(&(n, peer)).is_some_and(|way| way.impairment.cut)
+                || self.ways[&(peer, n)].impairment.cut;
             if cut {
                 continue;
             }
@@ -667,13 +644,13 @@
         let Ok(bytes) = postcard::to_allocvec(word) else { return };
         self.bytes += bytes.len() as u64;
         let Some(way) = self.ways.get_mut(&(from, to)) else { return };
-        let at = self.now + WAY + way.delay;
+        let at = self.now + WAY + way.impairment.delay_s;
         if self.plan.loss > 0.0 && matches!(word, Word::Beat(_)) && self.rng.gen_bool(self.plan.loss) {
             return;
         }
         // What comes later on a connection does not overtake.
         let at = way.items.back().map_or(at, |(last, ..)| last.max(at));
-        let at = at + way.rate.map_or(0.0, |rate| bytes.len() as f64 / rate);
+        let at = at + way.impairment.rate.map_or(0.0, |rate| bytes.len() as f64 / rate);
         let carries = matches!(word, Word::Piece(_) | Word::Ask(_));
         if self.plan.chaos > 0.0 && carries && self.rng.gen_bool(self.plan.chaos) {
             match self.rng.gen_bool(0.5) {
@@ -775,7 +752,7 @@
         // Only where nobody was cut off or came and went meanwhile is it known whom it reached.
         let trouble = |(at, w): &(f64, What)| *at > since - 1.0 && *at < self.now && !check::of_calls(w);
         let own = self.history.events.iter().filter(|e| trouble(e)).count();
-        let cut = self.ways.values().any(Way::troubled);
+        let cut = self.ways.values().any(|way| way.impairment.is_impaired());
         let Some(member) = self.nodes[n].member.as_ref().filter(|_| own <= 1 && !cut) else { return };
         for (origin, version) in met {
             let held = member.store().stream(&origin).map_or(0, |s| s.version());
