Use the field's names in the tier's world

Cause: private names of the tier's world needed explaining: Way, Slot, Body, Item, Ev, bent, heard, worded, lows, put, shut. World::random_word, used by nothing else, is random_input.

--- a/crates/faults/src/tier/figures.rs
+++ b/crates/faults/src/tier/figures.rs
@@ -52,7 +52,7 @@
     pub broken: Vec<Broken>,
 }
 
-fn spread_of(mut all: Vec<f64>) -> (f64, f64, f64) {
+fn percentiles(mut all: Vec<f64>) -> (f64, f64, f64) {
     all.sort_by(f64::total_cmp);
     let at =
         |part: f64| all.get(((all.len() as f64 * part) as usize).min(all.len().saturating_sub(1))).copied();
@@ -65,11 +65,11 @@
         self.scan();
         let played = self.now - self.measured_from;
         let leaves = self.plan.leaves.max(1) as f64;
-        let bytes: u64 = self.leaf_nodes().map(|n| self.slots[n].meter.total).sum();
-        let worst = self.leaf_nodes().map(|n| self.slots[n].meter.worst).max().unwrap_or(0);
-        let all: u64 = self.spread.iter().sum();
+        let bytes: u64 = self.leaf_nodes().map(|n| self.nodes[n].meter.total).sum();
+        let worst = self.leaf_nodes().map(|n| self.nodes[n].meter.worst).max().unwrap_or(0);
+        let all: u64 = self.byte_histogram.iter().sum();
         let mut below = 0;
-        let p99 = self.spread.iter().position(|count| {
+        let p99 = self.byte_histogram.iter().position(|count| {
             below += count;
             below * 100 >= all * 99
         });
@@ -96,11 +96,11 @@
             relay_bytes_s: told as f64 / self.plan.relays.max(1) as f64 / played.max(1.0),
             attached_s: None,
             moved: moved.len(),
-            moved_s: spread_of(moved),
+            moved_s: percentiles(moved),
             changes: accepted.len(),
             refused: self.refused,
-            in_force_s: spread_of(in_force),
-            accepted_s: spread_of(accepted),
+            in_force_s: percentiles(in_force),
+            accepted_s: percentiles(accepted),
             equal_s: None,
             false_deaths: self.false_deaths,
             most_leaves: self.most.iter().copied().max().unwrap_or(0),
@@ -112,9 +112,9 @@
     pub fn measure_from_here(&mut self) {
         let second = self.now as u64;
         for node in self.leaf_nodes() {
-            self.slots[node].meter = Meter { second, ..Meter::default() };
+            self.nodes[node].meter = Meter { second, ..Meter::default() };
         }
-        self.spread.clear();
+        self.byte_histogram.clear();
         self.said.clear();
         self.most.iter_mut().for_each(|most| *most = 0);
         self.measured_from = self.now;
--- a/crates/faults/src/tier/inputs.rs
+++ b/crates/faults/src/tier/inputs.rs
@@ -7,7 +7,7 @@
 use hollypaddle_relay::Node;
 use hollypaddle_replica::record::ServerFact;
 
-use super::nodes::Body;
+use super::nodes::Process;
 use super::queue::nanos;
 use super::{Changed, World};
 
@@ -17,29 +17,29 @@
         let key = self.plan.server(self.plan.topic(node), server);
         match fact {
             // What is said again is of the time when it was said first.
-            Some(fact) if self.slots[node].servers.get(&key).is_some_and(|(_, held)| *held == fact) => return,
-            Some(fact) => self.slots[node].servers.insert(key, (self.now, fact)),
-            None => self.slots[node].servers.remove(&key),
+            Some(fact) if self.nodes[node].servers.get(&key).is_some_and(|(_, held)| *held == fact) => return,
+            Some(fact) => self.nodes[node].servers.insert(key, (self.now, fact)),
+            None => self.nodes[node].servers.remove(&key),
         };
         let at = self.clock(node);
-        if let Some(Body::Leaf(leaf)) = &mut self.slots[node].body {
+        if let Some(Process::Leaf(leaf)) = &mut self.nodes[node].process {
             leaf.server(at, key, fact);
-            self.plan_turn(node, nanos(self.now));
+            self.schedule_turn(node, nanos(self.now));
         }
     }
 
     /// A leaf finds a server of its topic silent, or not any more.
     pub fn silence(&mut self, node: usize, server: usize, silent: bool) {
         let key = self.plan.server(self.plan.topic(node), server);
-        let started = self.slots[node].servers.get(&key).map_or(0, |(_, fact)| fact.started_ms);
+        let started = self.nodes[node].servers.get(&key).map_or(0, |(_, fact)| fact.started_ms);
         match silent {
-            true => self.slots[node].silent.insert(key, (self.now, started)),
-            false => self.slots[node].silent.remove(&key),
+            true => self.nodes[node].silent.insert(key, (self.now, started)),
+            false => self.nodes[node].silent.remove(&key),
         };
         let at = self.clock(node);
-        if let Some(Body::Leaf(leaf)) = &mut self.slots[node].body {
+        if let Some(Process::Leaf(leaf)) = &mut self.nodes[node].process {
             leaf.silent(at, key, started, silent.then_some(at));
-            self.plan_turn(node, nanos(self.now));
+            self.schedule_turn(node, nanos(self.now));
         }
     }
 
@@ -53,7 +53,7 @@
         if !self.awake(node) {
             return None;
         }
-        let Some(Body::Relay(relay)) = &mut self.slots[node].body else { return None };
+        let Some(Process::Relay(relay)) = &mut self.nodes[node].process else { return None };
         relay.tick(now);
         let result = relay.propose(now, wanted);
         if let Ok(mark) = &result {
@@ -66,7 +66,7 @@
                 last: asked,
             });
         }
-        self.plan_turn(node, nanos(self.now));
+        self.schedule_turn(node, nanos(self.now));
         Some(result)
     }
 
--- a/crates/faults/src/tier/mod.rs
+++ b/crates/faults/src/tier/mod.rs
@@ -13,6 +13,7 @@
 mod network;
 mod nodes;
 mod observe;
+mod paths;
 mod plan;
 mod planted;
 mod queue;
@@ -21,7 +22,6 @@
 mod settled;
 mod steps;
 mod turn;
-mod ways;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
@@ -37,9 +37,9 @@
 use crate::clock::{Clock, MOST_DRIFT};
 use meter::Meter;
 use network::Connection;
-use nodes::{Body, Slot};
-use queue::Ev;
-use ways::Way;
+use nodes::{NodeState, Process};
+use paths::Path;
+use queue::Event;
 
 pub use figures::Figures;
 pub use meter::{BYTES, OVER};
@@ -49,7 +49,7 @@
 pub use steps::{entries, random_script};
 
 /// What did not hold is kept up to so many.
-const MOST_BROKEN: usize = 50;
+const MOST_VIOLATIONS: usize = 50;
 
 /// All of it.
 pub struct World {
@@ -58,17 +58,17 @@
     /// The time, in seconds.
     pub now: f64,
     rng: ChaCha8Rng,
-    slots: Vec<Slot>,
-    numbers: BTreeMap<MemberId, usize>,
+    nodes: Vec<NodeState>,
+    node_by_id: BTreeMap<MemberId, usize>,
     connections: Vec<Option<Box<Connection>>>,
-    queue: BinaryHeap<Reverse<(u64, u64, Ev)>>,
-    queued: u64,
-    ways: BTreeMap<(usize, usize), Way>,
+    queue: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    last_sequence: u64,
+    paths: BTreeMap<(usize, usize), Path>,
     regions_cut: bool,
     /// Chance that a message is lost, now.
     pub loss: f64,
     /// When something was last heard of each relay by another relay.
-    relay_heard: BTreeMap<(usize, usize), f64>,
+    relay_last_heard: BTreeMap<(usize, usize), f64>,
     /// Who has stored which settings at some time.
     stored: BTreeMap<Mark, BTreeSet<usize>>,
     /// Changes, by version.
@@ -78,10 +78,10 @@
     /// Leaves that were attached again.
     pub moves: Vec<Move>,
     /// How many leaf-seconds had so many bytes, in steps of 16.
-    spread: Vec<u64>,
+    byte_histogram: Vec<u64>,
     /// Most leaves at each relay.
     pub most: Vec<usize>,
-    /// Words of a death that was none, by whom they were said.
+    /// Notices of a death that was none.
     pub false_deaths: usize,
     /// Messages, and their bytes with headers, by kind.
     pub said: BTreeMap<u8, (u64, u64)>,
@@ -103,12 +103,12 @@
     pub refused: usize,
     measured_from: f64,
     /// When cuts ended last.
-    cleared: f64,
+    last_reopened: f64,
     last_scan: f64,
-    lives: u64,
+    lives_started: u64,
     /// What relays have said of leaves: gone, after so many attachments.
-    stated_gone: BTreeSet<(MemberId, u32)>,
-    worded: BTreeMap<(Topic, usize), f64>,
+    reported_gone: BTreeSet<(MemberId, u32)>,
+    last_observed: BTreeMap<(Topic, usize), f64>,
 }
 
 impl World {
@@ -116,36 +116,36 @@
     pub fn new(plan: Plan, seed: u64) -> World {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let count = plan.relays + plan.leaves;
-        let slots = (0..count).map(|_| Slot {
-            body: None,
+        let nodes = (0..count).map(|_| NodeState {
+            process: None,
             life: 0,
             started: 0.0,
             paused: false,
             deaf: false,
-            off: false,
+            powered_off: false,
             clock: Clock::random(&mut rng, MOST_DRIFT),
-            wake: None,
-            want: 0,
+            turn_planned_at: None,
+            turn_wanted_at: 0,
             links: HashMap::new(),
-            ends: BTreeSet::new(),
-            idle: (0, 0),
+            connections: BTreeSet::new(),
+            idle_turns: (0, 0),
             meter: Meter::default(),
             settings: Mark::default(),
             orphaned: None,
-            has: (0, Mark::default()),
+            held: (0, Mark::default()),
             servers: BTreeMap::new(),
             silent: BTreeMap::new(),
             clear_since: 0.0,
-            told_settings: 0,
-            heard: None,
+            counted_version: 0,
+            last_heard: None,
             in_force: Mark::default(),
             proposed: Mark::default(),
-            reached_before: false,
-            lows: VecDeque::new(),
+            had_majority: false,
+            reachable_relays: VecDeque::new(),
         });
         let mut world = World {
-            slots: slots.collect(),
-            numbers: (0..count).map(|n| (id(n, &plan), n)).collect(),
+            nodes: nodes.collect(),
+            node_by_id: (0..count).map(|n| (id(n, &plan), n)).collect(),
             loss: plan.loss,
             most: vec![0; plan.relays],
             plan,
@@ -153,15 +153,15 @@
             rng,
             connections: Vec::new(),
             queue: BinaryHeap::new(),
-            queued: 0,
-            ways: BTreeMap::new(),
+            last_sequence: 0,
+            paths: BTreeMap::new(),
             regions_cut: false,
-            relay_heard: BTreeMap::new(),
+            relay_last_heard: BTreeMap::new(),
             stored: BTreeMap::new(),
             changes: BTreeMap::new(),
             broken: Vec::new(),
             moves: Vec::new(),
-            spread: Vec::new(),
+            byte_histogram: Vec::new(),
             false_deaths: 0,
             said: BTreeMap::new(),
             errors: BTreeMap::new(),
@@ -173,18 +173,18 @@
             set_back: false,
             refused: 0,
             measured_from: 0.0,
-            cleared: 0.0,
+            last_reopened: 0.0,
             last_scan: 0.0,
-            lives: 0,
-            stated_gone: BTreeSet::new(),
-            worded: BTreeMap::new(),
+            lives_started: 0,
+            reported_gone: BTreeSet::new(),
+            last_observed: BTreeMap::new(),
         };
         for node in world.leaf_nodes() {
             let topic = world.plan.topic(node);
             for n in 0..world.plan.servers {
                 let fact = ServerFact { started_ms: 1000, place: ServerPlace::Ready };
                 let server = world.plan.server(topic, n);
-                world.slots[node].servers.insert(server, (0.0, fact));
+                world.nodes[node].servers.insert(server, (0.0, fact));
             }
         }
         (0..world.plan.relays).for_each(|n| world.start(n));
@@ -198,45 +198,45 @@
         self.plan.relays..self.plan.relays + self.plan.leaves
     }
 
-    fn breaks(&mut self, rule: &'static str, what: String) {
-        if self.broken.len() < MOST_BROKEN {
+    fn record_violation(&mut self, rule: &'static str, what: String) {
+        if self.broken.len() < MOST_VIOLATIONS {
             self.broken.push(Broken(rule, format!("at {:.3}: {what}", self.now)));
         }
     }
 
     /// The own clock of a node.
     pub fn clock(&self, node: usize) -> f64 {
-        self.slots[node].clock.local(self.now)
+        self.nodes[node].clock.local(self.now)
     }
 
     /// A time of the world on the own clock of a node.
-    fn local(&self, node: usize, at: f64) -> f64 {
-        self.slots[node].clock.local(at)
+    fn clock_at(&self, node: usize, at: f64) -> f64 {
+        self.nodes[node].clock.local(at)
     }
 
     /// A leaf, if it lives.
     pub fn leaf(&self, node: usize) -> Option<&Leaf> {
-        match &self.slots[node].body {
-            Some(Body::Leaf(leaf)) => Some(leaf),
+        match &self.nodes[node].process {
+            Some(Process::Leaf(leaf)) => Some(leaf),
             _ => None,
         }
     }
 
     /// A relay, if it lives.
     pub fn relay(&self, node: usize) -> Option<&Relay> {
-        match &self.slots[node].body {
-            Some(Body::Relay(relay)) => Some(relay),
+        match &self.nodes[node].process {
+            Some(Process::Relay(relay)) => Some(relay),
             _ => None,
         }
     }
 
     /// Whether it lives and is awake.
     pub fn awake(&self, node: usize) -> bool {
-        self.slots[node].body.is_some() && !self.slots[node].paused
+        self.nodes[node].process.is_some() && !self.nodes[node].paused
     }
 
     /// To which relay's node a leaf is attached, as it believes.
     pub fn attached_to(&self, node: usize) -> Option<usize> {
-        self.leaf(node)?.relay().and_then(|relay| self.numbers.get(&relay)).copied()
+        self.leaf(node)?.relay().and_then(|relay| self.node_by_id.get(&relay)).copied()
     }
 }
--- a/crates/faults/src/tier/plan.rs
+++ b/crates/faults/src/tier/plan.rs
@@ -46,7 +46,7 @@
     pub first: usize,
     /// Servers of a topic, which each of its leaves tells of.
     pub servers: usize,
-    /// What a way takes within a region and between two, in seconds.
+    /// What a path takes within a region and between two, in seconds.
     pub delay: (f64, f64),
     /// Chance that a message is lost.
     pub loss: f64,
--- a/crates/faults/src/tier/planted.rs
+++ b/crates/faults/src/tier/planted.rs
@@ -7,7 +7,7 @@
 
 impl World {
     /// What a fault put in on purpose makes of a message; none where it is lost.
-    pub(super) fn bent(&mut self, from: usize, to: usize, message: Message) -> Option<Message> {
+    pub(super) fn apply_planted(&mut self, from: usize, to: usize, message: Message) -> Option<Message> {
         let Some(planted) = self.plan.planted else { return Some(message) };
         let (relays, last) = (self.plan.relays, self.plan.relays + self.plan.leaves - 1);
         match (planted, message) {
--- a/crates/faults/src/tier/queue.rs
+++ b/crates/faults/src/tier/queue.rs
@@ -2,11 +2,12 @@
 
 use std::cmp::Reverse;
 
-use super::network::STUCK;
+use super::network::STUCK_AFTER_S;
 use super::World;
 
+/// What happens at a time: to a side of a connection, or to a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Ev {
+pub(super) enum Event {
     Arrive(usize, usize),
     Wake(usize),
     Writable(usize, usize),
@@ -22,17 +23,17 @@
 }
 
 impl World {
-    pub(super) fn plan_event(&mut self, at: u64, ev: Ev) {
-        self.queued += 1;
-        self.queue.push(Reverse((at, self.queued, ev)));
+    pub(super) fn schedule(&mut self, at: u64, ev: Event) {
+        self.last_sequence += 1;
+        self.queue.push(Reverse((at, self.last_sequence, ev)));
     }
 
-    pub(super) fn plan_turn(&mut self, node: usize, at: u64) {
-        let slot = &mut self.slots[node];
-        slot.want = at;
-        if slot.wake.is_none_or(|planned| at < planned) {
-            slot.wake = Some(at);
-            self.plan_event(at, Ev::Wake(node));
+    pub(super) fn schedule_turn(&mut self, node: usize, at: u64) {
+        let state = &mut self.nodes[node];
+        state.turn_wanted_at = at;
+        if state.turn_planned_at.is_none_or(|planned| at < planned) {
+            state.turn_planned_at = Some(at);
+            self.schedule(at, Event::Wake(node));
         }
     }
 
@@ -46,46 +47,46 @@
             let Some(Reverse((at, _, ev))) = self.queue.pop() else { break };
             self.now = seconds(at).max(self.now);
             match ev {
-                Ev::Arrive(connection, side) => self.arrive(connection, side),
-                Ev::Wake(node) => {
-                    if self.slots[node].wake != Some(at) {
+                Event::Arrive(connection, side) => self.deliver(connection, side),
+                Event::Wake(node) => {
+                    if self.nodes[node].turn_planned_at != Some(at) {
                         continue;
                     }
-                    self.slots[node].wake = None;
-                    if self.slots[node].want > at {
-                        let want = self.slots[node].want;
-                        self.plan_turn(node, want);
-                    } else if !self.slots[node].paused {
+                    self.nodes[node].turn_planned_at = None;
+                    if self.nodes[node].turn_wanted_at > at {
+                        let want = self.nodes[node].turn_wanted_at;
+                        self.schedule_turn(node, want);
+                    } else if !self.nodes[node].paused {
                         self.turn(node, None);
                     }
                 }
-                Ev::Writable(connection, side) | Ev::Stuck(connection, side) => {
+                Event::Writable(connection, side) | Event::Stuck(connection, side) => {
                     let Some(c) = &self.connections[connection] else { continue };
                     let (node, life, link) = (c.sides[side].node, c.sides[side].life, c.sides[side].link);
                     let full = c.sides[1 - side].full;
-                    let Some(link) = link.filter(|_| life == self.slots[node].life && self.awake(node))
+                    let Some(link) = link.filter(|_| life == self.nodes[node].life && self.awake(node))
                     else {
                         continue;
                     };
                     let local = self.clock(node);
-                    if ev == Ev::Writable(connection, side) {
-                        if let Some(body) = &mut self.slots[node].body {
-                            body.node().writable(local, link);
+                    if ev == Event::Writable(connection, side) {
+                        if let Some(process) = &mut self.nodes[node].process {
+                            process.node().writable(local, link);
                         }
                     } else {
-                        if full.is_none_or(|since| at < since + nanos(STUCK)) {
+                        if full.is_none_or(|since| at < since + nanos(STUCK_AFTER_S)) {
                             continue;
                         }
                         self.stuck += 1;
-                        self.slots[node].links.remove(&link);
-                        self.slots[node].ends.remove(&connection);
-                        self.shut(connection, node);
-                        if let Some(body) = &mut self.slots[node].body {
-                            body.node().tick(local);
-                            body.node().down(local, link, false);
+                        self.nodes[node].links.remove(&link);
+                        self.nodes[node].connections.remove(&connection);
+                        self.close(connection, node);
+                        if let Some(process) = &mut self.nodes[node].process {
+                            process.node().tick(local);
+                            process.node().down(local, link, false);
                         }
                     }
-                    self.plan_turn(node, at);
+                    self.schedule_turn(node, at);
                 }
             }
             if self.now - self.last_scan >= self.scan_every {
--- a/crates/faults/src/tier/runs.rs
+++ b/crates/faults/src/tier/runs.rs
@@ -84,7 +84,7 @@
         world.warm();
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x10a6);
         let mut figures = Figures::default();
-        let zone: Vec<usize> = (0..world.slots.len()).filter(|n| world.plan.zone(*n) == 0).collect();
+        let zone: Vec<usize> = (0..world.nodes.len()).filter(|n| world.plan.zone(*n) == 0).collect();
         match self {
             Run::Rest => world.pass(300.0),
             Run::Day => world.day(&mut rng),
@@ -128,7 +128,7 @@
                 figures.equal_s = world.until(30.0, |w| w.all_on_newest().is_empty());
                 if figures.equal_s.is_none_or(|s| s > CHANGE) {
                     let what = format!("{:?}", figures.equal_s);
-                    world.breaks("after a heal all are on the newest settings within 4 s", what);
+                    world.record_violation("after a heal all are on the newest settings within 4 s", what);
                 }
                 world.pass(60.0);
             }
@@ -143,9 +143,9 @@
                 world.pass(60.0);
             }
             Run::All => {
-                (0..world.slots.len()).for_each(|n| world.kill(n));
+                (0..world.nodes.len()).for_each(|n| world.kill(n));
                 world.pass(0.5);
-                (0..world.slots.len()).for_each(|n| world.start(n));
+                (0..world.nodes.len()).for_each(|n| world.start(n));
                 world.settle(&mut figures, 60.0);
                 world.pass(60.0);
             }
@@ -205,7 +205,10 @@
         figures.attached_s = self.until(most, World::all_attached);
         if figures.attached_s.is_none() {
             let left = self.unattached().len();
-            self.breaks("every leaf is attached in the end", format!("{left} are not after {most} s"));
+            self.record_violation(
+                "every leaf is attached in the end",
+                format!("{left} are not after {most} s"),
+            );
         }
     }
 
@@ -213,7 +216,7 @@
     fn day(&mut self, rng: &mut ChaCha8Rng) {
         const HOUR: f64 = 3600.0;
         let mut steps: Vec<(f64, u8, usize)> = Vec::new();
-        let count = self.slots.len();
+        let count = self.nodes.len();
         for _ in 0..2 {
             steps.push((rng.gen_range(0.0..HOUR - 120.0), 0, rng.gen_range(0..count)));
         }
--- a/crates/faults/src/tier/scan.rs
+++ b/crates/faults/src/tier/scan.rs
@@ -15,11 +15,11 @@
             let Some(leaf) = self.leaf(node) else { continue };
             let gone = |(_, fact): &(MemberId, LeafFact)| fact.presence == Presence::Gone;
             let made_up: Vec<MemberId> = (leaf.peers().filter(gone))
-                .filter(|(member, fact)| !self.stated_gone.contains(&(*member, fact.moves)))
+                .filter(|(member, fact)| !self.reported_gone.contains(&(*member, fact.moves)))
                 .map(|(member, _)| member)
                 .collect();
             for member in made_up {
-                let of = self.numbers.get(&member).copied();
+                let of = self.node_by_id.get(&member).copied();
                 self.false_death(format!(
                     "node {node} holds node {of:?} to be gone, which no relay has said"
                 ));
@@ -27,8 +27,8 @@
         }
         // A share is of the relays that were there when its leaves came; they go home slowly.
         for node in 0..self.plan.relays {
-            let reaches = self.reaches(node);
-            let lows = &mut self.slots[node].lows;
+            let reaches = self.count_reachable(node);
+            let lows = &mut self.nodes[node].reachable_relays;
             lows.push_back((self.now, reaches));
             while lows.front().is_some_and(|(at, _)| self.now - at > 2.5 * self.plan.timing.home) {
                 lows.pop_front();
@@ -40,17 +40,17 @@
             if attached > share {
                 let what =
                     format!("relay {node} has {attached} of {}, {share} are its share", self.plan.leaves);
-                self.breaks("no relay has more than its share of leaves", what);
+                self.record_violation("no relay has more than its share of leaves", what);
             }
         }
         let second = self.now as u64;
         for node in self.leaf_nodes() {
-            let meter = &mut self.slots[node].meter;
-            meter.roll(second, &mut self.spread);
+            let meter = &mut self.nodes[node].meter;
+            meter.roll(second, &mut self.byte_histogram);
             let (worst, told) = (meter.worst, std::mem::replace(&mut meter.told, meter.worst));
             if worst > (BYTES * OVER as f64) as u64 && worst > told {
                 let what = format!("{} bytes a second to and from node {node}", worst / OVER as u64);
-                self.breaks("what is said to and by a leaf is within its budget", what);
+                self.record_violation("what is said to and by a leaf is within its budget", what);
             }
         }
     }
--- a/crates/faults/src/tier/settled.rs
+++ b/crates/faults/src/tier/settled.rs
@@ -25,16 +25,16 @@
     /// What a leaf of a topic must hear, were everybody told everything: the join over all living leaves of it.
     fn model(&self, topic: Topic) -> (BTreeMap<ServerKey, ServerFact>, BTreeSet<ServerKey>) {
         let mut servers: BTreeMap<ServerKey, (f64, ServerFact)> = BTreeMap::new();
-        let of = |n: &usize| self.slots[*n].body.is_some() && self.plan.topic(*n) == topic;
+        let of = |n: &usize| self.nodes[*n].process.is_some() && self.plan.topic(*n) == topic;
         for node in self.leaf_nodes().filter(of) {
-            for (server, said) in &self.slots[node].servers {
+            for (server, said) in &self.nodes[node].servers {
                 let joined = servers.get(server).map_or(*said, |held| join_servers(*held, *said));
                 servers.insert(*server, joined);
             }
         }
         let mut silent = BTreeSet::new();
         for node in self.leaf_nodes().filter(of) {
-            for (server, (_, started)) in &self.slots[node].silent {
+            for (server, (_, started)) in &self.nodes[node].silent {
                 if servers.get(server).is_none_or(|(_, fact)| fact.started_ms <= *started) {
                     silent.insert(*server);
                 }
--- a/crates/faults/src/tier/steps.rs
+++ b/crates/faults/src/tier/steps.rs
@@ -13,17 +13,17 @@
 impl World {
     /// All cuts and delays end, who is down or paused comes back.
     pub fn heal(&mut self) {
-        self.clears();
-        self.ways.clear();
+        self.before_reopening();
+        self.paths.clear();
         self.regions_cut = false;
         self.loss = 0.0;
-        for node in 0..self.slots.len() {
-            self.slots[node].off = false;
+        for node in 0..self.nodes.len() {
+            self.nodes[node].powered_off = false;
             self.deafen(node, false);
             self.wake(node);
             self.start(node);
         }
-        self.unstall();
+        self.reschedule_all();
     }
 
     /// One step of a script; those on servers are none here.
@@ -36,7 +36,7 @@
             Fault::Heal => self.heal(),
             Fault::Cut(..) | Fault::Delay(..) | Fault::Throttle(..) => {
                 if let Some(pair) = fault.between_gatekeepers() {
-                    self.ways.entry(pair).or_default().impairment.apply(fault);
+                    self.paths.entry(pair).or_default().impairment.apply(fault);
                 }
             }
             Fault::Drop(..) => {
@@ -48,19 +48,19 @@
         }
     }
 
-    /// Plays a script, with words on servers and changes of settings between; what did not hold then, or after it.
+    /// Plays a script, with observations of servers and changes of settings between; what did not hold then, or after it.
     pub fn play(&mut self, script: &Script) -> Vec<Broken> {
         let mut rng = ChaCha8Rng::seed_from_u64(script.seed ^ 0x71e2);
         self.pass(3.0);
         let from = self.now;
         let mut asked = 0;
-        let mut next_word = from;
+        let mut next_input = from;
         for (at, fault) in &script.steps {
-            while next_word < from + at {
-                self.pass((next_word - self.now).max(0.0));
-                next_word += rng.gen_range(0.05..0.6);
+            while next_input < from + at {
+                self.pass((next_input - self.now).max(0.0));
+                next_input += rng.gen_range(0.05..0.6);
                 asked += 1;
-                self.random_word(&mut rng, asked);
+                self.random_input(&mut rng, asked);
             }
             self.pass((from + at - self.now).max(0.0));
             self.fault(fault);
@@ -75,19 +75,19 @@
     }
 
     /// Something that a leaf finds, or a change of settings.
-    pub fn random_word(&mut self, rng: &mut ChaCha8Rng, n: u64) {
+    pub fn random_input(&mut self, rng: &mut ChaCha8Rng, n: u64) {
         let Some(node) = self.leaf_nodes().collect::<Vec<_>>().choose(rng).copied() else { return };
         let server = rng.gen_range(0..self.plan.servers.max(1));
         match rng.gen_range(0..5) {
             0 => self.silence(node, server, true),
             1 => self.silence(node, server, false),
             2 => {
-                // Of a server one word at a time: two within the error of an age are told in any order.
+                // Of a server one observation at a time: two within the error of an age are told in any order.
                 let at = (self.plan.topic(node), server);
-                if self.worded.get(&at).is_some_and(|then| self.now - then < 6.0) {
+                if self.last_observed.get(&at).is_some_and(|then| self.now - then < 6.0) {
                     return;
                 }
-                self.worded.insert(at, self.now);
+                self.last_observed.insert(at, self.now);
                 let place =
                     *[ServerPlace::Ready, ServerPlace::Draining].choose(rng).unwrap_or(&ServerPlace::Ready);
                 self.tell(node, server, Some(ServerFact { started_ms: 1000, place }));
--- a/crates/faults/src/tier/turn.rs
+++ b/crates/faults/src/tier/turn.rs
@@ -6,54 +6,54 @@
 use hollypaddle_relay::message::Message;
 use rand::Rng;
 
-use super::network::{Connection, Item, Side, ROOM, STUCK};
-use super::nodes::Body;
-use super::queue::{nanos, Ev};
+use super::network::{Connection, Packet, Side, RECEIVE_BUFFER_BYTES, STUCK_AFTER_S};
+use super::nodes::Process;
+use super::queue::{nanos, Event};
 use super::World;
 
 /// Turns of a node within a second, without anything that came, at most: more is a loop that never sleeps.
-const IDLE_TURNS: u32 = 500;
+const MOST_IDLE_TURNS: u32 = 500;
 
 impl World {
     /// A node's own turn: time, what came, what is to be said.
-    pub(super) fn turn(&mut self, node: usize, came: Option<(usize, usize, Vec<Item>)>) {
+    pub(super) fn turn(&mut self, node: usize, came: Option<(usize, usize, Vec<Packet>)>) {
         let local = self.clock(node);
-        let Some(mut body) = self.slots[node].body.take() else { return };
+        let Some(mut process) = self.nodes[node].process.take() else { return };
         self.turns += 1;
         let idle = came.is_none();
-        body.node().tick(local);
-        if let Some((connection, side, items)) = came {
-            for item in items {
-                self.item(node, &mut body, local, connection, side, item);
+        process.node().tick(local);
+        if let Some((connection, side, packets)) = came {
+            for packet in packets {
+                self.receive(node, &mut process, local, connection, side, packet);
             }
         }
         let mut said = false;
-        for link in body.node().due(local) {
-            let Some((connection, side)) = self.slots[node].links.get(&link).copied() else { continue };
+        for link in process.node().due(local) {
+            let Some((connection, side)) = self.nodes[node].links.get(&link).copied() else { continue };
             while let Some(c) = &mut self.connections[connection] {
                 let other = &mut c.sides[1 - side];
-                if other.bytes >= ROOM {
+                if other.bytes >= RECEIVE_BUFFER_BYTES {
                     if other.full.is_none() {
                         let now = nanos(self.now);
                         other.full = Some(now);
-                        self.plan_event(now + nanos(STUCK), Ev::Stuck(connection, side));
+                        self.schedule(now + nanos(STUCK_AFTER_S), Event::Stuck(connection, side));
                     }
                     break;
                 }
-                let Some(message) = body.node().say(local, link) else { break };
+                let Some(message) = process.node().say(local, link) else { break };
                 said = true;
-                self.say(node, connection, side, message);
+                self.send(node, connection, side, message);
             }
         }
-        for link in body.node().closes() {
-            if let Some((connection, _)) = self.slots[node].links.remove(&link) {
-                self.slots[node].ends.remove(&connection);
-                self.shut(connection, node);
+        for link in process.node().closes() {
+            if let Some((connection, _)) = self.nodes[node].links.remove(&link) {
+                self.nodes[node].connections.remove(&connection);
+                self.close(connection, node);
             }
         }
-        for (link, to) in body.node().dials(local) {
-            let Some(&other) = self.numbers.get(&to) else { continue };
-            let life = self.slots[node].life;
+        for (link, to) in process.node().dials(local) {
+            let Some(&other) = self.node_by_id.get(&to) else { continue };
+            let life = self.nodes[node].life;
             let side = |node, life, link| Side {
                 node,
                 life,
@@ -67,90 +67,94 @@
             self.connections.push(Some(Box::new(Connection {
                 sides: [side(node, life, Some(link)), side(other, 0, None)],
             })));
-            self.slots[node].links.insert(link, (connection, 0));
-            self.slots[node].ends.insert(connection);
-            self.put(connection, 1, Item::Accept(false));
+            self.nodes[node].links.insert(link, (connection, 0));
+            self.nodes[node].connections.insert(connection);
+            self.transmit(connection, 1, Packet::Connect(false));
         }
-        self.observe(node, &mut body, local);
-        let next = body.node().next_at();
-        self.slots[node].body = Some(body);
-        let slot = &mut self.slots[node];
+        self.observe(node, &mut process, local);
+        let next = process.node().next_at();
+        self.nodes[node].process = Some(process);
+        let state = &mut self.nodes[node];
         let second = self.now as u64;
         if idle && !said {
-            slot.idle = if slot.idle.0 == second { (second, slot.idle.1 + 1) } else { (second, 1) };
-            if slot.idle.1 == IDLE_TURNS {
-                self.breaks("a node that has nothing to do sleeps", format!("node {node} turns without end"));
+            state.idle_turns =
+                if state.idle_turns.0 == second { (second, state.idle_turns.1 + 1) } else { (second, 1) };
+            if state.idle_turns.1 == MOST_IDLE_TURNS {
+                self.record_violation(
+                    "a node that has nothing to do sleeps",
+                    format!("node {node} turns without end"),
+                );
             }
         }
-        let slot = &self.slots[node];
-        let at = slot.clock.world_time(next).max(self.now + 1e-4).min(self.now + 3600.0);
-        self.plan_turn(node, nanos(at));
+        let state = &self.nodes[node];
+        let at = state.clock.world_time(next).max(self.now + 1e-4).min(self.now + 3600.0);
+        self.schedule_turn(node, nanos(at));
     }
 
-    pub(super) fn item(
+    pub(super) fn receive(
         &mut self,
         node: usize,
-        body: &mut Body,
+        process: &mut Process,
         local: f64,
         connection: usize,
         side: usize,
-        item: Item,
+        packet: Packet,
     ) {
         let Some(c) = &mut self.connections[connection] else { return };
         let (link, from) = (c.sides[side].link, c.sides[1 - side].node);
-        match (item, link) {
-            (Item::Accept(_), _) => {
-                let link = body.node().accepted(local);
+        match (packet, link) {
+            (Packet::Connect(_), _) => {
+                let link = process.node().accepted(local);
                 c.sides[side].link = Some(link);
-                self.slots[node].links.insert(link, (connection, side));
+                self.nodes[node].links.insert(link, (connection, side));
             }
-            (Item::Up, Some(link)) => body.node().up(local, link),
-            (Item::Frame(frame), Some(link)) => {
+            (Packet::Connected, Some(link)) => process.node().up(local, link),
+            (Packet::Frame(frame), Some(link)) => {
                 let message = match Message::decode(&frame) {
                     Ok(Some((message, whole))) if whole == frame.len() => message,
-                    other => return self.breaks("what is said can be read", format!("{other:?}")),
+                    other => return self.record_violation("what is said can be read", format!("{other:?}")),
                 };
-                self.heard(node, from, &message);
-                if let Err(error) = body.node().hear(local, link, &message) {
+                self.observe_message(node, from, &message);
+                if let Err(error) = process.node().hear(local, link, &message) {
                     *self.errors.entry(error.name()).or_default() += 1;
-                    self.slots[node].links.remove(&link);
-                    self.slots[node].ends.remove(&connection);
-                    self.shut(connection, node);
-                    body.node().down(local, link, false);
+                    self.nodes[node].links.remove(&link);
+                    self.nodes[node].connections.remove(&connection);
+                    self.close(connection, node);
+                    process.node().down(local, link, false);
                 }
             }
-            (item @ (Item::Close | Item::Refused), link) => {
+            (packet @ (Packet::Close | Packet::Refused), link) => {
                 if let Some(link) = link {
-                    self.slots[node].links.remove(&link);
-                    body.node().down(local, link, matches!(item, Item::Refused));
+                    self.nodes[node].links.remove(&link);
+                    process.node().down(local, link, matches!(packet, Packet::Refused));
                 }
-                self.slots[node].ends.remove(&connection);
-                self.end(connection, side);
+                self.nodes[node].connections.remove(&connection);
+                self.closed(connection, side);
             }
-            (Item::Up | Item::Frame(_), None) => {}
+            (Packet::Connected | Packet::Frame(_), None) => {}
         }
     }
 
     /// A message leaves a node.
-    pub(super) fn say(&mut self, node: usize, connection: usize, side: usize, message: Message) {
+    pub(super) fn send(&mut self, node: usize, connection: usize, side: usize, message: Message) {
         let Some(c) = &self.connections[connection] else { return };
         let to = c.sides[1 - side].node;
-        let Some(message) = self.bent(node, to, message) else { return };
+        let Some(message) = self.apply_planted(node, to, message) else { return };
         let mut frame = Vec::new();
         let bytes = message.encode(&mut frame);
         if bytes == 0 {
-            return self.breaks("what is said can be told", format!("{message:?}"));
+            return self.record_violation("what is said can be told", format!("{message:?}"));
         }
         let bytes = bytes + HEADERS;
         let kind = self.said.entry(message.kind()).or_default();
         (kind.0, kind.1) = (kind.0 + 1, kind.1 + bytes as u64);
         let second = self.now as u64;
         for leaf in [node, to].into_iter().filter(|n| *n >= self.plan.relays) {
-            self.slots[leaf].meter.add(second, bytes, &mut self.spread);
+            self.nodes[leaf].meter.add(second, bytes, &mut self.byte_histogram);
         }
         if self.loss > 0.0 && self.rng.gen_bool(self.loss) {
             return;
         }
-        self.put(connection, 1 - side, Item::Frame(frame));
+        self.transmit(connection, 1 - side, Packet::Frame(frame));
     }
 }
