Use the field's names in the stepped world

Cause: private names of world.rs needed explaining: Way, Item::Word, met, owed, asked, plant, quiet, ROOM, WAY, BEAT. Change: Channel, Packet::Message, known_to_others, pending_ends, demand, apply_planted, check_settled, CHANNEL_MESSAGES, BASE_DELAY_S, BUDGET_EVERY_S and so on.

--- a/crates/faults/src/world.rs
+++ b/crates/faults/src/world.rs
@@ -1,7 +1,7 @@
 //! Members, links, clocks and servers in skipped time, stepped in one order that the seed alone decides.
 //!
-//! A link is as a connection: what is said arrives in order, later where the way is delayed, and waits where it is
-//! cut; a way holds so much and then takes nothing more. A process that dies has its connections closed; one that is
+//! A link is as a connection: what is said arrives in order, later where its channel is delayed, and waits where it is
+//! cut; a channel holds so much and then takes nothing more. A process that dies has its connections closed; one that is
 //! paused takes nothing and says nothing, while its address still accepts.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -31,17 +31,17 @@
 
 /// A step, in seconds.
 pub const STEP: f64 = 0.01;
-/// Words that a way holds.
-const ROOM: usize = 64;
+/// Messages that a channel holds.
+const CHANNEL_MESSAGES: usize = 64;
 /// Between two tries of a link, and how long one may be up without a greeting.
-const DIAL: f64 = 0.1;
-const GREETING: f64 = 1.0;
-/// What a way takes anyway.
-const WAY: f64 = 0.002;
+const DIAL_EVERY_S: f64 = 0.1;
+const GREETING_WITHIN_S: f64 = 1.0;
+/// What a message takes anyway, in seconds.
+const BASE_DELAY_S: f64 = 0.002;
 /// Between two looks of a gatekeeper at what it may use of budgets.
-const BEAT: f64 = 0.05;
+const BUDGET_EVERY_S: f64 = 0.05;
 /// One that hears no majority for so long knows it: within that its silences are suspected.
-const MINORITY: f64 = 1.2;
+const MINORITY_KNOWN_AFTER_S: f64 = 1.2;
 /// After the healing, all copies must be equal within so long.
 pub const CONVERGES: f64 = 2.0;
 /// A call that stood for so long is known to the others, where nothing is cut.
@@ -62,7 +62,7 @@
     LendsAndUses,
     /// One who starts uses its whole part at once, though an earlier life may have lent it.
     ForgetsLeases,
-    /// A borrower counts a lease as long as it holds the word, however old that is.
+    /// A borrower counts a lease as long as it holds the message, however old that is.
     EndlessLease,
 }
 
@@ -86,7 +86,7 @@
     pub servers: usize,
     /// Calls a second at each.
     pub calls: f64,
-    /// Chance that a word comes twice, or that a record-carrying one is lost.
+    /// Chance that a message that carries records comes twice or is lost.
     pub chaos: f64,
     /// Chance that a beat is lost, as no connection loses it but a datagram is.
     pub loss: f64,
@@ -115,15 +115,15 @@
 }
 
 #[derive(Clone)]
-enum Item {
-    Word(Vec<u8>),
+enum Packet {
+    Message(Vec<u8>),
     Close,
 }
 
 /// One direction between two members.
 #[derive(Clone, Default)]
-struct Way {
-    items: VecDeque<(f64, u64, Item)>,
+struct Channel {
+    items: VecDeque<(f64, u64, Packet)>,
     impairment: Impairment,
 }
 
@@ -146,15 +146,15 @@
     calls: BTreeMap<u64, ServerKey>,
     adopted: BTreeSet<u64>,
     /// Ends that servers told it while it was paused or down: they come on its next turn, or next connection.
-    owed: Vec<u64>,
+    pending_ends: Vec<u64>,
     /// Its budget, with what it may use of it, and how many set-ups a second it is asked for, until when.
     budget: Option<(Crossing, Shares)>,
-    asked: (f64, f64),
+    demand: (f64, f64),
     next_beat: f64,
     /// What the others held as it started or woke.
-    met: Option<(f64, BTreeMap<Origin, u64>)>,
+    known_to_others: Option<(f64, BTreeMap<Origin, u64>)>,
     /// Since when no majority can be heard here.
-    minority: Option<f64>,
+    minority_since: Option<f64>,
 }
 
 impl Node {
@@ -175,7 +175,7 @@
     /// The time.
     pub now: f64,
     nodes: Vec<Node>,
-    ways: BTreeMap<(usize, usize), Way>,
+    channels: BTreeMap<(usize, usize), Channel>,
     connections: u64,
     /// Calls that stand: owner, when the server ends them.
     standing: BTreeMap<u64, (usize, f64)>,
@@ -251,22 +251,22 @@
                 next_dial: vec![0.0; plan.members],
                 calls: BTreeMap::new(),
                 adopted: BTreeSet::new(),
-                owed: Vec::new(),
+                pending_ends: Vec::new(),
                 budget: None,
-                asked: (0.0, 0.0),
+                demand: (0.0, 0.0),
                 next_beat: 0.0,
-                met: None,
-                minority: None,
+                known_to_others: None,
+                minority_since: None,
             })
             .collect();
         let pairs = (0..plan.members).flat_map(|a| (0..plan.members).map(move |b| (a, b)));
-        let ways = pairs.filter(|(a, b)| a != b).map(|pair| (pair, Way::default())).collect();
+        let channels = pairs.filter(|(a, b)| a != b).map(|pair| (pair, Channel::default())).collect();
         let mut world = World {
             plan,
             rng,
             now: 0.0,
             nodes,
-            ways,
+            channels,
             connections: 0,
             standing: BTreeMap::new(),
             next_call: 1,
@@ -305,13 +305,13 @@
         let all = self.plan.members;
         node.budget =
             self.plan.shared.map(|shared| (crossing(&shared, all, local), Shares::new(local, shared.lend)));
-        (node.next_beat, node.asked) = (local, (0.0, 0.0));
-        self.met(n);
+        (node.next_beat, node.demand) = (local, (0.0, 0.0));
+        self.note_known_to_others(n);
         self.history.push(self.now, What::Started(n));
     }
 
     /// Notes what the others hold, as a member starts or wakes.
-    fn met(&mut self, n: usize) {
+    fn note_known_to_others(&mut self, n: usize) {
         let mut all: BTreeMap<Origin, u64> = BTreeMap::new();
         for (_, node) in self.nodes.iter().enumerate().filter(|(m, _)| *m != n) {
             let Some(member) = node.member.as_ref().filter(|_| !node.paused) else { continue };
@@ -320,13 +320,13 @@
                 *held = (*held).max(stream.version());
             }
         }
-        self.nodes[n].met = Some((self.now, all));
+        self.nodes[n].known_to_others = Some((self.now, all));
     }
 
     /// What is known to one member alone as it is killed is lost with it: that may be so of the last moments, or where
     /// it was cut off, and else it is a fault.
-    fn unshared(&mut self, n: usize) {
-        let cut = self.ways.iter().any(|((a, b), w)| (*a == n || *b == n) && w.impairment.is_impaired());
+    fn record_unshared(&mut self, n: usize) {
+        let cut = self.channels.iter().any(|((a, b), w)| (*a == n || *b == n) && w.impairment.is_impaired());
         let trouble = |(at, w): &(f64, What)| *at > self.now - 2.0 && !check::of_calls(w);
         let may =
             cut || self.nodes[n].paused || self.plan.chaos > 0.0 || self.history.events.iter().any(trouble);
@@ -346,7 +346,7 @@
                 What::Stood(call, by) if *by == n && self.nodes[n].calls.contains_key(call) => {
                     !others.iter().any(|m| m.store().call(*call).is_some())
                 }
-                // Words that still wait on a cut way may bring the call and not its end.
+                // Messages that still wait on a cut channel may bring the call and not its end.
                 What::Told(_, by) if *by == n => behind,
                 _ => false,
             };
@@ -361,7 +361,7 @@
 
     fn kill(&mut self, n: usize) {
         if self.nodes[n].member.is_some() {
-            self.unshared(n);
+            self.record_unshared(n);
         }
         let node = &mut self.nodes[n];
         if node.member.take().is_none() {
@@ -373,8 +373,8 @@
         node.adopted.clear();
         let links = std::mem::take(&mut node.links);
         // What is on its way to a process that has ended comes to nothing, also on a connection it never took.
-        let coming = self.ways.iter_mut().filter(|((_, to), _)| *to == n);
-        coming.for_each(|(_, way)| way.items.clear());
+        let coming = self.channels.iter_mut().filter(|((_, to), _)| *to == n);
+        coming.for_each(|(_, channel)| channel.items.clear());
         for (peer, link) in links {
             self.close(n, peer, link.connection);
         }
@@ -383,12 +383,16 @@
 
     /// One end of a connection is closed; the other hears of it when what was said before has come.
     fn close(&mut self, from: usize, to: usize, connection: u64) {
-        if let Some(way) = self.ways.get_mut(&(from, to)) {
-            way.items.push_back((self.now + WAY + way.impairment.delay_s, connection, Item::Close));
+        if let Some(channel) = self.channels.get_mut(&(from, to)) {
+            channel.items.push_back((
+                self.now + BASE_DELAY_S + channel.impairment.delay_s,
+                connection,
+                Packet::Close,
+            ));
         }
         // What was on its way here is lost.
-        if let Some(way) = self.ways.get_mut(&(to, from)) {
-            way.items.retain(|(_, c, _)| *c != connection);
+        if let Some(channel) = self.channels.get_mut(&(to, from)) {
+            channel.items.retain(|(_, c, _)| *c != connection);
         }
     }
 
@@ -403,12 +407,14 @@
             }
             Fault::Wake(n) if n < self.nodes.len() && self.nodes[n].paused => {
                 self.nodes[n].paused = false;
-                self.met(n);
+                self.note_known_to_others(n);
                 self.history.push(self.now, What::Woken(n));
             }
             Fault::Cut(..) | Fault::Delay(..) | Fault::Throttle(..) => {
-                if let Some(way) = fault.between_gatekeepers().and_then(|pair| self.ways.get_mut(&pair)) {
-                    way.impairment.apply(&fault);
+                if let Some(channel) =
+                    fault.between_gatekeepers().and_then(|pair| self.channels.get_mut(&pair))
+                {
+                    channel.impairment.apply(&fault);
                     self.history.push(self.now, What::Faulted);
                 }
             }
@@ -422,7 +428,7 @@
                 }
             }
             Fault::Heal => {
-                self.ways.values_mut().for_each(|way| way.impairment = Impairment::default());
+                self.channels.values_mut().for_each(|channel| channel.impairment = Impairment::default());
                 (0..self.nodes.len()).for_each(|n| {
                     self.start(n);
                     self.fault(Fault::Wake(n));
@@ -437,7 +443,7 @@
     fn unlink(&mut self, n: usize, peer: usize) {
         let node = &mut self.nodes[n];
         if node.links.remove(&peer).is_some() {
-            node.next_dial[peer] = self.now + DIAL;
+            node.next_dial[peer] = self.now + DIAL_EVERY_S;
             if let Some(member) = &mut node.member {
                 member.unlinked(id(peer));
             }
@@ -449,12 +455,12 @@
         self.now += STEP;
         for n in 0..self.nodes.len() {
             let reached = |m: &usize| {
-                let cut = |a, b| self.ways.get(&(a, b)).is_some_and(|way| way.impairment.cut);
+                let cut = |a, b| self.channels.get(&(a, b)).is_some_and(|channel| channel.impairment.cut);
                 *m == n || self.nodes[*m].acts() && !cut(n, *m) && !cut(*m, n)
             };
             let count = (0..self.nodes.len()).filter(reached).count();
-            let since = self.nodes[n].minority.unwrap_or(self.now);
-            self.nodes[n].minority = (2 * count <= self.nodes.len()).then_some(since);
+            let since = self.nodes[n].minority_since.unwrap_or(self.now);
+            self.nodes[n].minority_since = (2 * count <= self.nodes.len()).then_some(since);
             if self.nodes[n].acts() {
                 self.turn(n);
             }
@@ -467,15 +473,15 @@
         if let Some(member) = &mut self.nodes[n].member {
             member.tick(local);
         }
-        for id in std::mem::take(&mut self.nodes[n].owed) {
+        for id in std::mem::take(&mut self.nodes[n].pending_ends) {
             self.end_told(n, id);
         }
-        self.hear(n, local);
+        self.receive_all(n, local);
         self.dial(n);
         self.traffic(n, local);
         self.act(n);
         self.spend(n, local);
-        self.say(n, local);
+        self.send_pending(n, local);
     }
 
     /// Sends set-ups on the shared budget as far as that lets it, and looks after its share as a gatekeeper does.
@@ -485,7 +491,7 @@
         let node = &mut self.nodes[n];
         let (Some((crossing, shares)), Some(member)) = (&mut node.budget, &mut node.member) else { return };
         if local >= node.next_beat {
-            node.next_beat = local + BEAT;
+            node.next_beat = local + BUDGET_EVERY_S;
             shares.beat(local, Some(member), Some(crossing));
             let part = 1.0 / self.plan.members as f64;
             let own = shares.lending().own(local, key(&shared), part);
@@ -506,13 +512,13 @@
                 _ => {}
             }
         }
-        if self.now >= node.asked.1 {
+        if self.now >= node.demand.1 {
             // Nothing or far more than its part, for some seconds.
             let of = [0.0, 0.0, 3.0, 6.0][self.rng.gen_range(0..4)];
             let per_s = of * shared.per_s / self.plan.members as f64;
-            node.asked = (per_s, self.now + self.rng.gen_range(3.0..9.0));
+            node.demand = (per_s, self.now + self.rng.gen_range(3.0..9.0));
         }
-        if !self.rng.gen_bool((node.asked.0 * STEP).clamp(0.0, 1.0)) {
+        if !self.rng.gen_bool((node.demand.0 * STEP).clamp(0.0, 1.0)) {
             return;
         }
         let call = self.next_call as u32;
@@ -536,42 +542,50 @@
     }
 
     /// What was sent on the shared budget, held to it.
-    fn budget_held(&self) -> Vec<Broken> {
+    fn check_shared_budget(&self) -> Vec<Broken> {
         let Some(shared) = self.plan.shared else { return Vec::new() };
         let sent: Vec<f64> = self.sent.iter().map(|s| s.0).collect();
         // A front's burst is never under one set-up.
         check::shared_rate_holds(&sent, shared.per_s, shared.burst + self.plan.members as f64)
     }
 
-    fn hear(&mut self, n: usize, local: f64) {
+    fn receive_all(&mut self, n: usize, local: f64) {
         for peer in (0..self.nodes.len()).filter(|p| *p != n) {
             while let Some((connection, item)) = self.arrived(peer, n) {
                 let link = self.nodes[n].links.get(&peer).copied();
                 match item {
-                    Item::Close if link.is_some_and(|l| l.connection == connection) => self.unlink(n, peer),
-                    Item::Close => {}
-                    Item::Word(bytes) => {
-                        let Ok(word) = postcard::from_bytes::<Word>(&bytes) else {
+                    Packet::Close if link.is_some_and(|l| l.connection == connection) => self.unlink(n, peer),
+                    Packet::Close => {}
+                    Packet::Message(bytes) => {
+                        let Ok(message) = postcard::from_bytes::<Word>(&bytes) else {
                             self.broken.push(Broken("what is said can be read", format!("{bytes:?}")));
                             continue;
                         };
-                        self.heard(n, peer, connection, link, local, &word);
+                        self.receive(n, peer, connection, link, local, &message);
                     }
                 }
             }
         }
     }
 
-    /// What has come on the way between two, one by one.
-    fn arrived(&mut self, from: usize, to: usize) -> Option<(u64, Item)> {
-        let way = self.ways.get_mut(&(from, to)).filter(|way| !way.impairment.cut)?;
-        let (_, connection, item) = way.items.pop_front_if(|(at, ..)| *at <= self.now)?;
+    /// What has come on the channel between two, one by one.
+    fn arrived(&mut self, from: usize, to: usize) -> Option<(u64, Packet)> {
+        let channel = self.channels.get_mut(&(from, to)).filter(|channel| !channel.impairment.cut)?;
+        let (_, connection, item) = channel.items.pop_front_if(|(at, ..)| *at <= self.now)?;
         Some((connection, item))
     }
 
-    fn heard(&mut self, n: usize, peer: usize, connection: u64, link: Option<Link>, local: f64, word: &Word) {
+    fn receive(
+        &mut self,
+        n: usize,
+        peer: usize,
+        connection: u64,
+        link: Option<Link>,
+        local: f64,
+        message: &Word,
+    ) {
         let Some(member) = &mut self.nodes[n].member else { return };
-        if let Word::Hello { .. } = word {
+        if let Word::Hello { .. } = message {
             // A new connection takes the place of one of which the end was not heard.
             let answers = link.is_none_or(|l| l.connection != connection);
             if answers && link.is_some_and(|l| l.connection > connection) {
@@ -580,7 +594,7 @@
             if answers && link.is_some() {
                 member.unlinked(id(peer));
             }
-            let greeted = member.greeted(local, word);
+            let greeted = member.greeted(local, message);
             let hello = member.hello(local, id(peer));
             let link = Link { connection, greeted: greeted.is_ok(), since: self.now };
             self.nodes[n].links.insert(peer, link);
@@ -596,7 +610,7 @@
         if !link.is_some_and(|l| l.connection == connection && l.greeted) {
             return;
         }
-        if member.hear(local, id(peer), word).is_err() {
+        if member.hear(local, id(peer), message).is_err() {
             self.unlink(n, peer);
             self.close(n, peer, connection);
         }
@@ -605,7 +619,7 @@
     fn dial(&mut self, n: usize) {
         for peer in (0..self.nodes.len()).filter(|p| *p != n) {
             if let Some(link) = self.nodes[n].links.get(&peer) {
-                if !link.greeted && self.now - link.since > GREETING {
+                if !link.greeted && self.now - link.since > GREETING_WITHIN_S {
                     let connection = link.connection;
                     self.unlink(n, peer);
                     self.close(n, peer, connection);
@@ -613,13 +627,13 @@
                 continue;
             }
             // The one of the lower number makes the link; the other tries where none has come for a while.
-            let leaves = if n > peer { 2.0 * DIAL } else { 0.0 };
+            let leaves = if n > peer { 2.0 * DIAL_EVERY_S } else { 0.0 };
             if self.now < self.nodes[n].next_dial[peer] + leaves {
                 continue;
             }
-            self.nodes[n].next_dial[peer] = self.now + DIAL;
-            let cut = self.ways.get(&(n, peer)).is_some_and(|way| way.impairment.cut)
-                || self.ways[&(peer, n)].impairment.cut;
+            self.nodes[n].next_dial[peer] = self.now + DIAL_EVERY_S;
+            let cut = self.channels.get(&(n, peer)).is_some_and(|channel| channel.impairment.cut)
+                || self.channels[&(peer, n)].impairment.cut;
             if cut {
                 continue;
             }
@@ -640,43 +654,43 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, connection: u64, word: &Word) {
-        let Ok(bytes) = postcard::to_allocvec(word) else { return };
+    fn send(&mut self, from: usize, to: usize, connection: u64, message: &Word) {
+        let Ok(bytes) = postcard::to_allocvec(message) else { return };
         self.bytes += bytes.len() as u64;
-        let Some(way) = self.ways.get_mut(&(from, to)) else { return };
-        let at = self.now + WAY + way.impairment.delay_s;
-        if self.plan.loss > 0.0 && matches!(word, Word::Beat(_)) && self.rng.gen_bool(self.plan.loss) {
+        let Some(channel) = self.channels.get_mut(&(from, to)) else { return };
+        let at = self.now + BASE_DELAY_S + channel.impairment.delay_s;
+        if self.plan.loss > 0.0 && matches!(message, Word::Beat(_)) && self.rng.gen_bool(self.plan.loss) {
             return;
         }
         // What comes later on a connection does not overtake.
-        let at = way.items.back().map_or(at, |(last, ..)| last.max(at));
-        let at = at + way.impairment.rate.map_or(0.0, |rate| bytes.len() as f64 / rate);
-        let carries = matches!(word, Word::Piece(_) | Word::Ask(_));
+        let at = channel.items.back().map_or(at, |(last, ..)| last.max(at));
+        let at = at + channel.impairment.rate.map_or(0.0, |rate| bytes.len() as f64 / rate);
+        let carries = matches!(message, Word::Piece(_) | Word::Ask(_));
         if self.plan.chaos > 0.0 && carries && self.rng.gen_bool(self.plan.chaos) {
             match self.rng.gen_bool(0.5) {
-                true => way.items.push_back((at, connection, Item::Word(bytes.clone()))),
+                true => channel.items.push_back((at, connection, Packet::Message(bytes.clone()))),
                 false => return,
             }
         }
-        way.items.push_back((at, connection, Item::Word(bytes)));
+        channel.items.push_back((at, connection, Packet::Message(bytes)));
     }
 
-    fn say(&mut self, n: usize, local: f64) {
+    fn send_pending(&mut self, n: usize, local: f64) {
         for peer in self.nodes[n].links.keys().copied().collect::<Vec<_>>() {
             let Some(link) = self.nodes[n].links.get(&peer).copied().filter(|l| l.greeted) else { continue };
-            while self.ways.get(&(n, peer)).is_some_and(|w| w.items.len() < ROOM) {
-                let Some(mut word) = self.nodes[n].member.as_mut().and_then(|m| m.say(local, id(peer)))
+            while self.channels.get(&(n, peer)).is_some_and(|w| w.items.len() < CHANNEL_MESSAGES) {
+                let Some(mut message) = self.nodes[n].member.as_mut().and_then(|m| m.say(local, id(peer)))
                 else {
                     break;
                 };
-                self.plant(&mut word);
-                self.send(n, peer, link.connection, &word);
+                self.apply_planted(&mut message);
+                self.send(n, peer, link.connection, &message);
             }
         }
     }
 
-    fn plant(&mut self, word: &mut Word) {
-        let Word::Piece(piece) = word else { return };
+    fn apply_planted(&mut self, message: &mut Word) {
+        let Word::Piece(piece) = message else { return };
         match self.plan.planted {
             Some(Planted::NoTombstones) => piece.records.retain(|r| r.value.is_some()),
             Some(Planted::SkipsRecords) if piece.records.len() > 1 => drop(piece.records.remove(0)),
@@ -717,7 +731,8 @@
                 Act::Adopt(call, adopted) => {
                     node.adopted.insert(call);
                     self.adopted += 1;
-                    let alone = node.minority.is_some_and(|since| self.now - since >= MINORITY);
+                    let alone =
+                        node.minority_since.is_some_and(|since| self.now - since >= MINORITY_KNOWN_AFTER_S);
                     let owner = (0..self.nodes.len()).find(|m| id(*m) == adopted.origin.member);
                     // One that was killed may have been found dead before the cut.
                     let lives = |m: usize| self.nodes[m].member.is_some() && self.nodes[m].lives == 1;
@@ -748,11 +763,11 @@
 
     /// A member that takes calls holds what those held that it reached, as of its start or its waking.
     fn must_have_caught_up(&mut self, n: usize) {
-        let Some((since, met)) = self.nodes[n].met.take() else { return };
+        let Some((since, met)) = self.nodes[n].known_to_others.take() else { return };
         // Only where nobody was cut off or came and went meanwhile is it known whom it reached.
         let trouble = |(at, w): &(f64, What)| *at > since - 1.0 && *at < self.now && !check::of_calls(w);
         let own = self.history.events.iter().filter(|e| trouble(e)).count();
-        let cut = self.ways.values().any(|way| way.impairment.is_impaired());
+        let cut = self.channels.values().any(|channel| channel.impairment.is_impaired());
         let Some(member) = self.nodes[n].member.as_ref().filter(|_| own <= 1 && !cut) else { return };
         for (origin, version) in met {
             let held = member.store().stream(&origin).map_or(0, |s| s.version());
@@ -766,7 +781,7 @@
     /// A server told the end of a call to this gatekeeper.
     fn end_told(&mut self, n: usize, call: u64) {
         if !self.nodes[n].acts() {
-            return self.nodes[n].owed.push(call);
+            return self.nodes[n].pending_ends.push(call);
         }
         let local = self.nodes[n].clock(self.now);
         let node = &mut self.nodes[n];
@@ -782,7 +797,7 @@
     }
 
     /// Servers end calls: towards the gatekeeper that took it, and while that has no connection towards any other; the
-    /// word comes again on the owner's next connection.
+    /// notice comes again on the owner's next connection.
     fn servers(&mut self) {
         if self.ends_wait {
             return;
@@ -796,7 +811,7 @@
                 self.end_told(owner, call);
                 continue;
             }
-            self.nodes[owner].owed.push(call);
+            self.nodes[owner].pending_ends.push(call);
             let others: Vec<usize> = (0..self.nodes.len()).filter(|n| self.nodes[*n].acts()).collect();
             if !others.is_empty() {
                 let to = others[self.rng.gen_range(0..others.len())];
@@ -851,13 +866,13 @@
         self.still();
         self.pass(4.0 + CONVERGES);
         let mut broken = std::mem::take(&mut self.broken);
-        broken.extend(self.quiet());
+        broken.extend(self.check_settled());
         self.ends_wait = false;
         let left: Vec<u64> = self.standing.keys().copied().collect();
         left.into_iter().for_each(|call| self.end(call));
         self.pass(1.5);
         broken.extend(check::history(&self.history, 4.0));
-        broken.extend(self.budget_held());
+        broken.extend(self.check_shared_budget());
         broken
     }
 
@@ -879,15 +894,15 @@
         self.pass(CONVERGES);
         self.ends_wait = false;
         let mut broken = std::mem::take(&mut self.broken);
-        broken.extend(self.quiet());
+        broken.extend(self.check_settled());
         self.pass(8.0);
         broken.extend(check::history(&self.history, 4.0));
-        broken.extend(self.budget_held());
+        broken.extend(self.check_shared_budget());
         broken
     }
 
     /// What must hold when all is mended and quiet.
-    fn quiet(&self) -> Vec<Broken> {
+    fn check_settled(&self) -> Vec<Broken> {
         let mut broken = Vec::new();
         let members: Vec<(usize, &Member)> =
             self.nodes.iter().enumerate().filter_map(|(n, node)| Some((n, node.member.as_ref()?))).collect();
@@ -921,20 +936,20 @@
                 broken.push(Broken("after the healing all copies are equal", what));
             }
         }
-        broken.extend(self.quiet_calls(&members));
+        broken.extend(self.check_settled_calls(&members));
         broken
     }
 
     /// Copies say what the naive model says: what stands is known to all where its owner has lived long enough to tell,
     /// and what is over stands nowhere; one that its owner has left is seen to by one member alone.
-    fn quiet_calls(&self, members: &[(usize, &Member)]) -> Vec<Broken> {
+    fn check_settled_calls(&self, members: &[(usize, &Member)]) -> Vec<Broken> {
         let mut broken = Vec::new();
         for (n, member) in members {
             for (origin, stream) in member.store().streams() {
                 for (call, ..) in Store::calls(stream) {
                     let known = !member.store().over(call);
                     if known && !self.standing.contains_key(&call) {
-                        // The server's word reached nobody who knew of it: it comes on the owner's next connection.
+                        // The server's notice reached nobody who knew of it: it comes on the owner's next connection.
                         let any = |of: &dyn Fn(&What) -> bool| self.history.events.iter().any(|(_, w)| of(w));
                         let told = any(&|w| matches!(w, What::Told(c, _) if *c == call));
                         if told && !any(&|w| *w == What::Unshared(call)) {
