Cut the tier's delivery, turns and event loop into short functions

Change: an event is handled by one function of its kind; delivery is accept, bounce and take_due; a turn sends, closes, dials and counts itself where it was idle. No step changes its place.

--- a/crates/faults/src/tier/network.rs
+++ b/crates/faults/src/tier/network.rs
@@ -133,53 +133,70 @@
         }
     }
 
+    /// What has come to one end of a connection by now is taken there, if its path and its process let it.
     pub(super) fn deliver(&mut self, connection: usize, side: usize) {
-        let now = nanos(self.now);
         let Some(c) = &mut self.connections[connection] else { return };
         c.sides[side].planned = false;
         let (from, node, life) = (c.sides[1 - side].node, c.sides[side].node, c.sides[side].life);
+        let first = matches!(c.sides[side].inbox.front(), Some((_, Packet::Connect(false))));
         if self.blocked(from, node) {
             return;
         }
         let state = &self.nodes[node];
-        let Some(c) = &mut self.connections[connection] else { return };
-        let own = &mut c.sides[side];
-        let first = matches!(own.inbox.front(), Some((_, Packet::Connect(false))));
         if state.process.is_none() || (life != state.life && !(first && life == 0)) {
-            // Nobody there any more. A machine that is off says nothing; else its kernel resets.
-            let off = state.powered_off;
-            own.inbox.clear();
-            own.bytes = 0;
-            if !off {
-                if c.sides[1 - side].life == u64::MAX {
-                    self.connections[connection] = None;
-                    return;
-                }
-                let packet = if first { Packet::Refused } else { Packet::Close };
-                if life != u64::MAX || first {
-                    c.sides[side].life = u64::MAX;
-                    self.transmit(connection, 1 - side, packet);
-                }
-            }
+            self.bounce(connection, side, first);
             return;
         }
         if first {
-            // The kernel takes links also for a process that is paused.
-            own.life = state.life;
-            if let Some(front) = own.inbox.front_mut() {
-                front.1 = Packet::Connect(true);
-            }
-            self.nodes[node].connections.insert(connection);
-            self.transmit(connection, 1 - side, Packet::Connected);
+            self.accept(connection, side);
         }
         if self.nodes[node].paused || self.nodes[node].deaf {
             return;
         }
+        let Some(packets) = self.take_due(connection, side) else { return };
+        self.turn(node, Some((connection, side, packets)));
+    }
+
+    /// Nobody is there any more. A machine that is off says nothing; else its kernel resets.
+    fn bounce(&mut self, connection: usize, side: usize, first: bool) {
+        let Some(c) = &mut self.connections[connection] else { return };
+        let own = &mut c.sides[side];
+        own.inbox.clear();
+        own.bytes = 0;
+        let (node, life) = (own.node, own.life);
+        if self.nodes[node].powered_off {
+            return;
+        }
+        if c.sides[1 - side].life == u64::MAX {
+            self.connections[connection] = None;
+            return;
+        }
+        if life != u64::MAX || first {
+            c.sides[side].life = u64::MAX;
+            let packet = if first { Packet::Refused } else { Packet::Close };
+            self.transmit(connection, 1 - side, packet);
+        }
+    }
+
+    /// The kernel takes a connection, also for a process that is paused.
+    fn accept(&mut self, connection: usize, side: usize) {
         let Some(c) = &mut self.connections[connection] else { return };
         let own = &mut c.sides[side];
+        own.life = self.nodes[own.node].life;
+        if let Some(front) = own.inbox.front_mut() {
+            front.1 = Packet::Connect(true);
+        }
+        self.nodes[own.node].connections.insert(connection);
+        self.transmit(connection, 1 - side, Packet::Connected);
+    }
+
+    /// Takes what has come to one end by now, and plans what follows from it: the next arrival, and that the other end
+    /// may send again.
+    fn take_due(&mut self, connection: usize, side: usize) -> Option<Vec<Packet>> {
+        let now = nanos(self.now);
+        let own = &mut self.connections[connection].as_mut()?.sides[side];
         let mut packets = Vec::new();
-        while own.inbox.front().is_some_and(|(at, _)| *at <= now) {
-            let Some((_, packet)) = own.inbox.pop_front() else { break };
+        while let Some((_, packet)) = own.inbox.pop_front_if(|(at, _)| *at <= now) {
             if let Packet::Frame(frame) = &packet {
                 own.bytes -= frame.len() + HEADERS;
             }
@@ -197,7 +214,7 @@
         if writable {
             self.schedule(now, Event::Writable(connection, 1 - side));
         }
-        self.turn(node, Some((connection, side, packets)));
+        Some(packets)
     }
 
     /// This end is over; so is the connection once both are.
--- a/crates/faults/src/tier/queue.rs
+++ b/crates/faults/src/tier/queue.rs
@@ -2,6 +2,8 @@
 
 use std::cmp::Reverse;
 
+use hollypaddle_relay::LinkId;
+
 use super::network::STUCK_AFTER_S;
 use super::World;
 
@@ -14,18 +16,20 @@
     Stuck(usize, usize),
 }
 
+/// A time in whole nanoseconds, as events are ordered by.
 pub(super) fn nanos(at: f64) -> u64 {
     (at.max(0.0) * 1e9).ceil() as u64
 }
 
+/// The same in seconds.
 pub(super) fn seconds(nanos: u64) -> f64 {
     nanos as f64 / 1e9
 }
 
 impl World {
-    pub(super) fn schedule(&mut self, at: u64, ev: Event) {
+    pub(super) fn schedule(&mut self, at: u64, event: Event) {
         self.last_sequence += 1;
-        self.queue.push(Reverse((at, self.last_sequence, ev)));
+        self.queue.push(Reverse((at, self.last_sequence, event)));
     }
 
     pub(super) fn schedule_turn(&mut self, node: usize, at: u64) {
@@ -44,50 +48,10 @@
             if seconds(*at) > end {
                 break;
             }
-            let Some(Reverse((at, _, ev))) = self.queue.pop() else { break };
+            let Some(Reverse((at, _, event))) = self.queue.pop() else { break };
             self.now = seconds(at).max(self.now);
-            match ev {
-                Event::Arrive(connection, side) => self.deliver(connection, side),
-                Event::Wake(node) => {
-                    if self.nodes[node].turn_planned_at != Some(at) {
-                        continue;
-                    }
-                    self.nodes[node].turn_planned_at = None;
-                    if self.nodes[node].turn_wanted_at > at {
-                        let want = self.nodes[node].turn_wanted_at;
-                        self.schedule_turn(node, want);
-                    } else if !self.nodes[node].paused {
-                        self.turn(node, None);
-                    }
-                }
-                Event::Writable(connection, side) | Event::Stuck(connection, side) => {
-                    let Some(c) = &self.connections[connection] else { continue };
-                    let (node, life, link) = (c.sides[side].node, c.sides[side].life, c.sides[side].link);
-                    let full = c.sides[1 - side].full;
-                    let Some(link) = link.filter(|_| life == self.nodes[node].life && self.awake(node))
-                    else {
-                        continue;
-                    };
-                    let local = self.clock(node);
-                    if ev == Event::Writable(connection, side) {
-                        if let Some(process) = &mut self.nodes[node].process {
-                            process.node().writable(local, link);
-                        }
-                    } else {
-                        if full.is_none_or(|since| at < since + nanos(STUCK_AFTER_S)) {
-                            continue;
-                        }
-                        self.stuck += 1;
-                        self.nodes[node].links.remove(&link);
-                        self.nodes[node].connections.remove(&connection);
-                        self.close(connection, node);
-                        if let Some(process) = &mut self.nodes[node].process {
-                            process.node().tick(local);
-                            process.node().down(local, link, false);
-                        }
-                    }
-                    self.schedule_turn(node, at);
-                }
+            if !self.handle(at, event) {
+                continue;
             }
             if self.now - self.last_scan >= self.scan_every {
                 self.scan();
@@ -96,6 +60,73 @@
         self.now = end;
     }
 
+    /// Carries out an event; whether it was still of use.
+    fn handle(&mut self, at: u64, event: Event) -> bool {
+        match event {
+            Event::Arrive(connection, side) => {
+                self.deliver(connection, side);
+                true
+            }
+            Event::Wake(node) => self.handle_wake(node, at),
+            Event::Writable(connection, side) => self.handle_writable(connection, side, at),
+            Event::Stuck(connection, side) => self.handle_stuck(connection, side, at),
+        }
+    }
+
+    /// A node's turn has come, unless it was planned anew meanwhile.
+    fn handle_wake(&mut self, node: usize, at: u64) -> bool {
+        let state = &mut self.nodes[node];
+        if state.turn_planned_at != Some(at) {
+            return false;
+        }
+        state.turn_planned_at = None;
+        let (wanted_at, paused) = (state.turn_wanted_at, state.paused);
+        if wanted_at > at {
+            self.schedule_turn(node, wanted_at);
+        } else if !paused {
+            self.turn(node, None);
+        }
+        true
+    }
+
+    /// A connection has room again for what a node has to say.
+    fn handle_writable(&mut self, connection: usize, side: usize, at: u64) -> bool {
+        let Some((node, link)) = self.open_end(connection, side) else { return false };
+        let local = self.clock(node);
+        if let Some(process) = &mut self.nodes[node].process {
+            process.node().writable(local, link);
+        }
+        self.schedule_turn(node, at);
+        true
+    }
+
+    /// A connection whose reader has taken nothing for long is closed.
+    fn handle_stuck(&mut self, connection: usize, side: usize, at: u64) -> bool {
+        let Some((node, link)) = self.open_end(connection, side) else { return false };
+        let full_since = self.connections[connection].as_ref().and_then(|c| c.sides[1 - side].full);
+        if full_since.is_none_or(|since| at < since + nanos(STUCK_AFTER_S)) {
+            return false;
+        }
+        self.stuck += 1;
+        self.nodes[node].links.remove(&link);
+        self.nodes[node].connections.remove(&connection);
+        self.close(connection, node);
+        let local = self.clock(node);
+        if let Some(process) = &mut self.nodes[node].process {
+            process.node().tick(local);
+            process.node().down(local, link, false);
+        }
+        self.schedule_turn(node, at);
+        true
+    }
+
+    /// The node and the link at one end of a connection, if it is open there and the node awake.
+    fn open_end(&self, connection: usize, side: usize) -> Option<(usize, LinkId)> {
+        let own = &self.connections[connection].as_ref()?.sides[side];
+        let open = own.life == self.nodes[own.node].life && self.awake(own.node);
+        Some((own.node, own.link.filter(|_| open)?))
+    }
+
     /// Plays on until something holds, for so many seconds at most; after how many it did.
     pub fn until(&mut self, most: f64, holds: impl Fn(&World) -> bool) -> Option<f64> {
         let from = self.now;
--- a/crates/faults/src/tier/turn.rs
+++ b/crates/faults/src/tier/turn.rs
@@ -27,6 +27,22 @@
                 self.receive(node, &mut process, local, connection, side, packet);
             }
         }
+        let said = self.send_due(node, &mut process, local);
+        self.close_ended(node, &mut process);
+        self.dial(node, &mut process, local);
+        self.observe(node, &mut process, local);
+        let next = process.node().next_at();
+        self.nodes[node].process = Some(process);
+        if idle && !said {
+            self.count_idle_turn(node);
+        }
+        let state = &self.nodes[node];
+        let at = state.clock.world_time(next).max(self.now + 1e-4).min(self.now + 3600.0);
+        self.schedule_turn(node, nanos(at));
+    }
+
+    /// Sends what a node has to say, as far as its connections have room; whether that was anything.
+    fn send_due(&mut self, node: usize, process: &mut Process, local: f64) -> bool {
         let mut said = false;
         for link in process.node().due(local) {
             let Some((connection, side)) = self.nodes[node].links.get(&link).copied() else { continue };
@@ -45,12 +61,21 @@
                 self.send(node, connection, side, message);
             }
         }
+        said
+    }
+
+    /// Closes the connections that a node is done with.
+    fn close_ended(&mut self, node: usize, process: &mut Process) {
         for link in process.node().closes() {
             if let Some((connection, _)) = self.nodes[node].links.remove(&link) {
                 self.nodes[node].connections.remove(&connection);
                 self.close(connection, node);
             }
         }
+    }
+
+    /// Makes the connections that a node wants.
+    fn dial(&mut self, node: usize, process: &mut Process, local: f64) {
         for (link, to) in process.node().dials(local) {
             let Some(&other) = self.node_by_id.get(&to) else { continue };
             let life = self.nodes[node].life;
@@ -71,27 +96,24 @@
             self.nodes[node].connections.insert(connection);
             self.transmit(connection, 1, Packet::Connect(false));
         }
-        self.observe(node, &mut process, local);
-        let next = process.node().next_at();
-        self.nodes[node].process = Some(process);
+    }
+
+    /// Counts a turn without anything that came or went.
+    fn count_idle_turn(&mut self, node: usize) {
         let state = &mut self.nodes[node];
         let second = self.now as u64;
-        if idle && !said {
-            state.idle_turns =
-                if state.idle_turns.0 == second { (second, state.idle_turns.1 + 1) } else { (second, 1) };
-            if state.idle_turns.1 == MOST_IDLE_TURNS {
-                self.record_violation(
-                    "a node that has nothing to do sleeps",
-                    format!("node {node} turns without end"),
-                );
-            }
+        state.idle_turns =
+            if state.idle_turns.0 == second { (second, state.idle_turns.1 + 1) } else { (second, 1) };
+        if state.idle_turns.1 == MOST_IDLE_TURNS {
+            self.record_violation(
+                "a node that has nothing to do sleeps",
+                format!("node {node} turns without end"),
+            );
         }
-        let state = &self.nodes[node];
-        let at = state.clock.world_time(next).max(self.now + 1e-4).min(self.now + 3600.0);
-        self.schedule_turn(node, nanos(at));
     }
 
-    pub(super) fn receive(
+    /// A node takes a packet.
+    fn receive(
         &mut self,
         node: usize,
         process: &mut Process,
@@ -136,7 +158,7 @@
     }
 
     /// A message leaves a node.
-    pub(super) fn send(&mut self, node: usize, connection: usize, side: usize, message: Message) {
+    fn send(&mut self, node: usize, connection: usize, side: usize, message: Message) {
         let Some(c) = &self.connections[connection] else { return };
         let to = c.sides[1 - side].node;
         let Some(message) = self.apply_planted(node, to, message) else { return };
