List the modules of the tier's world in its module comment

Cause: after the split a newcomer had no list of what is where. Change: the list, and comments on three fields; no code.

--- a/crates/faults/src/tier/mod.rs
+++ b/crates/faults/src/tier/mod.rs
@@ -6,6 +6,11 @@
 //! world itself knows: who lives and was heard by whom, which relays have stored what, and what every leaf was told to say.
 //!
 //! Nodes are numbered through: the relays from 0, then the leaves. Scripts name them `g0`, `g1`, ....
+//!
+//! - What is played: `plan`, `steps` of scripts, `inputs` of nodes, the long `runs`, faults that are `planted`.
+//! - How: the `queue` of events, `nodes` and a node's `turn`, the `network` of connections and the `paths` under it.
+//! - What must hold: `observe` on each turn, `scan` now and then, `settled` once all is quiet.
+//! - What is reported: `meter` and `figures`.
 
 mod figures;
 mod inputs;
@@ -62,6 +67,7 @@
     node_by_id: BTreeMap<MemberId, usize>,
     connections: Vec<Option<Box<Connection>>>,
     queue: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    /// Of the last event that was put into the queue: those of one time come in this order.
     last_sequence: u64,
     paths: BTreeMap<(usize, usize), Path>,
     regions_cut: bool,
@@ -105,9 +111,11 @@
     /// When cuts ended last.
     last_reopened: f64,
     last_scan: f64,
+    /// Starts of nodes so far.
     lives_started: u64,
     /// What relays have said of leaves: gone, after so many attachments.
     reported_gone: BTreeSet<(MemberId, u32)>,
+    /// When a server of a topic was last put into some leaf's list.
     last_observed: BTreeMap<(Topic, usize), f64>,
 }
 
