--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -8,7 +8,9 @@
 //! - [`check`]: what must hold, over the record of events.
 
 pub mod check;
+mod clock;
 pub mod duties;
+mod impairment;
 pub mod real;
 pub mod script;
 pub mod tier;
