Keep the release of a call whose write to its server fails

Cause: `Server::release` dropped the result of the write. Where the server had reset the connection a moment before, or it was stuck, the release was lost, and the call went on at its server although it was over.

Change: it is kept for another connection, as where none is up. Releases that are kept are sent at once on a connection that is left, not only on the next one to come up: with one left, that may be long in coming. When connections are opened has not changed.

Tests, on real sockets: the server resets the connection between the read of the caller's release and the write to it.

--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -450,6 +450,7 @@
         log::debug!(server = self.name.as_str(), connection = key, reason:%; "connection-closed");
         let lived = self.channels.get(&key).map_or(0.0, |c| turn.now - c.since);
         self.drop_channels(pool, |k| k == key, turn);
+        self.send_owed(turn.watch);
         self.again(lived, pool, link, turn);
     }
 
@@ -505,9 +506,7 @@
                 (channel.up, channel.since, channel.heard_at) = (true, turn.now, turn.now);
                 (self.heard_at, self.unreachable) = (turn.now, false);
                 log::debug!(server = self.name.as_str(), connection = key; "connection-up");
-                for id in std::mem::take(&mut self.owed) {
-                    self.release(id, turn.watch);
-                }
+                self.send_owed(turn.watch);
                 if let Some(channel) = self.channels.get_mut(&key) {
                     channel.watch(key, turn.watch);
                 }
@@ -691,9 +690,16 @@
 
     fn release(&mut self, id: u64, watch: &Watch) {
         let message = Message::new(kind::RELEASE, id).caused(cause::NORMAL);
-        match best(&mut self.channels) {
-            Some((key, channel)) => drop(channel.say(key, &message, watch)),
-            None => self.owe(id),
+        let said = best(&mut self.channels).and_then(|(key, channel)| channel.say(key, &message, watch));
+        if said.is_none() {
+            self.owe(id);
+        }
+    }
+
+    /// Sends the releases that are kept, where a connection is up.
+    fn send_owed(&mut self, watch: &Watch) {
+        if best(&mut self.channels).is_some() {
+            std::mem::take(&mut self.owed).into_iter().for_each(|id| self.release(id, watch));
         }
     }
 
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -7,6 +7,7 @@
 mod rare;
 mod said;
 mod unread_ends;
+mod unread_releases;
 mod upgrade;
 
 use std::collections::BTreeSet;
