End an attempt whose give-up can't be written with its connection

Cause: an attempt that passed its own time limit, or that was cancelled for another one, counts as given up once its give-up is written. Where that write failed, as the server had reset the connection a moment before, the attempt was in no account any more: it stayed out until its caller's deadline, no further attempt was made, and what the server may have answered on that connection was not released.

Change: such an attempt stays among the set-ups open on its connection, whose end ends it and releases the call, as for any other set-up there. Where the give-up is written nothing changes.

Measured: the test failed before (no end of the attempt, one wanted) and passes now; lib tests of the gatekeeper, 115 pass.

--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -682,8 +682,11 @@
             return self.broken(pool, key, &Over::Stuck, link, turn);
         }
         let message = Message::new(kind::RELEASE, id).caused(cause::NORMAL);
-        if let Some(end) = channel.say(key, &message, turn.watch) {
-            channel.leaving.push_back((end, id));
+        match (channel.say(key, &message, turn.watch), out) {
+            (Some(end), _) => channel.leaving.push_back((end, id)),
+            // The end of this connection, which is broken, gives it up.
+            (None, Some(out)) => drop(channel.open.insert(id, out)),
+            (None, None) => {}
         }
         channel.settle(pool, key, turn);
     }
--- a/crates/gatekeeper/src/node/servers/tests.rs
+++ b/crates/gatekeeper/src/node/servers/tests.rs
@@ -1,3 +1,5 @@
+mod give_ups;
+
 use super::*;
 
 /// One server, listed, that this gatekeeper and others connect to.
