Look before each end is written, and lose none that was never written

Found, and mended here: - Ends were put in line and written together at the end of a turn, with one look before. Another reply on the connection wrote them without that look, and of more than 256 ends of one caller that had closed the oldest were lost. Each end is looked at and written by itself again, also those that were kept until a connection was there, and what waits to be written is never forgotten. Nothing is lost by it: the last message alone is told again, so that writing together brings nothing. - A connection held after its caller's close was dropped for an event of before that close. It stays until a reset or its time is over; to make room such connections go first, and what was on them is counted. - A write that failed, and garbage read after it, closed the connection as in order. It counts as reset. - An end that was never written kept the written one before it from being held.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -5,7 +5,7 @@
 mod reply;
 mod set_up;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 
@@ -73,7 +73,7 @@
     /// Bytes that may wait for one caller.
     most_waiting: usize,
     connections: BTreeMap<Key, Client>,
-    /// Connections closed here for writing, the oldest first, until the peer has closed them too.
+    /// Connections that one side has closed, until it is certain what became of what was sent on them.
     closing: BTreeMap<Key, Closing>,
     /// For how long a caller is to stay away from a gatekeeper that holds too much; none where callers are not told.
     stay_away: Option<f64>,
@@ -81,8 +81,6 @@
     undelivered: VecDeque<CallEnd>,
     /// Ends that were not read on a connection that is over, to be sent on another one at once.
     unread: VecDeque<CallEnd>,
-    /// Connections on which ends wait to be written together.
-    unwritten: BTreeSet<Key>,
     end_counts: EndCounts,
     /// Classes of set-ups turned away here, for lack of room, until the figures take them.
     pub turned_away: Vec<usize>,
@@ -125,7 +123,6 @@
             stay_away: None,
             undelivered,
             unread: VecDeque::new(),
-            unwritten: BTreeSet::new(),
             end_counts: EndCounts::default(),
             turned_away,
             #[cfg(test)]
@@ -188,8 +185,8 @@
     /// Closes connections that are of no use to anyone, and carries on after a pause. Called now and then.
     pub fn beat(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
         self.close_unused(now, watch, calls);
-        self.queue_undelivered(now);
-        self.deliver_ends(now, watch, calls);
+        self.send_unread(now, watch, calls);
+        self.send_undelivered(now, watch, calls);
         if let (true, Some(listener)) = (self.paused, &self.listener) {
             self.paused = false;
             watch.set(self.listener_key, listener, true, false);
@@ -247,7 +244,7 @@
                 self.read(now, ready.key, watch, calls);
             }
         }
-        self.deliver_ends(now, watch, calls);
+        self.send_unread(now, watch, calls);
     }
 
     /// Takes what has come on a connection.
@@ -406,7 +403,8 @@
         calls: &mut Calls,
     ) -> bool {
         if let Reply::Over { cut } = reply {
-            self.queue_end(now, origin, CallEnd { id, cut, ended_at: now }, BestReply::Outcome);
+            let end = CallEnd { id, cut, ended_at: now };
+            self.send_end(now, origin, end, BestReply::Outcome, watch, calls);
             return true;
         }
         let stands = matches!(reply, Reply::Stands(_));
@@ -426,7 +424,7 @@
         let sent = self.send(now, origin, &encode(id, reply), best_reply, watch);
         // Whoever gets answers reads them: a connection for what could not be sent before.
         for end in std::mem::take(&mut self.undelivered) {
-            self.queue_end(now, origin, end, best_reply);
+            self.send_end(now, origin, end, best_reply, watch, calls);
         }
         sent
     }
--- a/crates/gatekeeper/src/node/clients/closing.rs
+++ b/crates/gatekeeper/src/node/clients/closing.rs
@@ -71,7 +71,7 @@
         }
         let late: Vec<Key> =
             self.closing.iter().filter(|(_, c)| now >= c.until).map(|(key, _)| *key).collect();
-        late.into_iter().for_each(|key| self.drop_closing(now, key, watch));
+        late.into_iter().for_each(|key| self.drop_closing(now, key, Closed::InOrder, watch));
     }
 
     /// While drained, closes the connections that the lifecycle lets go: those that wait for nothing and
@@ -132,7 +132,11 @@
     pub(super) fn finish_closing(&mut self, now: f64, key: Key, watch: &Watch) {
         let Some(closing) = self.closing.get_mut(&key) else { return };
         if closing.side == ClosedBy::Caller {
-            return self.drop_closing(now, key, watch);
+            // One that was closed in this turn may be told ready for what came before.
+            if is_reset(&closing.connection) {
+                self.end_closing(now, key, Closed::Reset, watch);
+            }
+            return;
         }
         let before = closing.connection.blocked();
         let written = closing.connection.flush();
@@ -141,10 +145,8 @@
             drop(closing.connection.stream().shutdown(Shutdown::Write));
         }
         let Err(reason) = written.and_then(|()| closing.connection.pass_over()) else { return };
-        if let Some(Closing { connection, pending_ends, .. }) = self.closing.remove(&key) {
-            let reset = matches!(reason, Over::Broken(_));
-            self.closed_by_caller(now, key, connection, pending_ends, reset, watch);
-        }
+        let reset = matches!(reason, Over::Broken(_)) || is_reset(&closing.connection);
+        self.end_closing(now, key, if reset { Closed::Reset } else { Closed::InOrder }, watch);
     }
 
     /// Takes a connection that its caller has closed. It stays while a reset would tell that the caller left ends unread.
@@ -157,6 +159,7 @@
         reset_seen: bool,
         watch: &Watch,
     ) {
+        self.unread.extend(pending_ends.take_unwritten(connection.written()));
         let reset = reset_seen || is_reset(&connection);
         if !reset && !connection.blocked() && pending_ends.awaits_evidence(now, connection.written()) {
             // Nothing but errors is waited for: its end makes it readable for good.
@@ -170,10 +173,16 @@
         self.ends_closed(now, &mut pending_ends, closed, &connection);
     }
 
-    fn drop_closing(&mut self, now: f64, key: Key, watch: &Watch) {
+    /// Drops a connection that one side has closed, and of which no reset came so far.
+    fn drop_closing(&mut self, now: f64, key: Key, otherwise: Closed, watch: &Watch) {
+        let Some(closing) = self.closing.get(&key) else { return };
+        let closed = if is_reset(&closing.connection) { Closed::Reset } else { otherwise };
+        self.end_closing(now, key, closed, watch);
+    }
+
+    fn end_closing(&mut self, now: f64, key: Key, closed: Closed, watch: &Watch) {
         let Some(mut closing) = self.closing.remove(&key) else { return };
         watch.remove(closing.connection.stream());
-        let closed = if is_reset(&closing.connection) { Closed::Reset } else { Closed::InOrder };
         self.ends_closed(now, &mut closing.pending_ends, closed, &closing.connection);
     }
 
@@ -182,9 +191,9 @@
     /// others that connect by hundreds and send nothing, or ask once and keep their connection for good.
     pub(super) fn make_room(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
         for _ in 0..LOOKS {
-            let order = |(key, c): &(&Key, &Closing)| (c.connection.blocked(), **key);
+            let order = |(key, c): &(&Key, &Closing)| (c.side == ClosedBy::Us, c.connection.blocked(), **key);
             if let Some(first) = self.closing.iter().min_by_key(order).map(|(key, _)| *key) {
-                return self.drop_closing(now, first, watch);
+                return self.drop_closing(now, first, Closed::Unknown, watch);
             }
             let reserved = self.reserved(calls);
             let idle = |key: Key, c: &Client, calls: &Calls| {
@@ -226,6 +235,9 @@
                 let reset = client.reset_seen || matches!(error, Over::Broken(_));
                 self.closed_by_caller(now, key, client.connection, client.pending_ends, reset, watch);
             }
+            _ if client.reset_seen => {
+                self.closed_by_caller(now, key, client.connection, client.pending_ends, true, watch);
+            }
             _ => self.close_in_order(now, key, client, watch, calls),
         }
         calls.origin_lost(now, key);
--- a/crates/gatekeeper/src/node/clients/ends.rs
+++ b/crates/gatekeeper/src/node/clients/ends.rs
@@ -42,7 +42,7 @@
 /// What became of ends on connections that were reset, since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EndCounts {
-    /// Sent again on another connection, as they were not read on theirs.
+    /// Sent on another connection, as theirs was over and they were not read there.
     pub redelivered: u64,
     /// Not sent again, as nothing tells whether they were read.
     pub unconfirmed: u64,
@@ -54,50 +54,47 @@
         self.end_counts
     }
 
-    /// Puts the end of a call in line on a connection, or on the successor connection where that one is gone. Where there is
-    /// none, it is kept until there is one. [`Clients::deliver_ends`] writes it.
-    pub(super) fn queue_end(&mut self, now: f64, key: Key, end: CallEnd, best_reply: BestReply) {
-        let key = if self.connections.contains_key(&key) { Some(key) } else { self.successor() };
-        let Some((key, client)) = key.and_then(|key| Some((key, self.connections.get_mut(&key)?))) else {
-            return self.keep_undelivered(end);
-        };
-        let position = client.connection.queue(&end.message());
-        client.pending_ends.sent(now, end, position, end.ended_at + DELIVERY_LIMIT);
-        client.used_at = now;
-        client.best_reply = client.best_reply.max(best_reply);
-        self.unwritten.insert(key);
-    }
-
-    fn keep_undelivered(&mut self, end: CallEnd) {
+    /// Sends the end of a call on its caller's connection, or on the successor connection where that one is gone. Where there is
+    /// none, it is kept until there is one.
+    pub(super) fn send_end(
+        &mut self,
+        now: f64,
+        origin: Key,
+        end: CallEnd,
+        best_reply: BestReply,
+        watch: &Watch,
+        calls: &mut Calls,
+    ) {
+        let own = self.connections.contains_key(&origin).then_some(origin);
+        let mut candidate = own.or_else(|| self.successor());
+        while let Some(key) = candidate {
+            if self.poll_connection(now, key, watch, calls) {
+                return self.write_end(now, key, end, best_reply, watch);
+            }
+            log::debug!(caller = key; "caller-left");
+            candidate = self.successor();
+        }
         match self.undelivered.len() < MAX_UNDELIVERED {
             true => self.undelivered.push_back(end),
             false => log::debug!(call:% = format_args!("{:016x}", end.id); "end-dropped"),
         }
     }
 
-    /// Writes the ends that are in line, and those that were not read on connections that are over on others.
-    pub fn deliver_ends(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
-        while !(self.unread.is_empty() && self.unwritten.is_empty()) {
-            // A connection that is found to be over adds to those that were not read.
-            while let Some(end) = self.unread.pop_front() {
-                log::debug!(call:% = format_args!("{:016x}", end.id); "end-redelivered");
-                self.end_counts.redelivered += 1;
-                self.queue_end(now, NO_ORIGIN, end, BestReply::Outcome);
-            }
-            while let Some(key) = self.unwritten.pop_first() {
-                self.write_ends(now, key, watch, calls);
-            }
-        }
+    fn write_end(&mut self, now: f64, key: Key, end: CallEnd, best_reply: BestReply, watch: &Watch) {
+        self.send(now, key, &end.message(), best_reply, watch);
+        let Some(client) = self.connections.get_mut(&key) else { return };
+        let (position, written) = (client.connection.queued(), client.connection.written());
+        client.pending_ends.sent(now, end, position, written, end.ended_at + DELIVERY_LIMIT);
     }
 
-    fn write_ends(&mut self, now: f64, key: Key, watch: &Watch, calls: &mut Calls) {
-        if !self.poll_connection(now, key, watch, calls) {
-            return log::debug!(caller = key; "caller-left");
+    /// Sends the ends that were not read on connections that are over on another one.
+    pub(super) fn send_unread(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
+        // A connection that is found to be over meanwhile adds its own.
+        while let Some(end) = self.unread.pop_front() {
+            log::debug!(call:% = format_args!("{:016x}", end.id); "end-redelivered");
+            self.end_counts.redelivered += 1;
+            self.send_end(now, NO_ORIGIN, end, BestReply::Outcome, watch, calls);
         }
-        let Some(client) = self.connections.get_mut(&key) else { return };
-        let written = client.connection.write_queued();
-        client.take_written(key, &written);
-        client.watch(key, watch);
     }
 
     /// Takes what became of the ends on a connection that is over, of which so many bytes were written.
@@ -160,13 +157,13 @@
         known.max_by_key(|(&key, c)| (c.best_reply, key)).map(|(key, _)| *key)
     }
 
-    /// Puts the ends in line that have waited long enough for a better connection, on any.
-    pub(super) fn queue_undelivered(&mut self, now: f64) {
-        let Some(newest) = self.connections.keys().next_back().copied() else { return };
+    /// Sends the ends that have waited long enough for a better connection on any.
+    pub(super) fn send_undelivered(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
         let due = |end: &mut CallEnd| now - end.ended_at >= ANY_CONNECTION_AFTER;
-        while let Some(end) = self.undelivered.pop_front_if(due) {
+        while let Some(newest) = self.connections.keys().next_back().copied() {
+            let Some(end) = self.undelivered.pop_front_if(due) else { return };
             // Whether its caller ever has a call is not known.
-            self.queue_end(now, newest, end, BestReply::Notice);
+            self.send_end(now, newest, end, BestReply::Notice, watch, calls);
         }
     }
 }
--- a/crates/gatekeeper/src/node/delivery.rs
+++ b/crates/gatekeeper/src/node/delivery.rs
@@ -6,7 +6,8 @@
 
 use std::collections::VecDeque;
 
-/// Items remembered for one connection at most; the oldest are forgotten first.
+/// Written items remembered for one connection at most; the oldest are forgotten first. Those that wait to be written are bound
+/// by the connection's buffer.
 const MAX_PENDING: usize = 256;
 
 /// An item that was sent.
@@ -26,6 +27,8 @@
     InOrder,
     /// It was reset.
     Reset,
+    /// It was dropped before that could be seen.
+    Unknown,
 }
 
 /// What became of the items that were sent on a connection that is over.
@@ -50,11 +53,12 @@
 }
 
 impl<T> Pending<T> {
-    /// Takes note that an item was put in line, where it ends in the stream, and until when it is worth sending again.
-    pub fn sent(&mut self, now: f64, item: T, position: u64, expires_at: f64) {
+    /// Takes note that an item was put in line, where it ends in the stream of which so many bytes are written, and until when
+    /// it is worth sending again.
+    pub fn sent(&mut self, now: f64, item: T, position: u64, written: u64, expires_at: f64) {
         self.forget_expired(now);
-        if self.items.len() == MAX_PENDING {
-            self.items.pop_front();
+        if self.items.len() >= MAX_PENDING {
+            self.items.pop_front_if(|oldest| oldest.position <= written);
         }
         self.items.push_back(Sent { item, expires_at, position });
     }
@@ -72,20 +76,26 @@
         latest.is_some_and(|sent| sent.position == written && now <= sent.expires_at)
     }
 
+    /// Takes the items that were never written, with so many bytes written.
+    pub fn take_unwritten(&mut self, written: u64) -> Vec<T> {
+        let first = self.items.partition_point(|sent| sent.position <= written);
+        self.items.drain(first..).map(|sent| sent.item).collect()
+    }
+
     /// Takes what became of the items, as the connection is over with so many bytes written.
     pub fn close(&mut self, now: f64, closed: Closed, written: u64) -> Outcome<T> {
         self.forget_expired(now);
+        let never_written = self.take_unwritten(written);
         let mut outcome = Outcome { unread: Vec::new(), unconfirmed: 0 };
         for sent in self.items.drain(..) {
-            let never_written = sent.position > written;
             let written_last = sent.position == written;
             match closed {
-                _ if never_written => outcome.unread.push(sent.item),
                 Closed::Reset if written_last => outcome.unread.push(sent.item),
-                Closed::Reset => outcome.unconfirmed += 1,
+                Closed::Reset | Closed::Unknown => outcome.unconfirmed += 1,
                 Closed::InOrder => {}
             }
         }
+        outcome.unread.extend(never_written);
         outcome
     }
 
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -707,55 +707,39 @@
     /// Hands the module what happened and carries out what it says, until neither brings anything new.
     /// Each round ends attempts or calls, of which there are only so many.
     fn decide(&mut self, now: f64) {
+        let mut actions = Vec::new();
         // Set-ups that waited for a connection, with nothing new in this turn.
         let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
         if turn.calls.effects.is_empty() {
             self.servers.send_waiting(&mut turn);
         }
-        loop {
-            while self.has_news() {
-                self.decide_round(now);
-            }
-            self.clients.deliver_ends(now, &self.watch, &mut self.calls);
-            // Before the ends were written, the connections were read once more.
-            if !self.has_news() {
-                break;
+        while !(self.calls.events.is_empty() && self.calls.effects.is_empty()) {
+            for effect in std::mem::take(&mut self.calls.effects) {
+                self.effect(now, effect);
             }
-        }
-        self.untold.clear();
-    }
-
-    /// Whether something is to be told to the module or to be carried out.
-    fn has_news(&self) -> bool {
-        !(self.calls.events.is_empty() && self.calls.effects.is_empty())
-    }
-
-    fn decide_round(&mut self, now: f64) {
-        let mut actions = Vec::new();
-        for effect in std::mem::take(&mut self.calls.effects) {
-            self.effect(now, effect);
-        }
-        let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
-        self.servers.send_waiting(&mut turn);
-        for mut event in std::mem::take(&mut self.calls.events) {
-            if let Event::List { entries, .. } = &mut event {
-                self.subjects.overlay(entries, self.list_at);
+            let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
+            self.servers.send_waiting(&mut turn);
+            for mut event in std::mem::take(&mut self.calls.events) {
+                if let Event::List { entries, .. } = &mut event {
+                    self.subjects.overlay(entries, self.list_at);
+                }
+                self.controller.handle(now, event, &mut actions);
             }
-            self.controller.handle(now, event, &mut actions);
-        }
-        for action in actions {
-            match action {
-                Action::Send { call, pool, limit } => self.calls.send(now, call, pool, limit),
-                Action::Refuse { call, retry_after } => self.calls.refuse(call, retry_after),
-                Action::Fail { call } => self.calls.fail(call),
-                Action::Cancel { call, attempt } => self.calls.cancel(call, attempt),
-                Action::Timer { at, token } => self.wheel.set(at, Timer::Module(token)),
-                // Pools that shut and open again under load would fill the log with the traffic.
-                Action::Log(text) => log::debug!(text = text.as_str(); "module"),
-                // The list is asked for all the time.
-                Action::Subscribe => {}
+            for action in actions.drain(..) {
+                match action {
+                    Action::Send { call, pool, limit } => self.calls.send(now, call, pool, limit),
+                    Action::Refuse { call, retry_after } => self.calls.refuse(call, retry_after),
+                    Action::Fail { call } => self.calls.fail(call),
+                    Action::Cancel { call, attempt } => self.calls.cancel(call, attempt),
+                    Action::Timer { at, token } => self.wheel.set(at, Timer::Module(token)),
+                    // Pools that shut and open again under load would fill the log with the traffic.
+                    Action::Log(text) => log::debug!(text = text.as_str(); "module"),
+                    // The list is asked for all the time.
+                    Action::Subscribe => {}
+                }
             }
         }
+        self.untold.clear();
     }
 
     fn effect(&mut self, now: f64, effect: Effect) {
--- a/crates/gatekeeper/src/node/tests/unread_ends.rs
+++ b/crates/gatekeeper/src/node/tests/unread_ends.rs
@@ -152,6 +152,46 @@
     w.pass(1.0);
     assert_eq!(ends_told(&w, 1), 0);
     assert_told_once(&w, 2);
+    let figures = w.node.figures_now().gauges;
+    assert_eq!((figures.ends_redelivered, figures.ends_unconfirmed), (1, 1));
+}
+
+/// Guards against ends lost beyond what is remembered of one connection, as a caller of many calls closes it before the writes.
+#[test]
+fn all_ends_of_a_caller_that_closes_before_they_are_written_are_told_on_another_connection() {
+    let mut w = World::new(1);
+    let mut leaving = with_a_call(&mut w);
+    let ids: Vec<u64> = (1000..1300).collect();
+    for &id in &ids {
+        leaving.send(&set_up(id, 3000)).unwrap();
+        w.at_servers(id, kind::SET_UP);
+        w.servers_say(&answer(id));
+    }
+    let mut received = Vec::new();
+    w.until("that all stand", |_| leaving.read(&mut received).is_err() || received.len() == ids.len());
+    let mut bytes = Vec::new();
+    ids.iter().for_each(|id| release(*id, cause::NORMAL).encode(&mut bytes));
+    w.servers[0].stream().write_all(&bytes).unwrap();
+    w.node.before_writing = Some(Box::new(move || drop(leaving)));
+    w.pass(1.0);
+    let told = ids.iter().filter(|id| ends_told(&w, **id) == 1).count();
+    assert_eq!(told, ids.len());
+}
+
+/// Guards against an end lost that was written with an error of another set-up behind it, as its caller closes in that moment.
+#[test]
+fn an_end_before_another_reply_is_told_on_another_connection_if_its_caller_closes_before_the_writes() {
+    let mut w = World::new(1);
+    let mut leaving = with_a_call(&mut w);
+    leaving.send(&set_up(2, 3000)).unwrap();
+    w.at_servers(2, kind::SET_UP);
+    let mut bytes = Vec::new();
+    release(1, cause::NORMAL).encode(&mut bytes);
+    release(2, cause::FULL).encode(&mut bytes);
+    w.servers[0].stream().write_all(&bytes).unwrap();
+    w.node.before_writing = Some(Box::new(move || drop(leaving)));
+    w.pass(1.0);
+    assert_told_once(&w, 1);
 }
 
 /// Guards against an end lost in this process, on a connection whose caller reads nothing and closes in the end.
