--- a/crates/faults/tests/rounds.rs
+++ b/crates/faults/tests/rounds.rs
@@ -32,6 +32,15 @@
     }
 }
 
+/// Guards against calls of a living member adopted in a minority that cuts of one direction leave.
+#[test]
+fn no_minority_adopts_calls_after_cuts_of_one_direction() {
+    for (seed, members) in [(44, 5), (79, 4)] {
+        let plan = Plan { chaos: if seed % 2 == 0 { 0.0 } else { 0.1 }, ..Plan::of(members) };
+        assert_eq!(play(&plan, &Script::random(seed, &draw(members))), [], "seed {seed}");
+    }
+}
+
 /// Each is found by some script, within so many.
 #[test]
 fn faults_put_in_on_purpose_are_found() {
--- a/crates/gatekeeper/src/node/tests/unread_releases.rs
+++ b/crates/gatekeeper/src/node/tests/unread_releases.rs
@@ -49,3 +49,15 @@
     }
     assert_eq!(releases(&left, 1), 1, "{left:?}");
 }
+
+/// Guards against a call that goes on at its server, which closed the connection with the release unread.
+#[test]
+fn a_release_left_unread_as_its_server_closes_is_sent_on_the_next_connection() {
+    let mut w = World::new(1);
+    w.stand(1);
+    w.caller.send(&release(1, cause::NORMAL)).unwrap();
+    (0..2).for_each(|_| w.node.turn().unwrap());
+    w.servers.clear();
+    w.pass(1.0);
+    assert_eq!(releases(&w.at_servers, 1), 1, "{:?}", w.at_servers);
+}
--- a/crates/gatekeeper/tests/restarts/judge.rs
+++ b/crates/gatekeeper/tests/restarts/judge.rs
@@ -178,7 +178,7 @@
     history.calls.iter().filter(|(_, call)| broken(call)).map(|(id, _)| format!("call {id}")).collect()
 }
 
-/// Of connections that their callers keep open: an end that is written to one that closes may be lost, see KNOWN-RED.txt.
+/// Of connections that their callers keep open; what becomes of ends on others is judged by [`left_end_not_told`].
 fn end_not_told(history: &History) -> Vec<String> {
     let over = history.over();
     let late = |attempt: &Attempt| {
