List an end that is told to nobody as a crowd takes all places

Suspected and not traced: the caller's connection is closed to make room, and dropped before its caller closes it with the end unread, so that the reset meets nobody.

--- a/crates/gatekeeper/tests/restarts/main.rs
+++ b/crates/gatekeeper/tests/restarts/main.rs
@@ -32,6 +32,8 @@
 const SIDE_BY_SIDE: u64 = 4;
 /// A run that is paused from just before SIGTERM on for 0.1 s, and again right after.
 const PAUSED_AROUND_SIGTERM: u64 = 3065;
+/// A run in which a crowd takes all places while a caller has the end of its call unread.
+const CROWDED_AT_AN_END: u64 = 9009;
 /// Requests on open connections come for so long after the last new connection at the full rate, and then at a part of it.
 const FULL_RATE: f64 = 0.2;
 const RATE_AFTER: f64 = 0.2;
@@ -263,3 +265,9 @@
 fn a_program_paused_around_sigterm_ends_before_it_would_be_killed() {
     assert_eq!(judge(&Run::new(PAUSED_AROUND_SIGTERM).play()), []);
 }
+
+/// Guards against an end lost on a connection that is closed to make room and dropped before its caller leaves it unread.
+#[test]
+fn an_end_left_unread_as_a_crowd_takes_all_places_is_told() {
+    assert_eq!(judge(&Run::new(CROWDED_AT_AN_END).play()), []);
+}
