--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -3,6 +3,7 @@
 mod closing;
 mod ends;
 mod reply;
+mod room;
 mod set_up;
 
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/gatekeeper/src/node/clients/closing.rs
+++ b/crates/gatekeeper/src/node/clients/closing.rs
@@ -22,20 +22,14 @@
 /// with something unread in it, the system resets it, and a reset can destroy an answer that the peer has not read yet.
 const LINGER: f64 = 1.0;
 
-/// Connections of no use looked at to make room for one more.
-const LOOKS: usize = 8;
-
-/// While places are short, one that waits for nothing makes room for others after so long, in seconds, mute ones first. A usual caller's set-up comes right behind its connect.
-const MUTE_SHORT: f64 = 0.25;
-
 /// A connection that its caller closed is watched for a reset for so long, in seconds, where the ends of calls were sent on it
 /// last. Time enough for the system of a peer that is far away to answer what crossed the close.
 const RESET_WAIT: f64 = 0.25;
 
 /// A connection that one side has closed.
 pub(super) struct Closing {
-    connection: Connection<TcpStream>,
-    side: ClosedBy,
+    pub(super) connection: Connection<TcpStream>,
+    pub(super) side: ClosedBy,
     pending_ends: Pending<CallEnd>,
     /// When it is dropped.
     until: f64,
@@ -43,7 +37,7 @@
 
 /// Which side has closed a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum ClosedBy {
+pub(super) enum ClosedBy {
     /// This one; see [`LINGER`].
     Us,
     /// The caller; see [`RESET_WAIT`].
@@ -174,7 +168,7 @@
     }
 
     /// Drops a connection that one side has closed, and of which no reset came so far.
-    fn drop_closing(&mut self, now: f64, key: Key, otherwise: Closed, watch: &Watch) {
+    pub(super) fn drop_closing(&mut self, now: f64, key: Key, otherwise: Closed, watch: &Watch) {
         let Some(closing) = self.closing.get(&key) else { return };
         let closed = if is_reset(&closing.connection) { Closed::Reset } else { otherwise };
         self.end_closing(now, key, closed, watch);
@@ -186,37 +180,6 @@
         self.ends_closed(now, &mut closing.pending_ends, closed, &closing.connection);
     }
 
-    /// Drops the connection that was closed here first, one with nothing to write if there is one; where there is none, closes
-    /// the one that has been of no use for longest, those that were sent nothing first. Guards against callers locked out by
-    /// others that connect by hundreds and send nothing, or ask once and keep their connection for good.
-    pub(super) fn make_room(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
-        for _ in 0..LOOKS {
-            let order = |(key, c): &(&Key, &Closing)| (c.side == ClosedBy::Us, c.connection.blocked(), **key);
-            if let Some(first) = self.closing.iter().min_by_key(order).map(|(key, _)| *key) {
-                return self.drop_closing(now, first, Closed::Unknown, watch);
-            }
-            let reserved = self.reserved(calls);
-            let idle = |key: Key, c: &Client, calls: &Calls| {
-                // An answer that came in this turn is not written yet.
-                let needed = calls.open_from(key) > 0 || calls.owes_reply(key) || Some(key) == reserved;
-                !needed && c.unused(now, MUTE_SHORT, MUTE_SHORT)
-            };
-            let unused = self.connections.iter().filter(|(key, client)| idle(**key, client, calls));
-            let order = |key: &Key, c: &Client| {
-                (calls.standing_from(*key) > 0, c.best_reply != BestReply::None, c.used_at)
-            };
-            let oldest = unused.min_by(|a, b| {
-                let (a, b) = (order(a.0, a.1), order(b.0, b.1));
-                (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
-            });
-            let Some(key) = oldest.map(|(key, _)| *key) else { return };
-            self.close_if(now, key, |c, calls| idle(key, c, calls), watch, calls);
-            if self.held() < self.most {
-                return;
-            }
-        }
-    }
-
     /// Closes a connection that was found to be over, for this reason.
     pub(super) fn close_if_over(
         &mut self,
