Keep closed connections that may tell of an unread end from making room

Cause: make_room dropped first of all the connections that their callers had closed, as nothing waits to be written there. They stay for 0.25 s just to hear the reset that tells that an end was left unread: the evidence went with the descriptor.

Change: make_room drops first what awaits no evidence.

--- a/crates/gatekeeper/src/node/clients/closing.rs
+++ b/crates/gatekeeper/src/node/clients/closing.rs
@@ -28,16 +28,43 @@
 
 /// A connection that one side has closed.
 pub(super) struct Closing {
-    pub(super) connection: Connection<TcpStream>,
-    pub(super) side: ClosedBy,
+    connection: Connection<TcpStream>,
+    side: ClosedBy,
     pending_ends: Pending<CallEnd>,
-    /// When it is dropped.
-    until: f64,
+    /// When that side closed it.
+    closed_at: f64,
+}
+
+impl Closing {
+    /// Whether its time is up, with what this side waits for.
+    fn is_expired(&self, now: f64) -> bool {
+        let wait = match self.side {
+            ClosedBy::Us => LINGER,
+            ClosedBy::Caller => RESET_WAIT,
+        };
+        now >= self.closed_at + wait
+    }
+
+    /// Whether a reset is still likely to come and would tell that its caller left the end of a call unread.
+    pub(super) fn awaits_evidence(&self, now: f64) -> bool {
+        let recent = now < self.closed_at + RESET_WAIT;
+        recent && self.pending_ends.awaits_evidence(now, self.connection.written())
+    }
+
+    /// Whether something still waits to be written.
+    pub(super) fn is_blocked(&self) -> bool {
+        self.connection.blocked()
+    }
+
+    /// When the side that closed it did so.
+    pub(super) fn closed_at(&self) -> f64 {
+        self.closed_at
+    }
 }
 
 /// Which side has closed a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub(super) enum ClosedBy {
+enum ClosedBy {
     /// This one; see [`LINGER`].
     Us,
     /// The caller; see [`RESET_WAIT`].
@@ -64,7 +91,7 @@
             }
         }
         let late: Vec<Key> =
-            self.closing.iter().filter(|(_, c)| now >= c.until).map(|(key, _)| *key).collect();
+            self.closing.iter().filter(|(_, c)| c.is_expired(now)).map(|(key, _)| *key).collect();
         late.into_iter().for_each(|key| self.drop_closing(now, key, Closed::InOrder, watch));
     }
 
@@ -158,8 +185,8 @@
         if !reset && !connection.blocked() && pending_ends.awaits_evidence(now, connection.written()) {
             // Nothing but errors is waited for: its end makes it readable for good.
             watch.set(key, connection.stream(), false, false);
-            let (side, until) = (ClosedBy::Caller, now + RESET_WAIT);
-            self.closing.insert(key, Closing { connection, side, pending_ends, until });
+            let side = ClosedBy::Caller;
+            self.closing.insert(key, Closing { connection, side, pending_ends, closed_at: now });
             return;
         }
         watch.remove(connection.stream());
@@ -178,6 +205,7 @@
         let Some(mut closing) = self.closing.remove(&key) else { return };
         watch.remove(closing.connection.stream());
         self.ends_closed(now, &mut closing.pending_ends, closed, &closing.connection);
+        self.resume_accepting(watch);
     }
 
     /// Closes a connection that was found to be over, for this reason.
@@ -215,8 +243,8 @@
         }
         client.watch(key, watch);
         let Client { connection, pending_ends, .. } = client;
-        let (side, until) = (ClosedBy::Us, now + LINGER);
-        self.closing.insert(key, Closing { connection, side, pending_ends, until });
+        let side = ClosedBy::Us;
+        self.closing.insert(key, Closing { connection, side, pending_ends, closed_at: now });
     }
 }
 
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -2,6 +2,7 @@
 //! when what it waits for has come, or fails after a bounded number of turns.
 
 mod connections;
+mod crowds;
 mod cut_messages;
 mod ends;
 mod rare;
