Adopt calls of a silent member only while a majority is heard

Callers would see: a member that is cut off sees to calls that their own gatekeeper, which lives, still sees to: an end told twice, a second release at a server.

Cause: that a silent member is gone is judged under a majority, once. Who sees to its calls is drawn again whenever another one dies, and nothing asked for a majority then.

What is seen to already stays; what had to wait is adopted once a majority is heard.

The new tests fail with the guard, its exception for certain deaths, the calls kept or the look at a returned majority taken out, each alone.

--- a/crates/faults/tests/rounds.rs
+++ b/crates/faults/tests/rounds.rs
@@ -41,6 +41,17 @@
     }
 }
 
+/// Guards against calls of a living member that fall to one in a minority as their adopter dies.
+#[test]
+fn calls_of_a_silent_member_fall_to_nobody_in_a_minority() {
+    let silent: String = (1..5).map(|n| format!("at 2s cut g0 -> g{n}\n")).collect();
+    let script = format!("{silent}at 6s cut g2 -> g1\nat 6s cut g3 -> g1\nat 8s kill g4\nat 12s heal");
+    for seed in 0..8 {
+        let script: Script = format!("seed {seed}\n{script}").parse().unwrap();
+        assert_eq!(play(&Plan::of(5), &script), [], "seed {seed}");
+    }
+}
+
 /// Each is found by some script, within so many.
 #[test]
 fn faults_put_in_on_purpose_are_found() {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -140,6 +140,8 @@
     gaps: Detector,
     linked: bool,
     refused_since: Option<f64>,
+    /// It is gone, and its process has ended: its address refused links, or it said so.
+    ended: bool,
     /// Own beats sent to it, and the last one that it told back.
     sent: VecDeque<(u32, f64)>,
     next_seq: u32,
@@ -165,6 +167,7 @@
             gaps: Detector::default(),
             linked: false,
             refused_since: None,
+            ended: false,
             sent: VecDeque::new(),
             next_seq: 1,
             next_beat: never,
@@ -214,8 +217,9 @@
     rival: Option<(Life, f64)>,
     superseded: bool,
     ticked: Option<f64>,
-    /// Since when a majority is heard.
+    /// Since when a majority is heard, and whether that was long enough as of the last look.
     quorum_since: Option<f64>,
+    quorum_stands: bool,
     /// Whose turn it is to be told of.
     turn: usize,
     changes: Vec<Change>,
@@ -243,6 +247,7 @@
             superseded,
             ticked: None,
             quorum_since: None,
+            quorum_stands: false,
             turn: 0,
             changes,
         }
@@ -328,6 +333,17 @@
         2 * heard > self.peers.len() + 1
     }
 
+    /// Whether a majority has been heard for so long that a silence counts as an end.
+    pub fn quorum_stands(&self) -> bool {
+        self.quorum_stands
+    }
+
+    /// Whether a member is gone for certain: its address refused links, or it said that it ends. One that is gone for its
+    /// silence alone may go on where others hear it.
+    pub fn has_ended(&self, member: MemberId) -> bool {
+        self.peers.get(&member).is_some_and(|p| p.ended)
+    }
+
     /// By how much what a member said last may be older than it says, in seconds: as long as its last beat may have
     /// been on its way. None before anything is known of that.
     pub fn lag(&self, now: f64, member: MemberId) -> Option<f64> {
@@ -358,6 +374,7 @@
                     (State::Gone(now), f64::NEG_INFINITY, f64::NEG_INFINITY);
                 self.changes.push(Change::Gone(member, true));
             }
+            peer.ended = true;
         }
     }
 
@@ -587,6 +604,7 @@
         let s = self.settings;
         self.quorum_since = self.quorum().then(|| self.quorum_since.unwrap_or(now));
         let quorum = self.quorum_since.is_some_and(|since| now - since >= STANDS);
+        self.quorum_stands = quorum;
         for (&member, peer) in &mut self.peers {
             let silent = now - peer.alive_at.max(peer.excused);
             let others = now - peer.sight_at;
@@ -619,6 +637,7 @@
                 _ => {}
             }
             peer.state = next;
+            peer.ended = matches!(next, State::Gone(_)) && (peer.ended || dead);
         }
     }
 
--- a/crates/replica/src/adoption.rs
+++ b/crates/replica/src/adoption.rs
@@ -47,6 +47,12 @@
     }
 }
 
+/// Whether this member may begin to see to calls of an origin. Guards against a member without a majority that takes over the
+/// calls of one that it merely does not hear, and that goes on where others hear it.
+pub fn may_begin(origin: &Origin, view: &Membership) -> bool {
+    origin.member == view.own() || view.quorum_stands() || view.has_ended(origin.member)
+}
+
 /// The calls that are the own member's to see to.
 pub fn adopted(store: &Store, view: &Membership) -> BTreeMap<u64, Adopted> {
     let (own, owned) = (view.own(), store.stream(&store.own()));
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -211,6 +211,8 @@
     /// The calls seen to, and whether that has to be looked at again.
     adopted: BTreeMap<u64, Adopted>,
     stale: bool,
+    /// Whether a majority was heard, as of the last turn.
+    has_quorum: bool,
     /// Ends that were told in place of others, as long as those say that they owe them.
     told: BTreeSet<u64>,
     /// Where the last sweep of ended calls stopped.
@@ -264,6 +266,7 @@
             ended: BTreeMap::new(),
             adopted: BTreeMap::new(),
             stale: false,
+            has_quorum: false,
             told: BTreeSet::new(),
             swept: 0,
             events: Vec::new(),
@@ -612,6 +615,9 @@
     /// What time brings. Called at least every few tens of milliseconds, before anything that came is taken.
     pub fn tick(&mut self, now: f64) {
         self.view.tick(now);
+        let had_quorum = std::mem::replace(&mut self.has_quorum, self.view.quorum_stands());
+        // What had to wait for a majority may be adopted now.
+        self.stale |= self.has_quorum && !had_quorum;
         self.settle(now);
         if now >= self.next_look {
             self.next_look = now + LOOK;
@@ -679,7 +685,8 @@
     }
 
     fn adopt(&mut self) {
-        let new = adoption::adopted(&self.store, &self.view);
+        let mut new = adoption::adopted(&self.store, &self.view);
+        new.retain(|id, call| self.adopted.contains_key(id) || adoption::may_begin(&call.origin, &self.view));
         for id in self.adopted.keys().filter(|id| !new.contains_key(id)) {
             self.acts.push(Act::Yield(*id));
         }
