Count a majority anew after a pause

A member that wakes adopts the calls of one that lives, for a moment.

Cause: silences count from the waking, but a majority counted from before the pause, and so did the age of what others had told of a member that was never heard here. Both were over 2 s old in the first turn, before what the others had said meanwhile was read.

Made smaller and traced: g1 starts, is paused 0.2 s later for 3 s, and in the turn of its waking holds g0, which it knows by g2 alone, to be gone (told of 3.1 s ago, majority since before the pause).

Change: a pause ends the majority. It has to be heard for 0.5 s again, within which the others tell whom they hear.

--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -596,6 +596,8 @@
                 }
                 peer.refused_since = None;
             }
+            // What the others hear is as old as the pause, until they have told it anew.
+            self.quorum_since = None;
         }
         self.judge(now);
     }
--- a/crates/membership/tests/quorum.rs
+++ b/crates/membership/tests/quorum.rs
@@ -62,6 +62,15 @@
         }
     }
 
+    /// Time passes for the others alone.
+    fn pause(&mut self, n: usize, seconds: f64) {
+        let (paused, cut) = (self.views[n].clone(), self.cut.clone());
+        let others: Vec<usize> = (0..self.views.len()).filter(|other| *other != n).collect();
+        self.split(&[n], &others);
+        self.pass(seconds);
+        (self.views[n], self.cut) = (paused, cut);
+    }
+
     fn state(&self, at: usize, of: usize) -> State {
         self.views[at].state(id(of))
     }
@@ -192,3 +201,16 @@
     assert_eq!(group.gone.iter().filter(|(by, ..)| *by == 0).count(), 0, "{:?}", group.gone);
     assert!((1..5).all(|n| group.views[0].state(id(n)) == State::Alive));
 }
+
+/// One that was paused takes nobody for gone by what it heard before: its majority is as old as the pause, and so is what others
+/// told of one that it never heard itself.
+#[test]
+fn who_was_paused_hears_a_majority_anew_before_anybody_is_gone() {
+    let mut group = Group::of(3);
+    // The first hears of the last by the second alone.
+    group.split(&[0], &[2]);
+    group.pass(1.0);
+    group.pause(0, 3.0);
+    group.pass(1.0);
+    assert!(group.gone.iter().all(|(by, ..)| *by != 0), "{:?}", group.gone);
+}
