Name what members observe of each other, and units, as the field does

Cause: the fixes touched membership's view and the callers' closing connections, with names that need explaining (Sight, STANDS, AGAIN, CERTAIN, MUTE_SHORT) and times without a unit. Change: Sight is Observation and a beat's sights its observations; the constants of view.rs, closing.rs and room.rs say what they bound, with their unit. The operators' figure `sights` keeps its name, the wire form its order. No behaviour changes.

--- a/crates/gatekeeper/src/node/clients/closing.rs
+++ b/crates/gatekeeper/src/node/clients/closing.rs
@@ -14,17 +14,17 @@
 
 /// A caller that was sent nothing and waits for nothing is closed after so long, in seconds, and so is one that began a
 /// message and does not end it: it is owed a message or a close within 3 s of connecting.
-const MUTE: f64 = 2.0;
+const MUTE_TIMEOUT_S: f64 = 2.0;
 /// One that was sent something and waits for nothing is closed after so long, in seconds. Usual callers close such a
 /// connection themselves after 4 s.
-const IDLE: f64 = 8.0;
+const IDLE_TIMEOUT_S: f64 = 8.0;
 /// A connection closed here is read to its end for so long, in seconds, with what comes thrown away: closed outright
 /// with something unread in it, the system resets it, and a reset can destroy an answer that the peer has not read yet.
-const LINGER: f64 = 1.0;
+const LINGER_S: f64 = 1.0;
 
 /// A connection that its caller closed is watched for a reset for so long, in seconds, where the ends of calls were sent on it
 /// last. Time enough for the system of a peer that is far away to answer what crossed the close.
-const RESET_WAIT: f64 = 0.25;
+const RESET_WAIT_S: f64 = 0.25;
 
 /// A connection that one side has closed.
 pub(super) struct Closing {
@@ -39,15 +39,15 @@
     /// Whether its time is up, with what this side waits for.
     fn is_expired(&self, now: f64) -> bool {
         let wait = match self.side {
-            ClosedBy::Us => LINGER,
-            ClosedBy::Caller => RESET_WAIT,
+            ClosedBy::Us => LINGER_S,
+            ClosedBy::Caller => RESET_WAIT_S,
         };
         now >= self.closed_at + wait
     }
 
     /// Whether a reset is still likely to come and would tell that its caller left the end of a call unread.
     pub(super) fn awaits_evidence(&self, now: f64) -> bool {
-        let recent = now < self.closed_at + RESET_WAIT;
+        let recent = now < self.closed_at + RESET_WAIT_S;
         recent && self.pending_ends.awaits_evidence(now, self.connection.written())
     }
 
@@ -65,9 +65,9 @@
 /// Which side has closed a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum ClosedBy {
-    /// This one; see [`LINGER`].
+    /// This one; see [`LINGER_S`].
     Us,
-    /// The caller; see [`RESET_WAIT`].
+    /// The caller; see [`RESET_WAIT_S`].
     Caller,
 }
 
@@ -83,8 +83,9 @@
         let (keys, reserved) = (self.connections.keys().copied().collect::<Vec<Key>>(), self.reserved(calls));
         for key in keys {
             let idle = |c: &mut Client, calls: &Calls| {
-                let unused = c.unused(now, MUTE, IDLE) && !is_needed(key, reserved, calls);
-                unused || c.connection.stalled(now, MUTE)
+                let unused =
+                    c.unused(now, MUTE_TIMEOUT_S, IDLE_TIMEOUT_S) && !is_needed(key, reserved, calls);
+                unused || c.connection.stalled(now, MUTE_TIMEOUT_S)
             };
             if self.connections.get_mut(&key).is_some_and(|c| idle(c, calls)) {
                 self.close_if(now, key, idle, watch, calls);
@@ -132,7 +133,8 @@
         self.read(now, key, watch, calls);
         let Some(client) = self.connections.get_mut(&key) else { return };
         if idle(client, calls) {
-            let reason = if client.connection.stalled(now, MUTE) { Over::Stalled } else { Over::Idle };
+            let reason =
+                if client.connection.stalled(now, MUTE_TIMEOUT_S) { Over::Stalled } else { Over::Idle };
             self.close_if_over(now, key, Err(reason), watch, calls);
         }
     }
--- a/crates/gatekeeper/src/node/clients/room.rs
+++ b/crates/gatekeeper/src/node/clients/room.rs
@@ -7,21 +7,21 @@
 use crate::node::poller::{Key, Watch};
 
 /// Connections of no use looked at to make room for one more.
-const LOOKS: usize = 8;
+const MAX_LOOKS: usize = 8;
 
 /// While places are short, one that waits for nothing makes room for others after so long, in seconds, mute ones first. A usual
 /// caller's set-up comes right behind its connect.
-const MUTE_SHORT: f64 = 0.25;
+const UNUSED_AFTER_S: f64 = 0.25;
 
 /// One place in so many may be kept from new callers by closed connections that may still tell of an unread end.
-const EVIDENCE_SHARE: usize = 4;
+const PLACES_PER_EVIDENCE: usize = 4;
 
 impl Clients {
     /// Makes room for one more connection: drops one that is closed, or closes the one that has been of no use for longest,
     /// those that were sent nothing first. Guards against callers locked out by others that connect by hundreds and send
     /// nothing, or ask once and keep their connection for good.
     pub(super) fn make_room(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
-        for _ in 0..LOOKS {
+        for _ in 0..MAX_LOOKS {
             if let Some(key) = self.droppable(now) {
                 return self.drop_closing(now, key, Closed::Unknown, watch);
             }
@@ -60,7 +60,7 @@
         {
             return Some(*key);
         }
-        if awaiting.len() <= self.most / EVIDENCE_SHARE {
+        if awaiting.len() <= self.most / PLACES_PER_EVIDENCE {
             return None;
         }
         let longest = awaiting.into_iter().min_by(|(_, a), (_, b)| a.closed_at().total_cmp(&b.closed_at()));
@@ -85,5 +85,5 @@
 fn is_unused(now: f64, key: Key, client: &Client, reserved: Option<Key>, calls: &Calls) -> bool {
     // An answer that came in this turn is not written yet.
     let needed = calls.open_from(key) > 0 || calls.owes_reply(key) || Some(key) == reserved;
-    !needed && client.unused(now, MUTE_SHORT, MUTE_SHORT)
+    !needed && client.unused(now, UNUSED_AFTER_S, UNUSED_AFTER_S)
 }
--- a/crates/gatekeeper/src/node/peers.rs
+++ b/crates/gatekeeper/src/node/peers.rs
@@ -154,9 +154,9 @@
 pub struct Split {
     /// Hellos and leaves.
     pub greetings: u64,
-    /// Beats without their sights.
+    /// Beats without their observations.
     pub beats: u64,
-    /// Sights: what a beat says of others.
+    /// Observations: what a beat says of others.
     pub sights: u64,
     /// Digests.
     pub digests: u64,
@@ -175,7 +175,7 @@
         let rest = match word {
             Word::Hello { .. } | Word::Leave => &mut self.greetings,
             Word::Beat(beat) => {
-                let sights: u64 = beat.sights.iter().map(size).sum();
+                let sights: u64 = beat.observations.iter().map(size).sum();
                 self.sights += sights;
                 self.beats += bytes.saturating_sub(sights);
                 return;
--- a/crates/gatekeeper/src/node/tests/said.rs
+++ b/crates/gatekeeper/src/node/tests/said.rs
@@ -1,6 +1,6 @@
 //! What is said on the links is told apart, and the parts are the whole.
 
-use hollypaddle_membership::{Beat, Life, MemberId, Sight};
+use hollypaddle_membership::{Beat, Life, MemberId, Observation};
 use hollypaddle_replica::catch_up::Piece;
 use hollypaddle_replica::record::{Key, Origin, Record, ServerKey, Value, KINDS};
 use hollypaddle_replica::Word;
@@ -14,9 +14,9 @@
 }
 
 fn beat(others: u64) -> Word {
-    let sight = |n| Sight { member: MemberId(n << 50), life: life(), age_ms: 90, gone: false };
-    let sights = (1..=others).map(sight).collect();
-    Word::Beat(Beat { life: life(), seq: 9, echo: None, ready: true, callers: true, sights })
+    let observation = |n| Observation { member: MemberId(n << 50), life: life(), age_ms: 90, gone: false };
+    let observations = (1..=others).map(observation).collect();
+    Word::Beat(Beat { life: life(), seq: 9, echo: None, ready: true, callers: true, observations })
 }
 
 fn record(version: u64, key: Key, value: Option<Value>) -> Record {
@@ -45,7 +45,7 @@
     let (none, few, many) = (counted(&beat(0)).0, counted(&beat(2)), counted(&beat(5)));
     assert_eq!(none.sights, 0);
     assert_eq!((sum(&few.0), sum(&many.0)), (few.1, many.1));
-    // The beat itself does not grow; each sight is as long as the next.
+    // The beat itself does not grow; each observation is as long as the next.
     assert_eq!((few.0.beats, many.0.beats), (none.beats, none.beats));
     assert_eq!((few.0.sights * 5, many.0.sights > 0), (many.0.sights * 2, true));
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -54,7 +54,7 @@
     /// Whether callers are there to whom it can tell the end of any call.
     pub callers: bool,
     /// What the speaker hears of others.
-    pub sights: Vec<Sight>,
+    pub observations: Vec<Observation>,
 }
 
 /// A beat heard, told back.
@@ -68,7 +68,7 @@
 
 /// What one member hears of another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sight {
+pub struct Observation {
     /// Of whom.
     pub member: MemberId,
     /// The latest life known.
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -20,26 +20,26 @@
 use std::fmt;
 
 use crate::detector::Detector;
-use crate::{Beat, Echo, Life, MemberId, Sight};
+use crate::{Beat, Echo, Life, MemberId, Observation};
 
 /// Own beats of which the time is remembered, for their echoes.
-const SENT: usize = 64;
-/// Sights in a beat at most; with more members they take turns.
-const SIGHTS: usize = 16;
+const MAX_UNECHOED_BEATS: usize = 64;
+/// Observations in a beat at most; with more members they take turns.
+const MAX_OBSERVATIONS: usize = 16;
 /// Between two beats to a member that tell what is heard of others, in seconds: they are most of a beat's bytes, and
 /// well within the time after which one is gone.
-const SIGHTS_EVERY: f64 = 0.4;
+const OBSERVATION_INTERVAL_S: f64 = 0.4;
 /// Deviations of a member's gaps beyond their mean after which its silence is suspect.
-const DEVIATIONS: f64 = 4.0;
+const SUSPECT_DEVIATIONS: f64 = 4.0;
 
 /// By how much clocks may differ in pace, and how exact an age is, in seconds.
-const CLOCKS: f64 = 1.02;
-const CERTAIN: f64 = 0.05;
+const CLOCK_PACE_TOLERANCE: f64 = 1.02;
+const AGE_TOLERANCE_S: f64 = 0.05;
 /// A majority must have been heard for so long before a silence is held for an end, in seconds: who was cut off hears some
 /// first when it is back, and learns from them within this whom they hear.
-const STANDS: f64 = SIGHTS_EVERY + 0.1;
+const QUORUM_STANDS_AFTER_S: f64 = OBSERVATION_INTERVAL_S + 0.1;
 /// A second process under the own name must have been told of for so long, in seconds.
-const AGAIN: f64 = 0.5;
+const RIVAL_CONFIRMED_AFTER_S: f64 = 0.5;
 
 /// The figures of it, in seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -134,7 +134,7 @@
     life: Option<Life>,
     /// When it was alive for certain, by its own beats; and by what others hear.
     alive_at: f64,
-    sight_at: f64,
+    observed_at: f64,
     /// Its silence before this tells nothing: its link came up then, or this member was paused. No evidence of life.
     excused: f64,
     gaps: Detector,
@@ -146,7 +146,7 @@
     sent: VecDeque<(u32, f64)>,
     next_seq: u32,
     next_beat: f64,
-    next_sights: f64,
+    next_observations: f64,
     echoed: Option<(u32, f64)>,
     /// Its last beat, and when it came.
     heard: Option<(u32, f64)>,
@@ -162,7 +162,7 @@
             state: State::Unseen,
             life: None,
             alive_at: never,
-            sight_at: never,
+            observed_at: never,
             excused: never,
             gaps: Detector::default(),
             linked: false,
@@ -171,7 +171,7 @@
             sent: VecDeque::new(),
             next_seq: 1,
             next_beat: never,
-            next_sights: never,
+            next_observations: never,
             echoed: None,
             heard: None,
             deaf: false,
@@ -370,7 +370,7 @@
     pub fn left(&mut self, now: f64, member: MemberId) {
         if let Some(peer) = self.peers.get_mut(&member) {
             if !matches!(peer.state, State::Gone(_)) {
-                (peer.state, peer.alive_at, peer.sight_at) =
+                (peer.state, peer.alive_at, peer.observed_at) =
                     (State::Gone(now), f64::NEG_INFINITY, f64::NEG_INFINITY);
                 self.changes.push(Change::Gone(member, true));
             }
@@ -396,7 +396,7 @@
         if let Some(peer) = self.peers.get_mut(&member) {
             (peer.linked, peer.refused_since) = (true, None);
             // Beats count anew on each link, and none of an earlier one is told back.
-            (peer.heard, peer.next_beat, peer.next_sights) = (None, now, now);
+            (peer.heard, peer.next_beat, peer.next_observations) = (None, now, now);
             peer.gaps.interrupted();
             peer.excused = now;
         }
@@ -424,7 +424,7 @@
     /// alive for certain, in milliseconds.
     pub fn known_of(&self, now: f64, member: MemberId) -> Option<(Life, u32)> {
         let peer = self.peers.get(&member)?;
-        let at = peer.alive_at.max(peer.sight_at);
+        let at = peer.alive_at.max(peer.observed_at);
         Some((peer.life?, if at.is_finite() { millis(now - at) } else { u32::MAX }))
     }
 
@@ -434,7 +434,7 @@
         if known <= self.life {
             return;
         }
-        let age = f64::from(age_ms) / 1000.0 * CLOCKS + CERTAIN;
+        let age = f64::from(age_ms) / 1000.0 * CLOCK_PACE_TOLERANCE + AGE_TOLERANCE_S;
         if age > now - self.started {
             self.life.incarnation = known.incarnation.saturating_add(1);
             self.changes.push(Change::Raised(self.life));
@@ -446,7 +446,7 @@
             _ => now,
         };
         self.rival = Some((known, since));
-        if now - since >= AGAIN && !self.superseded {
+        if now - since >= RIVAL_CONFIRMED_AFTER_S && !self.superseded {
             self.superseded = true;
             self.changes.push(Change::Superseded(known));
         }
@@ -505,32 +505,32 @@
             }
         }
         let lag = if peer.alive_at.is_finite() { (now - peer.alive_at).max(0.0) } else { 0.0 };
-        for sight in &beat.sights {
-            self.sighted(now, lag, sight);
+        for observation in &beat.observations {
+            self.observed(now, lag, observation);
         }
         self.judge(now);
         Ok(())
     }
 
     /// Takes what another member hears of one, told at most `lag` seconds ago.
-    fn sighted(&mut self, now: f64, lag: f64, sight: &Sight) {
-        if sight.member == self.own {
-            return self.known(now, sight.life, sight.age_ms);
+    fn observed(&mut self, now: f64, lag: f64, observation: &Observation) {
+        if observation.member == self.own {
+            return self.known(now, observation.life, observation.age_ms);
         }
-        let Some(peer) = self.peers.get_mut(&sight.member) else { return };
+        let Some(peer) = self.peers.get_mut(&observation.member) else { return };
         let known = peer.life.unwrap_or_default();
-        if sight.life > known {
+        if observation.life > known {
             // The beats of the earlier life tell nothing of this one.
             let first = peer.life.is_none();
-            (peer.life, peer.alive_at, peer.sight_at) =
-                (Some(sight.life), f64::NEG_INFINITY, f64::NEG_INFINITY);
+            (peer.life, peer.alive_at, peer.observed_at) =
+                (Some(observation.life), f64::NEG_INFINITY, f64::NEG_INFINITY);
             if !first {
-                self.changes.push(Change::Restarted(sight.member, sight.life));
+                self.changes.push(Change::Restarted(observation.member, observation.life));
             }
         }
-        if sight.life >= known && sight.age_ms != u32::MAX {
-            let at = now - lag - f64::from(sight.age_ms) / 1000.0;
-            peer.sight_at = peer.sight_at.max(at);
+        if observation.life >= known && observation.age_ms != u32::MAX {
+            let at = now - lag - f64::from(observation.age_ms) / 1000.0;
+            peer.observed_at = peer.observed_at.max(at);
         }
     }
 
@@ -540,31 +540,31 @@
         if self.superseded || !self.peers.get(&to).is_some_and(due) {
             return None;
         }
-        let told = self.peers.get(&to).is_some_and(|p| now >= p.next_sights);
-        let sights = if told { self.sights(now, to) } else { Vec::new() };
+        let told = self.peers.get(&to).is_some_and(|p| now >= p.next_observations);
+        let observations = if told { self.observations(now, to) } else { Vec::new() };
         let peer = self.peers.get_mut(&to)?;
         if told {
-            peer.next_sights = now + SIGHTS_EVERY;
+            peer.next_observations = now + OBSERVATION_INTERVAL_S;
         }
         let seq = peer.next_seq;
         peer.next_seq = peer.next_seq.wrapping_add(1).max(1);
         // In step where it can, without a burst after a pause.
         peer.next_beat = (peer.next_beat + self.settings.beat).max(now + self.settings.beat / 2.0);
         peer.sent.push_back((seq, now));
-        if peer.sent.len() > SENT {
+        if peer.sent.len() > MAX_UNECHOED_BEATS {
             peer.sent.pop_front();
         }
         let echo = peer.heard.map(|(seq, at)| Echo { seq, held_ms: millis(now - at) });
-        Some(Beat { life: self.life, seq, echo, ready, callers: self.callers, sights })
+        Some(Beat { life: self.life, seq, echo, ready, callers: self.callers, observations })
     }
 
-    fn sights(&mut self, now: f64, to: MemberId) -> Vec<Sight> {
+    fn observations(&mut self, now: f64, to: MemberId) -> Vec<Observation> {
         let others: Vec<(&MemberId, &Peer)> =
             self.peers.iter().filter(|(m, p)| **m != to && p.life.is_some()).collect();
-        let count = others.len().min(SIGHTS);
+        let count = others.len().min(MAX_OBSERVATIONS);
         let from = if others.is_empty() { 0 } else { self.turn % others.len() };
-        let mut sights: Vec<Sight> = (others.iter().cycle().skip(from).take(count))
-            .map(|(member, p)| Sight {
+        let mut observations: Vec<Observation> = (others.iter().cycle().skip(from).take(count))
+            .map(|(member, p)| Observation {
                 member: **member,
                 life: p.life.unwrap_or_default(),
                 // What others hear is not passed on: it would live by going round.
@@ -575,9 +575,9 @@
         self.turn = self.turn.wrapping_add(count);
         // The one spoken to is told which life of it is known.
         if let Some((life, age_ms)) = self.known_of(now, to) {
-            sights.push(Sight { member: to, life, age_ms, gone: false });
+            observations.push(Observation { member: to, life, age_ms, gone: false });
         }
-        sights
+        observations
     }
 
     // ---- Time
@@ -605,12 +605,12 @@
     fn judge(&mut self, now: f64) {
         let s = self.settings;
         self.quorum_since = self.quorum().then(|| self.quorum_since.unwrap_or(now));
-        let quorum = self.quorum_since.is_some_and(|since| now - since >= STANDS);
+        let quorum = self.quorum_since.is_some_and(|since| now - since >= QUORUM_STANDS_AFTER_S);
         self.quorum_stands = quorum;
         for (&member, peer) in &mut self.peers {
             let silent = now - peer.alive_at.max(peer.excused);
-            let others = now - peer.sight_at;
-            let limit = peer.gaps.limit(DEVIATIONS, s.suspect, s.gone / 2.0);
+            let others = now - peer.observed_at;
+            let limit = peer.gaps.limit(SUSPECT_DEVIATIONS, s.suspect, s.gone / 2.0);
             let refused = peer.refused_since.is_some_and(|since| now - since >= s.refused);
             // One that was never heard of is waited for as long as one that has fallen silent.
             let unheard = silent.min(others).min(now - self.started);
@@ -651,7 +651,7 @@
             state: p.state,
             life: p.life,
             silent: since(p.alive_at),
-            others: since(p.sight_at),
+            others: since(p.observed_at),
             deaf: p.deaf,
             linked: p.linked,
             ready: p.ready,
