Let connections with standing calls make room once others have waited for 0.25 s

A connection on which calls stand makes no room while another one is closing. Where callers go on closing with ends unread, one always is, and callers that wait would wait for good behind idle connections with standing calls. Change: it holds for as long as a closing connection takes to give its place back, counted from when places became short; short_since ends as the listener's queue is empty. Measured: the new test fails without it (run so) and passes with it, with the five others of tests/crowds.rs.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -70,6 +70,8 @@
     steering: Option<Steering>,
     /// Not accepting for the moment, for want of descriptors.
     paused: bool,
+    /// Since when callers wait to be accepted for want of places.
+    short_since: Option<f64>,
     most: usize,
     /// Bytes that may wait for one caller.
     most_waiting: usize,
@@ -117,6 +119,7 @@
             listener_key,
             steering: None,
             paused,
+            short_since: None,
             most,
             most_waiting,
             connections,
@@ -273,6 +276,9 @@
             if self.held() >= self.most {
                 self.make_room(now, watch, calls);
             }
+            if self.held() >= self.most {
+                self.short_since.get_or_insert(now);
+            }
             let Some(listener) = &self.listener else { return };
             let accepted = match self.held() < self.most {
                 true => listener.accept(),
@@ -286,7 +292,10 @@
                 Err(error) => error,
             };
             match error.kind() {
-                ErrorKind::WouldBlock => return,
+                ErrorKind::WouldBlock => {
+                    self.short_since = None;
+                    return;
+                }
                 // The caller went away again.
                 ErrorKind::Interrupted | ErrorKind::ConnectionAborted | ErrorKind::ConnectionReset => {}
                 // Guards against running out of descriptors: level-triggered, the listener would be
--- a/crates/gatekeeper/src/node/clients/closing.rs
+++ b/crates/gatekeeper/src/node/clients/closing.rs
@@ -24,7 +24,7 @@
 
 /// A connection that its caller closed is watched for a reset for so long, in seconds, where the ends of calls were sent on it
 /// last. Time enough for the system of a peer that is far away to answer what crossed the close.
-const RESET_WAIT_S: f64 = 0.25;
+pub(super) const RESET_WAIT_S: f64 = 0.25;
 
 /// A connection that one side has closed.
 pub(super) struct Closing {
--- a/crates/gatekeeper/src/node/clients/room.rs
+++ b/crates/gatekeeper/src/node/clients/room.rs
@@ -2,6 +2,7 @@
 
 use hollypaddle_core::calls::Calls;
 
+use super::closing::RESET_WAIT_S;
 use super::{BestReply, Client, Clients};
 use crate::node::delivery::Closed;
 use crate::node::poller::{Key, Watch};
@@ -26,8 +27,9 @@
                 return self.drop_closing(now, key, Closed::Unknown, watch);
             }
             let Some(key) = self.least_used(now, calls) else { return };
-            // What is still closing gives its place back soon.
-            if calls.standing_from(key) > 0 && !self.closing.is_empty() {
+            // What is still closing gives its place back soon; where that does not suffice, others have waited long enough.
+            let short = self.short_since.is_some_and(|since| now - since >= RESET_WAIT_S);
+            if calls.standing_from(key) > 0 && !self.closing.is_empty() && !short {
                 return;
             }
             let reserved = self.reserved(calls);
--- a/crates/gatekeeper/src/node/tests/crowds.rs
+++ b/crates/gatekeeper/src/node/tests/crowds.rs
@@ -114,3 +114,22 @@
     (0..4).for_each(|_| w.turn());
     assert_eq!(w.calls(), taken + 1);
 }
+
+/// Guards against a crowd locked out by callers with standing calls for as long as others go on leaving ends unread.
+#[test]
+fn a_connection_with_a_standing_call_makes_room_where_others_wait_for_long() {
+    let mut w = World::still(1);
+    let first = with_a_call(&mut w);
+    let second = with_a_call_of(&mut w, 2);
+    (1..=2).for_each(|id| w.end_unread(id));
+    first.stream().shutdown(Shutdown::Write).unwrap();
+    w.node.skip(0.2);
+    (0..2).for_each(|_| w.turn());
+    let _crowd = w.crowd();
+    second.stream().shutdown(Shutdown::Write).unwrap();
+    w.pass(0.2);
+    assert!(w.caller.read(&mut Vec::new()).is_ok(), "others have not waited for long");
+    w.pass(0.1);
+    (0..4).for_each(|_| w.turn());
+    assert!(w.caller.read(&mut Vec::new()).is_err());
+}
