Send releases again that a server may not have read as its connection goes

Felt: a call that its caller released went on at its session server, which closed the connection with the release unread, or whose close crossed it.

Cause: `Server::release` and `give_up` forgot a release once it was put in line. A write that succeeds hands it to the system; nothing was kept that could be sent again when the connection went.

Change: each connection keeps what was released on it and not confirmed, and all of it goes again on another one (servers/releases.rs), without evidence: to a server a second release is one of a call that it does not have. A `release heard` confirms, and an answer on that connection to what went out behind.

Why it holds: nothing goes again while its call has no final answer, and a set-up voids what is kept or out for its call at that server, so no later attempt is cut. A refusal or a told start forgets them; else 32 at once, 1,024 kept, 30 s. No connection is opened for them.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -790,6 +790,12 @@
         call.is_some_and(|c| matches!(c.state, State::Standing { .. }))
     }
 
+    /// Whether a call has no final answer yet: an attempt of it is out or may still come.
+    pub fn is_open(&self, id: u64) -> bool {
+        let call = self.ids.get(&id).and_then(|call| self.calls.get(call));
+        call.is_some_and(|c| !matches!(c.state, State::Standing { .. }))
+    }
+
     /// Whether a call stands at a pool, or waits for an answer from it.
     pub fn is_at(&self, pool: PoolId, id: u64) -> bool {
         let call = self.ids.get(&id).and_then(|call| self.calls.get(call));
--- a/crates/gatekeeper/src/node/delivery.rs
+++ b/crates/gatekeeper/src/node/delivery.rs
@@ -70,6 +70,17 @@
         }
     }
 
+    /// The peer has read the stream up to this position, and so all that was sent before.
+    pub fn confirm_through(&mut self, position: u64) {
+        let first_unread = self.items.partition_point(|sent| sent.position <= position);
+        self.items.drain(..first_unread);
+    }
+
+    /// Forgets items that must not be sent again, and no others.
+    pub fn forget(&mut self, is_forgotten: impl Fn(&T) -> bool) {
+        self.items.retain(|sent| !is_forgotten(&sent.item));
+    }
+
     /// Whether a reset would still tell of an item that it was not read.
     pub fn awaits_evidence(&self, now: f64, written: u64) -> bool {
         let latest = self.items.back();
@@ -82,6 +93,12 @@
         self.items.drain(first..).map(|sent| sent.item).collect()
     }
 
+    /// Takes all items that were not confirmed, the oldest first, for peers to which an item may be sent twice.
+    pub fn take_unconfirmed(&mut self, now: f64) -> Vec<T> {
+        let items = std::mem::take(&mut self.items);
+        items.into_iter().filter(|sent| now <= sent.expires_at).map(|sent| sent.item).collect()
+    }
+
     /// Takes what became of the items, as the connection is over with so many bytes written.
     pub fn close(&mut self, now: f64, closed: Closed, written: u64) -> Outcome<T> {
         self.forget_expired(now);
--- a/crates/gatekeeper/src/node/delivery/tests.rs
+++ b/crates/gatekeeper/src/node/delivery/tests.rs
@@ -56,3 +56,14 @@
     }
     assert_eq!(close(pending, 2.0, Closed::Reset, 1000).1, MAX_PENDING as u64);
 }
+
+/// Guards against something lost that may be sent twice, and against something sent again that must not be.
+#[test]
+fn what_was_not_confirmed_nor_forgotten_can_be_taken_whole() {
+    assert_eq!(sent().take_unconfirmed(4.0), [1, 2, 3]);
+    assert!(sent().take_unconfirmed(10.1).is_empty());
+    let mut pending = sent();
+    pending.confirm_through(19);
+    pending.forget(|item| *item == 3);
+    assert_eq!(pending.take_unconfirmed(4.0), [2]);
+}
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -767,7 +767,7 @@
                 let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
                 self.servers.order(pool, id, order, &mut turn);
             }
-            Effect::Stray { id } => self.servers.release_anywhere(id, &self.watch),
+            Effect::Stray { id } => self.servers.release_anywhere(now, id, &self.watch),
             Effect::EndOfUnknown { id, cut, earlier, .. } => {
                 // Of a call that another gatekeeper took: whoever hears of its end tells its caller.
                 if self.subjects.fellows.fleet.as_mut().is_some_and(|fleet| fleet.end(now, id, cut, earlier))
@@ -783,7 +783,7 @@
                         let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
                         self.servers.order(pool, id, Order::Release, &mut turn);
                     }
-                    None if stray => self.servers.release_anywhere(id, &self.watch),
+                    None if stray => self.servers.release_anywhere(now, id, &self.watch),
                     None => {}
                 }
             }
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -6,6 +6,7 @@
 //! connection, beside the first, which may yet carry answers: a machine that vanished leaves its connections open and silent.
 
 mod incoming;
+mod releases;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -17,13 +18,15 @@
 use socket2::{Domain, Socket, Type};
 
 use self::incoming::judge;
+use self::releases::{Release, Releases};
 use super::config::Link;
+use super::delivery::Pending;
 use super::poller::{Key, Ready, Watch};
 use hollypaddle_core::calls::{Calls, Content, Order};
 use hollypaddle_platform::boundary::Candidate;
 use hollypaddle_platform::connection::{Connection, Over};
 use hollypaddle_platform::list::{Listed, Readiness, Snapshot};
-use hollypaddle_platform::message::{cause, code, kind, Message};
+use hollypaddle_platform::message::{code, kind, Message};
 use hollypaddle_service::descriptors::Descriptors;
 
 /// A set-up that waits longer than a connection may take to come up, and this, waits in vain, in seconds.
@@ -59,8 +62,6 @@
 const QUICK_ENDS: u32 = 3;
 /// Most bytes that wait to be written to one server.
 const MOST_WAITING: usize = 128 * 1024;
-/// Releases kept for a server while it cannot be reached.
-const MOST_OWED: usize = 4096;
 
 /// What every step here works on.
 pub struct Turn<'a> {
@@ -85,6 +86,8 @@
     open: BTreeMap<u64, Out>,
     /// Give-ups being written: the position at which each ends, and its call.
     leaving: VecDeque<(u64, u64)>,
+    /// Releases and give-ups sent on this connection that were not confirmed.
+    releases: Pending<Release>,
 }
 
 /// A set-up that is out on a connection: when it was sent, and where it ends in the stream.
@@ -108,7 +111,8 @@
     listed: Listed,
     channels: BTreeMap<Key, Channel>,
     waiting: VecDeque<SetUp>,
-    owed: Vec<u64>,
+    /// Releases to be sent on a connection to come.
+    releases: Releases,
     /// When it last said anything or took a connection, and when one may next be tried.
     heard_at: f64,
     retry_at: f64,
@@ -272,14 +276,14 @@
             (Order::SetUp { class, until, content }, Some(server))
                 if server.listed.readiness == Readiness::Ready =>
             {
-                // An owed release of an earlier attempt would cut this one.
-                server.owed.retain(|owed| *owed != id);
+                // The release of an earlier attempt would cut this one.
+                server.releases.forget_unsent(id);
                 server.waiting.push_back(SetUp { id, since: turn.now, class, until, content });
             }
             (Order::SetUp { .. }, _) => turn.calls.never_ran(pool, id),
             (Order::GiveUp, Some(server)) => server.give_up(pool, id, &self.link, turn),
             (Order::GiveUp, None) => turn.calls.gave_up(pool, id),
-            (Order::Release, Some(server)) => server.release(id, turn.watch),
+            (Order::Release, Some(server)) => server.release(turn.now, id, turn.watch),
             (Order::Release, None) => {}
         }
     }
@@ -304,9 +308,9 @@
     }
 
     /// Releases a call at every server, as it is not known where it stands.
-    pub fn release_anywhere(&mut self, id: u64, watch: &Watch) {
+    pub fn release_anywhere(&mut self, now: f64, id: u64, watch: &Watch) {
         for server in self.servers.values_mut() {
-            server.release(id, watch);
+            server.release(now, id, watch);
         }
     }
 
@@ -363,14 +367,14 @@
 impl Server {
     fn new(name: String, listed: Listed, now: f64, patience: f64, seed: u64) -> Self {
         let (channels, waiting) = (BTreeMap::new(), VecDeque::new());
-        let (owed, unreachable, quick_ends) = (Vec::new(), false, 0);
+        let (unreachable, quick_ends) = (false, 0);
         let (heard_at, retry_at) = (now, now);
         Server {
             name,
             listed,
             channels,
             waiting,
-            owed,
+            releases: Releases::default(),
             heard_at,
             retry_at,
             unasked_at: now,
@@ -398,6 +402,7 @@
             let stale: Vec<Key> =
                 self.channels.iter().filter(|(_, c)| c.since < before).map(|(key, _)| *key).collect();
             self.drop_channels(pool, |key| stale.contains(&key), turn);
+            self.releases.forget_unconfirmed(before);
             (self.retry_at, self.unasked_at, self.pause) = (turn.now, turn.now, 0.0);
         }
         if self.listed.readiness != old.readiness {
@@ -438,6 +443,7 @@
                     held_since: None,
                     open: BTreeMap::new(),
                     leaving: VecDeque::new(),
+                    releases: Pending::default(),
                 };
                 self.channels.insert(key, channel);
             }
@@ -450,7 +456,7 @@
         log::debug!(server = self.name.as_str(), connection = key, reason:%; "connection-closed");
         let lived = self.channels.get(&key).map_or(0.0, |c| turn.now - c.since);
         self.drop_channels(pool, |k| k == key, turn);
-        self.send_owed(turn.watch);
+        self.send_kept_releases(turn);
         self.again(lived, pool, link, turn);
     }
 
@@ -506,7 +512,7 @@
                 (channel.up, channel.since, channel.heard_at) = (true, turn.now, turn.now);
                 (self.heard_at, self.unreachable) = (turn.now, false);
                 log::debug!(server = self.name.as_str(), connection = key; "connection-up");
-                self.send_owed(turn.watch);
+                self.send_kept_releases(turn);
                 if let Some(channel) = self.channels.get_mut(&key) {
                     channel.watch(key, turn.watch);
                 }
@@ -530,6 +536,7 @@
             self.silent_at.get_or_insert(turn.now);
         }
         if error.kind() == ErrorKind::ConnectionRefused && !self.channels.values().any(|c| c.up) {
+            self.releases.forget_unconfirmed(f64::INFINITY);
             let cut = turn.calls.cut(pool, f64::INFINITY, false);
             if cut > 0 {
                 log::info!(server = self.name.as_str(), cut; "server-refuses-connections");
@@ -546,13 +553,14 @@
     fn drop_channels(&mut self, pool: PoolId, which: impl Fn(Key) -> bool, turn: &mut Turn) {
         let keys: Vec<Key> = self.channels.keys().copied().filter(|k| which(*k)).collect();
         for key in keys {
-            let Some(channel) = self.channels.remove(&key) else { continue };
+            let Some(mut channel) = self.channels.remove(&key) else { continue };
             turn.watch.remove(channel.connection.stream());
+            self.releases.keep_unconfirmed(channel.releases.take_unconfirmed(turn.now));
             // Closing it gives up whatever was open on it, but an answer may have been lost with it: a
             // call that nobody waits for must not stand on.
             for id in channel.open.into_keys() {
                 turn.calls.reset(pool, id);
-                self.release(id, turn.watch);
+                self.release(turn.now, id, turn.watch);
             }
             for (_, id) in channel.leaving {
                 turn.calls.gave_up(pool, id);
@@ -604,6 +612,7 @@
                 log::info!(server = self.name.as_str(), silent_s = quiet, cut; "server-vanished");
             }
         }
+        self.send_kept_releases(turn);
     }
 
     /// Whether the connection for new set-ups has been silent for too long while one is out on it.
@@ -654,11 +663,13 @@
                     turn.calls.forwards += 1;
                     channel.watch(key, turn.watch);
                     waiting.remove(next);
+                    self.forget_releases(id);
                 }
                 // Whether any of it left is not known. The connection's end resets it.
                 Err(error) => {
                     channel.open.insert(id, Out { sent: turn.now, end: 0 });
                     waiting.remove(next);
+                    self.forget_releases(id);
                     self.broken(pool, key, &error, link, turn);
                 }
             }
@@ -681,8 +692,8 @@
             turn.calls.gave_up(pool, id);
             return self.broken(pool, key, &Over::Stuck, link, turn);
         }
-        let message = Message::new(kind::RELEASE, id).caused(cause::NORMAL);
-        match (channel.say(key, &message, turn.watch), out) {
+        let release = Release::new(turn.now, id);
+        match (channel.send_release(turn.now, key, release, turn.watch), out) {
             (Some(end), _) => channel.leaving.push_back((end, id)),
             // The end of this connection, which is broken, gives it up.
             (None, Some(out)) => drop(channel.open.insert(id, out)),
@@ -690,30 +701,6 @@
         }
         channel.settle(pool, key, turn);
     }
-
-    fn release(&mut self, id: u64, watch: &Watch) {
-        let message = Message::new(kind::RELEASE, id).caused(cause::NORMAL);
-        let said = best(&mut self.channels).and_then(|(key, channel)| channel.say(key, &message, watch));
-        if said.is_none() {
-            self.owe(id);
-        }
-    }
-
-    /// Sends the releases that are kept, where a connection is up.
-    fn send_owed(&mut self, watch: &Watch) {
-        if best(&mut self.channels).is_some() {
-            std::mem::take(&mut self.owed).into_iter().for_each(|id| self.release(id, watch));
-        }
-    }
-
-    /// Keeps a release for the next connection, which is due.
-    fn owe(&mut self, id: u64) {
-        self.unasked_at = f64::NEG_INFINITY;
-        match self.owed.len() < MOST_OWED {
-            true => self.owed.push(id),
-            false => log::debug!(server = self.name.as_str(); "release-dropped"),
-        }
-    }
 }
 
 /// A line of the list, as the decision module takes it.
--- a/crates/gatekeeper/src/node/servers/incoming.rs
+++ b/crates/gatekeeper/src/node/servers/incoming.rs
@@ -75,7 +75,7 @@
             }
             kind::ANSWER => {
                 self.patience = link.unheard();
-                if let Some(sent) = self.closed(id) {
+                if let Some(sent) = self.closed(key, id) {
                     self.overtake(pool, sent, link, turn);
                 }
                 turn.calls.stood(turn.now, pool, id, description);
@@ -91,7 +91,7 @@
             }
             kind::RELEASE => {
                 self.patience = link.unheard();
-                self.closed(id);
+                self.closed(key, id);
                 turn.calls.ended(turn.now, pool, id, end(&message, report, link.longest()));
             }
             kind::STATE | kind::TEST_RESULT if told => turn.calls.load(pool, report),
@@ -101,15 +101,22 @@
                     channel.say(key, &passed, turn.watch);
                 }
             }
-            kind::PROGRESS | kind::RELEASE_HEARD | kind::STATE | kind::TEST_RESULT => {}
+            kind::RELEASE_HEARD => self.confirm_release(id),
+            kind::PROGRESS | kind::STATE | kind::TEST_RESULT => {}
             _ => return Err(Over::Improper("a message of a type that no server sends")),
         }
         Ok(())
     }
 
-    /// A set-up is no longer open on its connection. Returns when it was sent.
-    fn closed(&mut self, id: u64) -> Option<f64> {
-        self.channels.values_mut().find_map(|channel| channel.open.remove(&id)).map(|out| out.sent)
+    /// A set-up is no longer open on its connection, as its end came on this one. Returns when it was sent.
+    fn closed(&mut self, key: Key, id: u64) -> Option<f64> {
+        let (&own_key, channel) = self.channels.iter_mut().find(|(_, c)| c.open.contains_key(&id))?;
+        let out = channel.open.remove(&id)?;
+        // Elsewhere it may answer an earlier attempt.
+        if own_key == key {
+            channel.releases.confirm_through(out.end);
+        }
+        Some(out.sent)
     }
 }
 
--- /dev/null
+++ b/crates/gatekeeper/src/node/servers/releases.rs
@@ -0,0 +1,168 @@
+//! Releases to a session server, sent again where it may not have read them.
+//!
+//! A write that succeeds hands a release to the system, and no close of the connection tells for certain whether the server
+//! read it: one that crosses the release looks like one after it. A release of a call that the server doesn't have does no
+//! harm, so every one that was not confirmed is sent again on another connection. The one harm it could do is to cut a later
+//! attempt of its call at the same server: none is sent again while its call is open, and a set-up that is sent voids those
+//! of its call.
+//!
+//! A server confirms a release by saying that it heard it, or by answering a set-up that went out behind it on the same
+//! connection, as a stream is read in order.
+
+use std::collections::VecDeque;
+
+use hollypaddle_core::calls::Calls;
+use hollypaddle_platform::message::{cause, kind, Message};
+
+use super::{best, Channel, Server, Turn};
+use crate::node::poller::{Key, Watch};
+
+/// Releases kept for a server that could not be sent.
+const MAX_UNSENT: usize = 4096;
+/// Releases kept for a server that it may not have read; the oldest are forgotten first.
+pub(super) const MAX_UNCONFIRMED: usize = 1024;
+/// Releases sent again in one turn at most.
+pub(super) const MAX_RESENT_AT_ONCE: usize = 32;
+/// A release that was sent again is not sent once more after so long, in seconds. A server that closes idle connections would be
+/// sent it on each next one.
+pub(super) const RESEND_LIMIT_S: f64 = 30.0;
+
+/// The release of a call at a server, or of an attempt that is given up there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Release {
+    /// The call.
+    pub id: u64,
+    /// When it was ordered.
+    ordered_at: f64,
+    /// When it was first sent again.
+    resent_at: Option<f64>,
+}
+
+impl Release {
+    pub fn new(now: f64, id: u64) -> Self {
+        Release { id, ordered_at: now, resent_at: None }
+    }
+
+    fn message(self) -> Message {
+        Message::new(kind::RELEASE, self.id).caused(cause::NORMAL)
+    }
+
+    /// When it is too late to send it once more.
+    fn expires_at(self) -> f64 {
+        self.resent_at.map_or(f64::INFINITY, |at| at + RESEND_LIMIT_S)
+    }
+}
+
+/// The releases that are to be sent on another connection to a server.
+#[derive(Debug, Default)]
+pub(super) struct Releases {
+    /// Those that could not be written.
+    unsent: Vec<Release>,
+    /// Those that were sent on connections that are over, the oldest first.
+    unconfirmed: VecDeque<Release>,
+}
+
+impl Releases {
+    /// Takes what was not confirmed on a connection that is over.
+    pub fn keep_unconfirmed(&mut self, releases: impl IntoIterator<Item = Release>) {
+        self.unconfirmed.extend(releases);
+        let excess = self.unconfirmed.len().saturating_sub(MAX_UNCONFIRMED);
+        self.unconfirmed.drain(..excess);
+    }
+
+    /// Forgets the unsent releases of a call.
+    pub fn forget_unsent(&mut self, id: u64) {
+        self.unsent.retain(|release| release.id != id);
+    }
+
+    /// Forgets unconfirmed releases that were ordered before then, as their calls are not there any more.
+    pub fn forget_unconfirmed(&mut self, before: f64) {
+        self.unconfirmed.retain(|release| release.ordered_at >= before);
+    }
+
+    /// Takes the unconfirmed releases that may be sent again now. The others of calls that are not open follow in later turns.
+    fn take_due(&mut self, now: f64, calls: &Calls) -> Vec<Release> {
+        self.unconfirmed.retain(|release| now <= release.expires_at());
+        let mut due = Vec::new();
+        self.unconfirmed.retain(|release| {
+            let is_due = due.len() < MAX_RESENT_AT_ONCE && !calls.is_open(release.id);
+            if is_due {
+                due.push(Release { resent_at: release.resent_at.or(Some(now)), ..*release });
+            }
+            !is_due
+        });
+        due
+    }
+}
+
+impl Server {
+    /// Releases a call, or keeps its release for the next connection, which is due.
+    pub(super) fn release(&mut self, now: f64, id: u64, watch: &Watch) {
+        let release = Release::new(now, id);
+        if !self.send_release(now, release, watch) {
+            self.keep_unsent(release);
+        }
+    }
+
+    /// Sends the releases that are kept, where a connection is up.
+    pub(super) fn send_kept_releases(&mut self, turn: &mut Turn) {
+        if best(&mut self.channels).is_none() {
+            return;
+        }
+        for release in std::mem::take(&mut self.releases.unsent) {
+            if !self.send_release(turn.now, release, turn.watch) {
+                self.keep_unsent(release);
+            }
+        }
+        for release in self.releases.take_due(turn.now, turn.calls) {
+            let call = format_args!("{:016x}", release.id);
+            log::debug!(server = self.name.as_str(), call:%; "release-resent");
+            // Kept as it is, it brings no connection that would not come without it.
+            if !self.send_release(turn.now, release, turn.watch) {
+                self.releases.keep_unconfirmed([release]);
+            }
+        }
+    }
+
+    /// Forgets what would release a call, as a set-up of it was sent.
+    pub(super) fn forget_releases(&mut self, id: u64) {
+        self.releases.forget_unsent(id);
+        self.releases.unconfirmed.retain(|release| release.id != id);
+        self.channels.values_mut().for_each(|channel| channel.releases.forget(|release| release.id == id));
+    }
+
+    /// The server says that it heard the release of a call.
+    pub(super) fn confirm_release(&mut self, id: u64) {
+        self.releases.unconfirmed.retain(|release| release.id != id);
+        self.channels.values_mut().for_each(|channel| channel.releases.confirm(|release| release.id == id));
+    }
+
+    fn send_release(&mut self, now: f64, release: Release, watch: &Watch) -> bool {
+        let sent = best(&mut self.channels)
+            .and_then(|(key, channel)| channel.send_release(now, key, release, watch));
+        sent.is_some()
+    }
+
+    fn keep_unsent(&mut self, release: Release) {
+        self.unasked_at = f64::NEG_INFINITY;
+        match self.releases.unsent.len() < MAX_UNSENT {
+            true => self.releases.unsent.push(release),
+            false => log::debug!(server = self.name.as_str(); "release-dropped"),
+        }
+    }
+}
+
+impl Channel {
+    /// Sends a release; returns where it ends in the stream, or none where it could not be written.
+    pub(super) fn send_release(
+        &mut self,
+        now: f64,
+        key: Key,
+        release: Release,
+        watch: &Watch,
+    ) -> Option<u64> {
+        let end = self.say(key, &release.message(), watch)?;
+        self.releases.sent(now, release, end, self.connection.written(), release.expires_at());
+        Some(end)
+    }
+}
--- a/crates/gatekeeper/src/node/servers/tests.rs
+++ b/crates/gatekeeper/src/node/servers/tests.rs
@@ -1,4 +1,5 @@
 mod give_ups;
+mod releases;
 
 use super::*;
 
--- a/crates/gatekeeper/src/node/servers/tests/give_ups.rs
+++ b/crates/gatekeeper/src/node/servers/tests/give_ups.rs
@@ -9,10 +9,10 @@
 
 use super::*;
 
-const POOL: PoolId = PoolId(1);
+pub(super) const POOL: PoolId = PoolId(1);
 
 /// A server that listens, and the gatekeeper's side of it with one connection up.
-fn connected() -> (World, TcpListener, Peer) {
+pub(super) fn connected() -> (World, TcpListener, Peer) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut w = World::new(listener.local_addr().unwrap(), 7);
     w.list(0.0, 1, "s-0", 0.0);
@@ -22,17 +22,17 @@
     (w, listener, first)
 }
 
-fn accept(listener: &TcpListener) -> Peer {
+pub(super) fn accept(listener: &TcpListener) -> Peer {
     hollypaddle_standin::peer(listener.accept().unwrap().0).unwrap()
 }
 
 impl World {
-    fn turn(&mut self, now: f64) -> (&mut Servers, Turn<'_>) {
+    pub(super) fn turn(&mut self, now: f64) -> (&mut Servers, Turn<'_>) {
         (&mut self.servers, Turn { now, watch: &mut self.watch, calls: &mut self.calls })
     }
 
     /// An attempt of this call is given to the server. Returns the call's number here.
-    fn attempt(&mut self, now: f64, id: u64) -> CallId {
+    pub(super) fn attempt(&mut self, now: f64, id: u64) -> CallId {
         let content = Content { number: b"7f".to_vec(), description: None };
         let request = Request { id, class: 0, wait: 9.0, dialled: 0, first_choice: 0, content };
         self.calls.offer(now, 1, request).unwrap();
@@ -48,7 +48,7 @@
     }
 
     /// Gives the server what the calls order.
-    fn carry_out(&mut self, now: f64) {
+    pub(super) fn carry_out(&mut self, now: f64) {
         for effect in std::mem::take(&mut self.calls.effects) {
             let Effect::Server { pool, id, order } = effect else { continue };
             let (servers, mut turn) = self.turn(now);
@@ -56,7 +56,7 @@
         }
     }
 
-    fn send_waiting(&mut self, now: f64) {
+    pub(super) fn send_waiting(&mut self, now: f64) {
         let (servers, mut turn) = self.turn(now);
         servers.send_waiting(&mut turn);
     }
