Take a server's connections, set-ups and silence in modules of their own

Moved, with nothing changed but visibility and imports: `servers/channel.rs` (one connection), `connecting.rs` (when one is opened, what follows its end), `set_ups.rs` (wait, go out, given up) and `silence.rs` (what silence means).

--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -5,63 +5,33 @@
 //! is not to be met with a new one each time by every gatekeeper. A server that says nothing for a while is tried on a second
 //! connection, beside the first, which may yet carry answers: a machine that vanished leaves its connections open and silent.
 
+mod channel;
+mod connecting;
 mod incoming;
 mod releases;
+mod set_ups;
+mod silence;
 
 use std::collections::{BTreeMap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
-use std::io::{self, ErrorKind};
-use std::net::{SocketAddr, TcpStream};
 
 use hollypaddle_policy::settings::Telemetry;
 use hollypaddle_policy::{Event, ListKind, PoolEntry, PoolId};
-use socket2::{Domain, Socket, Type};
 
+pub(super) use self::channel::dial;
+
+use self::channel::Channel;
 use self::incoming::judge;
-use self::releases::{Release, Releases};
+use self::releases::Releases;
+use self::set_ups::SetUp;
 use super::config::Link;
-use super::delivery::Pending;
 use super::poller::{Key, Ready, Watch};
-use hollypaddle_core::calls::{Calls, Content, Order};
+use hollypaddle_core::calls::{Calls, Order};
 use hollypaddle_platform::boundary::Candidate;
-use hollypaddle_platform::connection::{Connection, Over};
 use hollypaddle_platform::list::{Listed, Readiness, Snapshot};
-use hollypaddle_platform::message::{code, kind, Message};
 use hollypaddle_service::descriptors::Descriptors;
 
-/// A set-up that waits longer than a connection may take to come up, and this, waits in vain, in seconds.
-const SLACK: f64 = 0.1;
-/// Time between tries to connect, in seconds.
-const RETRY: f64 = 0.25;
-/// Backoff of connections that nothing waits for, in seconds: the first pause, which doubles with each connection that ended
-/// early or did not come up, and the longest. A server says again on the next connection what ended with no connection open,
-/// and callers must hear of an end within 8 s.
-const PAUSE_FIRST: f64 = 0.5;
-const PAUSE_MOST: f64 = 5.0;
-/// A server that said nothing for so long is tried on a new connection, in seconds: where servers tell their state unasked,
-/// about once a second while calls come and go, and where they don't, so that one that vanished is still found in time.
-const QUIET: f64 = 1.5;
-const QUIET_STATELESS: f64 = 3.0;
-/// A connection with a set-up out for so long and no word since is tried beside another one; each such
-/// try that brings no word doubles it. Guards against a connection that has fallen silent, or a machine
-/// that has, while callers wait. Where servers tell no state unasked, one that is only busy says nothing either: there
-/// it takes the shortest goal time, after which the wait does harm.
-const UNHEARD: f64 = 0.25;
-/// A processor serves first come, first served. A connection is dead if it brought no word since a set-up
-/// went out on it, and one that went out so much later elsewhere was answered.
-const OVERTAKEN: f64 = 0.1;
-/// A server is held to have vanished, and its calls to be cut, after so long without a word and
-/// without a connection: their callers must hear of it within 8 s of the end.
-const VANISHED: f64 = 6.5;
-/// A message begun and not ended for so long makes its connection useless, in seconds: messages are
-/// short, and what follows on that connection would be taken for the rest of this one.
-const STALLED: f64 = 0.25;
 /// A message of which it can't be told yet whether it was cut short is held back for so long, in seconds.
 const HOLD: f64 = 0.004;
-/// Connections that broke as soon as they were up after which the next one waits its time.
-const QUICK_ENDS: u32 = 3;
-/// Most bytes that wait to be written to one server.
-const MOST_WAITING: usize = 128 * 1024;
 
 /// What every step here works on.
 pub struct Turn<'a> {
@@ -73,39 +43,6 @@
     pub calls: &'a mut Calls,
 }
 
-struct Channel {
-    connection: Connection<TcpStream>,
-    up: bool,
-    since: f64,
-    heard_at: f64,
-    /// Watched for writing too.
-    writing: bool,
-    /// Since when a message is held back, see [`HOLD`].
-    held_since: Option<f64>,
-    /// Set-ups out on this connection.
-    open: BTreeMap<u64, Out>,
-    /// Give-ups being written: the position at which each ends, and its call.
-    leaving: VecDeque<(u64, u64)>,
-    /// Releases and give-ups sent on this connection that were not confirmed.
-    releases: Pending<Release>,
-}
-
-/// A set-up that is out on a connection: when it was sent, and where it ends in the stream.
-#[derive(Clone, Copy)]
-struct Out {
-    sent: f64,
-    end: u64,
-}
-
-/// A set-up that waits for a connection, since then.
-struct SetUp {
-    id: u64,
-    since: f64,
-    class: usize,
-    until: f64,
-    content: std::rc::Rc<Content>,
-}
-
 struct Server {
     name: String,
     listed: Listed,
@@ -126,7 +63,7 @@
     unreachable: bool,
     /// How many connections in a row broke as soon as they were up.
     quick_ends: u32,
-    /// How long its connections may be silent while a set-up is out, see [`UNHEARD`].
+    /// How long its connections may be silent while a set-up is out, see [`silence`].
     patience: f64,
     /// When it last said anything, and since when something is without an answer that should have one.
     word_at: f64,
@@ -135,25 +72,6 @@
     cut_short: u64,
 }
 
-impl Link {
-    /// See [`QUIET`].
-    fn quiet(&self) -> f64 {
-        if self.states {
-            QUIET
-        } else {
-            QUIET_STATELESS
-        }
-    }
-
-    /// See [`UNHEARD`].
-    fn unheard(&self) -> f64 {
-        match self.states {
-            true => UNHEARD,
-            false => self.goal.max(UNHEARD),
-        }
-    }
-}
-
 /// What is known of a server, to be told to other gatekeepers.
 pub struct Known<'a> {
     /// Its id.
@@ -413,294 +331,6 @@
             self.fail_waiting(pool, turn);
         }
     }
-
-    // ---- Connections
-
-    fn connect(&mut self, pool: PoolId, link: &Link, turn: &mut Turn) {
-        if turn.now < self.retry_at {
-            return;
-        }
-        self.retry_at = turn.now + RETRY;
-        self.tried += 1;
-        // Makes room by closing what was silent for longest; set-ups open on a connection keep it until
-        // they are given up.
-        if self.channels.len() >= link.connections {
-            let unused = self.channels.iter().filter(|(_, c)| c.open.is_empty());
-            let oldest = unused.min_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)).map(|(key, _)| *key);
-            match oldest {
-                Some(oldest) => self.drop_channels(pool, |key| key == oldest, turn),
-                None => return,
-            }
-        }
-        match dial(self.listed.address).and_then(|stream| Ok((turn.watch.add(&stream, true)?, stream))) {
-            Ok((key, stream)) => {
-                let channel = Channel {
-                    connection: Connection::new(stream, MOST_WAITING),
-                    up: false,
-                    since: turn.now,
-                    heard_at: turn.now,
-                    writing: true,
-                    held_since: None,
-                    open: BTreeMap::new(),
-                    leaving: VecDeque::new(),
-                    releases: Pending::default(),
-                };
-                self.channels.insert(key, channel);
-            }
-            Err(error) => self.connect_failed(pool, &error, turn),
-        }
-    }
-
-    /// A connection is over, or of no more use: what is open on it ends, and set-ups go elsewhere.
-    fn broken(&mut self, pool: PoolId, key: Key, reason: &Over, link: &Link, turn: &mut Turn) {
-        log::debug!(server = self.name.as_str(), connection = key, reason:%; "connection-closed");
-        let lived = self.channels.get(&key).map_or(0.0, |c| turn.now - c.since);
-        self.drop_channels(pool, |k| k == key, turn);
-        self.send_kept_releases(turn);
-        self.again(lived, pool, link, turn);
-    }
-
-    /// Connects again at once, unless it keeps closing new ones, or closes idle ones that nothing waits for: a connect that
-    /// is refused tells that the process died with its calls. One that is on its way may have set out to a machine that was
-    /// not there and would be noticed late; this end tells that the machine is back.
-    fn again(&mut self, lived: f64, pool: PoolId, link: &Link, turn: &mut Turn) {
-        self.quick_ends = if lived >= RETRY { 0 } else { self.quick_ends.saturating_add(1) };
-        if self.quick_ends <= QUICK_ENDS {
-            self.retry_at = turn.now;
-        }
-        let asked = !self.waiting.is_empty() || turn.calls.any_at(pool);
-        if !asked && !(1..=QUICK_ENDS).contains(&self.quick_ends) {
-            self.back_off(lived, turn.now);
-        }
-        if asked || turn.now >= self.unasked_at {
-            self.connect(pool, link, turn);
-        }
-    }
-
-    /// A connection ended after so long, or did not come up: when the next may be tried that nothing waits for. Where they
-    /// last, at once.
-    fn back_off(&mut self, lived: f64, now: f64) {
-        if lived >= PAUSE_MOST {
-            self.pause = 0.0;
-        }
-        let mut hasher = DefaultHasher::new();
-        (self.seed, &self.name, self.tried).hash(&mut hasher);
-        let spread = 0.5 + 0.5 * (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64;
-        self.unasked_at = now + self.pause * spread;
-        self.pause = (2.0 * self.pause).clamp(PAUSE_FIRST, PAUSE_MOST);
-    }
-
-    fn connected(&mut self, pool: PoolId, key: Key, link: &Link, turn: &mut Turn) {
-        let Some(channel) = self.channels.get_mut(&key) else { return };
-        let stream = channel.connection.stream();
-        let result = match stream.take_error() {
-            Ok(None) => stream.peer_addr().map(drop),
-            Ok(Some(error)) | Err(error) => Err(error),
-        };
-        match result {
-            Err(error) if error.kind() == ErrorKind::NotConnected => {}
-            // Reset as it came up: there is somebody, and what waits has not run. Guards against a
-            // healthy server taken for dead, and for a cold one as it answers again.
-            Err(error) if error.kind() == ErrorKind::ConnectionReset && self.quick_ends < QUICK_ENDS => {
-                self.broken(pool, key, &Over::Broken(error), link, turn);
-            }
-            Err(error) => {
-                self.drop_channels(pool, |k| k == key, turn);
-                self.connect_failed(pool, &error, turn);
-            }
-            Ok(()) => {
-                (channel.up, channel.since, channel.heard_at) = (true, turn.now, turn.now);
-                (self.heard_at, self.unreachable) = (turn.now, false);
-                log::debug!(server = self.name.as_str(), connection = key; "connection-up");
-                self.send_kept_releases(turn);
-                if let Some(channel) = self.channels.get_mut(&key) {
-                    channel.watch(key, turn.watch);
-                }
-            }
-        }
-    }
-
-    /// No connection came up. The set-ups that waited for it never ran. Refused, with no other connection
-    /// left, the process is dead and so is what stood there; with one, the server may only hold as many
-    /// connections as it accepts.
-    fn connect_failed(&mut self, pool: PoolId, error: &io::Error, turn: &mut Turn) {
-        log::debug!(server = self.name.as_str(), error:%; "connection-failed");
-        self.back_off(0.0, turn.now);
-        self.fail_waiting(pool, turn);
-        // Other errors, such as a want of descriptors, are ours and tell nothing of the server.
-        self.unreachable |= matches!(
-            error.kind(),
-            ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
-        );
-        if self.unreachable || error.kind() == ErrorKind::ConnectionRefused {
-            self.silent_at.get_or_insert(turn.now);
-        }
-        if error.kind() == ErrorKind::ConnectionRefused && !self.channels.values().any(|c| c.up) {
-            self.releases.forget_unconfirmed(f64::INFINITY);
-            let cut = turn.calls.cut(pool, f64::INFINITY, false);
-            if cut > 0 {
-                log::info!(server = self.name.as_str(), cut; "server-refuses-connections");
-            }
-        }
-    }
-
-    fn fail_waiting(&mut self, pool: PoolId, turn: &mut Turn) {
-        for set_up in std::mem::take(&mut self.waiting) {
-            turn.calls.never_ran(pool, set_up.id);
-        }
-    }
-
-    fn drop_channels(&mut self, pool: PoolId, which: impl Fn(Key) -> bool, turn: &mut Turn) {
-        let keys: Vec<Key> = self.channels.keys().copied().filter(|k| which(*k)).collect();
-        for key in keys {
-            let Some(mut channel) = self.channels.remove(&key) else { continue };
-            turn.watch.remove(channel.connection.stream());
-            self.releases.keep_unconfirmed(channel.releases.take_unconfirmed(turn.now));
-            // Closing it gives up whatever was open on it, but an answer may have been lost with it: a
-            // call that nobody waits for must not stand on.
-            for id in channel.open.into_keys() {
-                turn.calls.reset(pool, id);
-                self.release(turn.now, id, turn.watch);
-            }
-            for (_, id) in channel.leaving {
-                turn.calls.gave_up(pool, id);
-            }
-        }
-    }
-
-    fn beat(&mut self, pool: PoolId, link: &Link, turn: &mut Turn) {
-        let now = turn.now;
-        let stalled = |c: &mut Channel| c.up && c.connection.stalled(now, STALLED);
-        let useless: Vec<Key> =
-            self.channels.iter_mut().filter_map(|(key, c)| stalled(c).then_some(*key)).collect();
-        for key in useless {
-            self.broken(pool, key, &Over::Stalled, link, turn);
-        }
-        let late = |c: &Channel| !c.up && now - c.since >= link.connect_timeout;
-        let late: BTreeMap<Key, f64> =
-            self.channels.iter().filter(|(_, c)| late(c)).map(|(key, c)| (*key, c.since)).collect();
-        self.drop_channels(pool, |key| late.contains_key(&key), turn);
-        // Guards against one that set out before the server's last sign of life: to a machine that was
-        // away and is back it comes to nothing, and tells nothing of now.
-        if late.values().any(|since| *since >= self.heard_at) {
-            self.connect_failed(pool, &ErrorKind::TimedOut.into(), turn);
-        }
-        let quiet = now - self.heard_at;
-        let connecting = self.channels.values().any(|c| !c.up);
-        let most = link.quiet();
-        let idle = self.channels.values().all(|c| now - c.since > most && now - c.heard_at > most);
-        let unheard = !connecting && self.unheard(now);
-        if unheard {
-            self.patience *= 2.0;
-            let out = self.channels.values().flat_map(|c| c.open.values());
-            let sent = out.map(|out| out.sent).fold(now, f64::min);
-            self.silent_at.get_or_insert(sent);
-        }
-        let due = self.channels.is_empty() && now >= self.unasked_at;
-        if !connecting && (unheard || due || idle && turn.calls.any_at(pool)) {
-            self.connect(pool, link, turn);
-        }
-        // Guards against set-ups that wait for a connection which is never opened, or that none takes: they go elsewhere in
-        // the time in which a connection has to come up, or are refused, not at their deadlines.
-        let patience = link.connect_timeout + SLACK;
-        while let Some(late) = self.waiting.pop_front_if(|s| now - s.since >= patience) {
-            turn.calls.never_ran(pool, late.id);
-        }
-        if self.unreachable && quiet >= VANISHED {
-            let cut = turn.calls.cut(pool, now, true);
-            if cut > 0 {
-                log::info!(server = self.name.as_str(), silent_s = quiet, cut; "server-vanished");
-            }
-        }
-        self.send_kept_releases(turn);
-    }
-
-    /// Whether the connection for new set-ups has been silent for too long while one is out on it.
-    fn unheard(&mut self, now: f64) -> bool {
-        let patience = self.patience;
-        let late = |c: &Channel| {
-            let out = c.open.values().any(|out| now - out.sent >= patience);
-            out && now - c.heard_at >= patience
-        };
-        now >= self.retry_at && best(&mut self.channels).is_some_and(|(_, c)| late(c))
-    }
-
-    /// An answer came to a set-up sent at that time. Connections that were silent meanwhile are dead: what
-    /// is open on them ends, and what the server said on them comes again on the next to be opened.
-    fn overtake(&mut self, pool: PoolId, sent: f64, link: &Link, turn: &mut Turn) {
-        let dead = |c: &Channel| c.open.values().any(|o| o.sent + OVERTAKEN < sent && c.heard_at <= o.sent);
-        let dead: Vec<Key> = self.channels.iter().filter(|(_, c)| dead(c)).map(|(key, _)| *key).collect();
-        for key in dead {
-            self.broken(pool, key, &Over::Silent, link, turn);
-        }
-    }
-
-    // ---- Sending
-
-    /// Sends the set-ups that wait, unless the connection is blocked: bytes that wait in a buffer could
-    /// not be taken back when the server is told to drain, or when the caller leaves. Nor on old connections to a server that
-    /// cannot be reached: set-ups swallowed there would be taken to run, while those that wait for a
-    /// connection prove to have never run. One whose time is over stays for its timer, which is due.
-    fn send_waiting(&mut self, pool: PoolId, link: &Link, turn: &mut Turn) {
-        let mut waiting = std::mem::take(&mut self.waiting);
-        while !self.unreachable && !waiting.is_empty() {
-            let Some((key, channel)) = best(&mut self.channels) else { break };
-            let Some(next) = waiting.iter().position(|s| s.until > turn.now) else { break };
-            let SetUp { id, class, until, content, .. } = &waiting[next];
-            let left = ((until - turn.now) * 1000.0).max(1.0);
-            let mut message = Message::new(kind::SET_UP, *id)
-                .with(code::CLASS, link.classes.get(*class).map_or("", |c| c.name.as_str()))
-                .with(code::WAIT, format!("{left:.0}"))
-                .with(code::NUMBER, &content.number[..]);
-            if let Some(description) = &content.description {
-                message = message.with(code::DESCRIPTION, &description[..]);
-            }
-            let (id, begun) = (*id, channel.connection.begin(&message));
-            match begun {
-                Ok(None) => break,
-                Ok(Some(end)) => {
-                    channel.open.insert(id, Out { sent: turn.now, end });
-                    turn.calls.forwards += 1;
-                    channel.watch(key, turn.watch);
-                    waiting.remove(next);
-                    self.forget_releases(id);
-                }
-                // Whether any of it left is not known. The connection's end resets it.
-                Err(error) => {
-                    channel.open.insert(id, Out { sent: turn.now, end: 0 });
-                    waiting.remove(next);
-                    self.forget_releases(id);
-                    self.broken(pool, key, &error, link, turn);
-                }
-            }
-        }
-        self.waiting = waiting;
-    }
-
-    fn give_up(&mut self, pool: PoolId, id: u64, link: &Link, turn: &mut Turn) {
-        if let Some(at) = self.waiting.iter().position(|s| s.id == id) {
-            self.waiting.remove(at);
-            return turn.calls.gave_up(pool, id);
-        }
-        let Some((&key, channel)) = self.channels.iter_mut().find(|(_, c)| c.open.contains_key(&id)) else {
-            return turn.calls.gave_up(pool, id);
-        };
-        let out = channel.open.remove(&id);
-        // Half of it is written: the rest would bring the server a set-up that nobody waits for, however much later it
-        // takes it. Nothing but the connection's end keeps it from arriving whole.
-        if out.is_some_and(|out| out.end > channel.connection.written()) {
-            turn.calls.gave_up(pool, id);
-            return self.broken(pool, key, &Over::Stuck, link, turn);
-        }
-        let release = Release::new(turn.now, id);
-        match (channel.send_release(turn.now, key, release, turn.watch), out) {
-            (Some(end), _) => channel.leaving.push_back((end, id)),
-            // The end of this connection, which is broken, gives it up.
-            (None, Some(out)) => drop(channel.open.insert(id, out)),
-            (None, None) => {}
-        }
-        channel.settle(pool, key, turn);
-    }
 }
 
 /// A line of the list, as the decision module takes it.
@@ -713,68 +343,5 @@
     PoolEntry { pool, number, readiness, ready_at, district }
 }
 
-/// The connection for what is to be sent: the one last heard.
-fn best(channels: &mut BTreeMap<Key, Channel>) -> Option<(Key, &mut Channel)> {
-    let up = channels.iter_mut().filter(|(_, c)| c.up);
-    up.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)).map(|(key, channel)| (*key, channel))
-}
-
-impl Channel {
-    /// Says something; returns where it ends in the stream. A broken connection is found ready with its
-    /// end, in its turn.
-    fn say(&mut self, key: Key, message: &Message, watch: &Watch) -> Option<u64> {
-        let end = match self.connection.send(message) {
-            Ok(end) => Some(end),
-            Err(error) => {
-                log::debug!(connection = key, error:%; "connection-broken");
-                if let Over::Stuck = error {
-                    drop(self.connection.stream().shutdown(std::net::Shutdown::Both));
-                }
-                None
-            }
-        };
-        self.watch(key, watch);
-        end
-    }
-
-    /// Notes since when a message is held back, if one is.
-    fn note_held(&mut self, now: f64) {
-        let since = self.held_since.unwrap_or(now);
-        self.held_since = self.connection.holds_message().then_some(since);
-    }
-
-    /// Reports the give-ups that are out.
-    fn settle(&mut self, pool: PoolId, key: Key, turn: &mut Turn) {
-        let written = self.connection.written();
-        while let Some((_, id)) = self.leaving.pop_front_if(|(end, _)| *end <= written) {
-            turn.calls.gave_up(pool, id);
-        }
-        self.watch(key, turn.watch);
-    }
-
-    fn watch(&mut self, key: Key, watch: &Watch) {
-        let writing = !self.up || self.connection.blocked();
-        if writing != self.writing {
-            self.writing = writing;
-            watch.set(key, self.connection.stream(), true, writing);
-        }
-    }
-}
-
-pub(super) fn dial(address: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    match socket.connect(&address.into()) {
-        Ok(()) => {}
-        Err(error) if error.raw_os_error() == Some(EINPROGRESS) => {}
-        Err(error) => return Err(error),
-    }
-    Ok(socket.into())
-}
-
-/// What Linux says of a connection that is on its way.
-const EINPROGRESS: i32 = 115;
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/gatekeeper/src/node/servers/connecting.rs
@@ -0,0 +1,174 @@
+//! Connections to a session server: when one is opened, and what follows when one ends.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io::{self, ErrorKind};
+
+use hollypaddle_platform::connection::{Connection, Over};
+use hollypaddle_policy::PoolId;
+
+use super::channel::{dial, Channel};
+use super::{Server, Turn};
+use crate::node::config::Link;
+use crate::node::delivery::Pending;
+use crate::node::poller::Key;
+
+/// Time between tries to connect, in seconds.
+const RETRY: f64 = 0.25;
+/// Backoff of connections that nothing waits for, in seconds: the first pause, which doubles with each connection that ended
+/// early or did not come up, and the longest. A server says again on the next connection what ended with no connection open,
+/// and callers must hear of an end within 8 s.
+const PAUSE_FIRST: f64 = 0.5;
+pub(super) const PAUSE_MOST: f64 = 5.0;
+/// Connections that broke as soon as they were up after which the next one waits its time.
+const QUICK_ENDS: u32 = 3;
+/// Most bytes that wait to be written to one server.
+const MOST_WAITING: usize = 128 * 1024;
+
+impl Server {
+    pub(super) fn connect(&mut self, pool: PoolId, link: &Link, turn: &mut Turn) {
+        if turn.now < self.retry_at {
+            return;
+        }
+        self.retry_at = turn.now + RETRY;
+        self.tried += 1;
+        // Makes room by closing what was silent for longest; set-ups open on a connection keep it until
+        // they are given up.
+        if self.channels.len() >= link.connections {
+            let unused = self.channels.iter().filter(|(_, c)| c.open.is_empty());
+            let oldest = unused.min_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)).map(|(key, _)| *key);
+            match oldest {
+                Some(oldest) => self.drop_channels(pool, |key| key == oldest, turn),
+                None => return,
+            }
+        }
+        match dial(self.listed.address).and_then(|stream| Ok((turn.watch.add(&stream, true)?, stream))) {
+            Ok((key, stream)) => {
+                let channel = Channel {
+                    connection: Connection::new(stream, MOST_WAITING),
+                    up: false,
+                    since: turn.now,
+                    heard_at: turn.now,
+                    writing: true,
+                    held_since: None,
+                    open: BTreeMap::new(),
+                    leaving: VecDeque::new(),
+                    releases: Pending::default(),
+                };
+                self.channels.insert(key, channel);
+            }
+            Err(error) => self.connect_failed(pool, &error, turn),
+        }
+    }
+
+    /// A connection is over, or of no more use: what is open on it ends, and set-ups go elsewhere.
+    pub(super) fn broken(&mut self, pool: PoolId, key: Key, reason: &Over, link: &Link, turn: &mut Turn) {
+        log::debug!(server = self.name.as_str(), connection = key, reason:%; "connection-closed");
+        let lived = self.channels.get(&key).map_or(0.0, |c| turn.now - c.since);
+        self.drop_channels(pool, |k| k == key, turn);
+        self.send_kept_releases(turn);
+        self.again(lived, pool, link, turn);
+    }
+
+    /// Connects again at once, unless it keeps closing new ones, or closes idle ones that nothing waits for: a connect that
+    /// is refused tells that the process died with its calls. One that is on its way may have set out to a machine that was
+    /// not there and would be noticed late; this end tells that the machine is back.
+    fn again(&mut self, lived: f64, pool: PoolId, link: &Link, turn: &mut Turn) {
+        self.quick_ends = if lived >= RETRY { 0 } else { self.quick_ends.saturating_add(1) };
+        if self.quick_ends <= QUICK_ENDS {
+            self.retry_at = turn.now;
+        }
+        let asked = !self.waiting.is_empty() || turn.calls.any_at(pool);
+        if !asked && !(1..=QUICK_ENDS).contains(&self.quick_ends) {
+            self.back_off(lived, turn.now);
+        }
+        if asked || turn.now >= self.unasked_at {
+            self.connect(pool, link, turn);
+        }
+    }
+
+    /// A connection ended after so long, or did not come up: when the next may be tried that nothing waits for. Where they
+    /// last, at once.
+    fn back_off(&mut self, lived: f64, now: f64) {
+        if lived >= PAUSE_MOST {
+            self.pause = 0.0;
+        }
+        let mut hasher = DefaultHasher::new();
+        (self.seed, &self.name, self.tried).hash(&mut hasher);
+        let spread = 0.5 + 0.5 * (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64;
+        self.unasked_at = now + self.pause * spread;
+        self.pause = (2.0 * self.pause).clamp(PAUSE_FIRST, PAUSE_MOST);
+    }
+
+    pub(super) fn connected(&mut self, pool: PoolId, key: Key, link: &Link, turn: &mut Turn) {
+        let Some(channel) = self.channels.get_mut(&key) else { return };
+        let stream = channel.connection.stream();
+        let result = match stream.take_error() {
+            Ok(None) => stream.peer_addr().map(drop),
+            Ok(Some(error)) | Err(error) => Err(error),
+        };
+        match result {
+            Err(error) if error.kind() == ErrorKind::NotConnected => {}
+            // Reset as it came up: there is somebody, and what waits has not run. Guards against a
+            // healthy server taken for dead, and for a cold one as it answers again.
+            Err(error) if error.kind() == ErrorKind::ConnectionReset && self.quick_ends < QUICK_ENDS => {
+                self.broken(pool, key, &Over::Broken(error), link, turn);
+            }
+            Err(error) => {
+                self.drop_channels(pool, |k| k == key, turn);
+                self.connect_failed(pool, &error, turn);
+            }
+            Ok(()) => {
+                (channel.up, channel.since, channel.heard_at) = (true, turn.now, turn.now);
+                (self.heard_at, self.unreachable) = (turn.now, false);
+                log::debug!(server = self.name.as_str(), connection = key; "connection-up");
+                self.send_kept_releases(turn);
+                if let Some(channel) = self.channels.get_mut(&key) {
+                    channel.watch(key, turn.watch);
+                }
+            }
+        }
+    }
+
+    /// No connection came up. The set-ups that waited for it never ran. Refused, with no other connection
+    /// left, the process is dead and so is what stood there; with one, the server may only hold as many
+    /// connections as it accepts.
+    pub(super) fn connect_failed(&mut self, pool: PoolId, error: &io::Error, turn: &mut Turn) {
+        log::debug!(server = self.name.as_str(), error:%; "connection-failed");
+        self.back_off(0.0, turn.now);
+        self.fail_waiting(pool, turn);
+        // Other errors, such as a want of descriptors, are ours and tell nothing of the server.
+        self.unreachable |= matches!(
+            error.kind(),
+            ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
+        );
+        if self.unreachable || error.kind() == ErrorKind::ConnectionRefused {
+            self.silent_at.get_or_insert(turn.now);
+        }
+        if error.kind() == ErrorKind::ConnectionRefused && !self.channels.values().any(|c| c.up) {
+            self.releases.forget_unconfirmed(f64::INFINITY);
+            let cut = turn.calls.cut(pool, f64::INFINITY, false);
+            if cut > 0 {
+                log::info!(server = self.name.as_str(), cut; "server-refuses-connections");
+            }
+        }
+    }
+
+    pub(super) fn drop_channels(&mut self, pool: PoolId, which: impl Fn(Key) -> bool, turn: &mut Turn) {
+        let keys: Vec<Key> = self.channels.keys().copied().filter(|k| which(*k)).collect();
+        for key in keys {
+            let Some(mut channel) = self.channels.remove(&key) else { continue };
+            turn.watch.remove(channel.connection.stream());
+            self.releases.keep_unconfirmed(channel.releases.take_unconfirmed(turn.now));
+            // Closing it gives up whatever was open on it, but an answer may have been lost with it: a
+            // call that nobody waits for must not stand on.
+            for id in channel.open.into_keys() {
+                turn.calls.reset(pool, id);
+                self.release(turn.now, id, turn.watch);
+            }
+            for (_, id) in channel.leaving {
+                turn.calls.gave_up(pool, id);
+            }
+        }
+    }
+}
--- a/crates/gatekeeper/src/node/servers/releases.rs
+++ b/crates/gatekeeper/src/node/servers/releases.rs
@@ -14,7 +14,8 @@
 use hollypaddle_core::calls::Calls;
 use hollypaddle_platform::message::{cause, kind, Message};
 
-use super::{best, Channel, Server, Turn};
+use super::channel::{best, Channel};
+use super::{Server, Turn};
 use crate::node::poller::{Key, Watch};
 
 /// Releases kept for a server that could not be sent.
--- /dev/null
+++ b/crates/gatekeeper/src/node/servers/set_ups.rs
@@ -0,0 +1,93 @@
+//! Set-ups for a session server: they wait for a connection, go out, or are given up.
+
+use hollypaddle_core::calls::Content;
+use hollypaddle_platform::connection::Over;
+use hollypaddle_platform::message::{code, kind, Message};
+use hollypaddle_policy::PoolId;
+
+use super::channel::{best, Out};
+use super::releases::Release;
+use super::{Server, Turn};
+use crate::node::config::Link;
+
+/// A set-up that waits for a connection, since then.
+pub(super) struct SetUp {
+    pub id: u64,
+    pub since: f64,
+    pub class: usize,
+    pub until: f64,
+    pub content: std::rc::Rc<Content>,
+}
+
+impl Server {
+    /// Sends the set-ups that wait, unless the connection is blocked: bytes that wait in a buffer could
+    /// not be taken back when the server is told to drain, or when the caller leaves. Nor on old connections to a server that
+    /// cannot be reached: set-ups swallowed there would be taken to run, while those that wait for a
+    /// connection prove to have never run. One whose time is over stays for its timer, which is due.
+    pub(super) fn send_waiting(&mut self, pool: PoolId, link: &Link, turn: &mut Turn) {
+        let mut waiting = std::mem::take(&mut self.waiting);
+        while !self.unreachable && !waiting.is_empty() {
+            let Some((key, channel)) = best(&mut self.channels) else { break };
+            let Some(next) = waiting.iter().position(|s| s.until > turn.now) else { break };
+            let SetUp { id, class, until, content, .. } = &waiting[next];
+            let left = ((until - turn.now) * 1000.0).max(1.0);
+            let mut message = Message::new(kind::SET_UP, *id)
+                .with(code::CLASS, link.classes.get(*class).map_or("", |c| c.name.as_str()))
+                .with(code::WAIT, format!("{left:.0}"))
+                .with(code::NUMBER, &content.number[..]);
+            if let Some(description) = &content.description {
+                message = message.with(code::DESCRIPTION, &description[..]);
+            }
+            let (id, begun) = (*id, channel.connection.begin(&message));
+            match begun {
+                Ok(None) => break,
+                Ok(Some(end)) => {
+                    channel.open.insert(id, Out { sent: turn.now, end });
+                    turn.calls.forwards += 1;
+                    channel.watch(key, turn.watch);
+                    waiting.remove(next);
+                    self.forget_releases(id);
+                }
+                // Whether any of it left is not known. The connection's end resets it.
+                Err(error) => {
+                    channel.open.insert(id, Out { sent: turn.now, end: 0 });
+                    waiting.remove(next);
+                    self.forget_releases(id);
+                    self.broken(pool, key, &error, link, turn);
+                }
+            }
+        }
+        self.waiting = waiting;
+    }
+
+    pub(super) fn give_up(&mut self, pool: PoolId, id: u64, link: &Link, turn: &mut Turn) {
+        if let Some(at) = self.waiting.iter().position(|s| s.id == id) {
+            self.waiting.remove(at);
+            return turn.calls.gave_up(pool, id);
+        }
+        let Some((&key, channel)) = self.channels.iter_mut().find(|(_, c)| c.open.contains_key(&id)) else {
+            return turn.calls.gave_up(pool, id);
+        };
+        let out = channel.open.remove(&id);
+        // Half of it is written: the rest would bring the server a set-up that nobody waits for, however much later it
+        // takes it. Nothing but the connection's end keeps it from arriving whole.
+        if out.is_some_and(|out| out.end > channel.connection.written()) {
+            turn.calls.gave_up(pool, id);
+            return self.broken(pool, key, &Over::Stuck, link, turn);
+        }
+        let release = Release::new(turn.now, id);
+        match (channel.send_release(turn.now, key, release, turn.watch), out) {
+            (Some(end), _) => channel.leaving.push_back((end, id)),
+            // The end of this connection, which is broken, gives it up.
+            (None, Some(out)) => drop(channel.open.insert(id, out)),
+            (None, None) => {}
+        }
+        channel.settle(pool, key, turn);
+    }
+
+    pub(super) fn fail_waiting(&mut self, pool: PoolId, turn: &mut Turn) {
+        for set_up in std::mem::take(&mut self.waiting) {
+            turn.calls.never_ran(pool, set_up.id);
+        }
+    }
+}
--- a/crates/gatekeeper/src/node/servers/tests.rs
+++ b/crates/gatekeeper/src/node/servers/tests.rs
@@ -1,6 +1,11 @@
 mod give_ups;
 mod releases;
 
+use std::net::SocketAddr;
+
+use socket2::{Domain, Socket, Type};
+
+use super::connecting::PAUSE_MOST;
 use super::*;
 
 /// One server, listed, that this gatekeeper and others connect to.
--- a/crates/gatekeeper/src/node/servers/tests/give_ups.rs
+++ b/crates/gatekeeper/src/node/servers/tests/give_ups.rs
@@ -3,7 +3,8 @@
 use std::net::TcpListener;
 use std::time::Duration;
 
-use hollypaddle_core::calls::{Effect, Request};
+use hollypaddle_core::calls::{Content, Effect, Request};
+use hollypaddle_platform::message::kind;
 use hollypaddle_policy::{CallId, Outcome};
 use hollypaddle_standin::Peer;
 
--- a/crates/gatekeeper/src/node/servers/tests/releases.rs
+++ b/crates/gatekeeper/src/node/servers/tests/releases.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::net::{Shutdown, TcpListener};
 
+use hollypaddle_platform::message::{kind, Message};
 use hollypaddle_standin::{answer, Peer};
 
 use super::super::releases::{MAX_RESENT_AT_ONCE, MAX_UNCONFIRMED, RESEND_LIMIT_S};
