Hold the bound on releases that are kept to a test

Found by taking the bound out in a trial: no test failed, as the server that reads nothing was sent too few releases. It is sent twice as many now as may be kept, behind all that fits into the buffers.

Measured: with the bound taken out the test fails (1,920 came, 1,024 may); with it the 14 tests of releases pass.

--- a/crates/gatekeeper/src/node/servers/tests/releases.rs
+++ b/crates/gatekeeper/src/node/servers/tests/releases.rs
@@ -90,7 +90,7 @@
     Some(peer)
 }
 
-/// So many releases are sent to a server that reads nothing that the last one waits in our buffer.
+/// So many releases are sent to a server that reads nothing that more than may be kept wait in our buffer, this one last.
 fn never_written(w: &mut World, peer: Peer) -> Option<Peer> {
     socket2::SockRef::from(peer.stream()).set_recv_buffer_size(4096).unwrap();
     let blocked = |w: &mut World| w.server().channels.values().all(|c| c.connection.blocked());
@@ -100,6 +100,7 @@
         }
         w.release(0.2, [id]);
     }
+    w.release(0.2, 1_000_000..1_000_000 + 2 * MAX_UNCONFIRMED as u64);
     closed_unread(w, peer)
 }
 
