--- a/crates/gatekeeper/src/node/delivery.rs
+++ b/crates/gatekeeper/src/node/delivery.rs
@@ -3,6 +3,9 @@
 //! A write that succeeds tells that the system took the bytes, not that the peer's application read them. Where that closes its
 //! connection with bytes unread, its system answers with a reset. A stream is read in order, so after a reset the last message
 //! is unread, and so is whatever was never written. What was written before the last message may have been read.
+//!
+//! Where a peer takes an item twice for a fault, only what is certainly unread is sent again ([`Pending::close`]); where it does
+//! no harm, all that was not confirmed ([`Pending::take_unconfirmed`]).
 
 use std::collections::VecDeque;
 
--- a/crates/gatekeeper/src/node/hearsay.rs
+++ b/crates/gatekeeper/src/node/hearsay.rs
@@ -116,7 +116,7 @@
             let of = hearsay.get(&ServerKey::of(known.name));
             let started_ms = (known.listed.started.max(0.0) * 1000.0) as u64;
             let silent = of.filter(|s| s.fact.started_ms >= started_ms).and_then(|s| s.silent);
-            guard.silence(now, known.pool, silent.map(|(at, _)| at), known.word_at);
+            guard.silence(now, known.pool, silent.map(|(at, _)| at), known.last_message_at);
             said.extend(of.map(|of| (known.pool, *of)));
         }
         let ready = servers.known().filter(|k| k.listed.readiness == Readiness::Ready).map(|k| k.pool);
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -22,7 +22,7 @@
 use self::channel::Channel;
 use self::incoming::judge;
 use self::releases::Releases;
-use self::set_ups::SetUp;
+use self::set_ups::WaitingSetUp;
 use super::config::Link;
 use super::poller::{Key, Ready, Watch};
 use hollypaddle_core::calls::{Calls, Order};
@@ -31,7 +31,7 @@
 use hollypaddle_service::descriptors::Descriptors;
 
 /// A message of which it can't be told yet whether it was cut short is held back for so long, in seconds.
-const HOLD: f64 = 0.004;
+const MAX_HOLD_S: f64 = 0.004;
 
 /// What every step here works on.
 pub struct Turn<'a> {
@@ -47,15 +47,15 @@
     name: String,
     listed: Listed,
     channels: BTreeMap<Key, Channel>,
-    waiting: VecDeque<SetUp>,
+    waiting: VecDeque<WaitingSetUp>,
     /// Releases to be sent on a connection to come.
     releases: Releases,
     /// When it last said anything or took a connection, and when one may next be tried.
     heard_at: f64,
     retry_at: f64,
     /// When one may next be tried that nothing waits for, and the pause after the next that ends early.
-    unasked_at: f64,
-    pause: f64,
+    idle_retry_at: f64,
+    backoff: f64,
     /// Connections tried so far, and the gatekeeper's seed: together they spread the pauses.
     tried: u64,
     seed: u64,
@@ -64,9 +64,9 @@
     /// How many connections in a row broke as soon as they were up.
     quick_ends: u32,
     /// How long its connections may be silent while a set-up is out, see [`silence`].
-    patience: f64,
+    silence_limit: f64,
     /// When it last said anything, and since when something is without an answer that should have one.
-    word_at: f64,
+    last_message_at: f64,
     silent_at: Option<f64>,
     /// Messages that were cut short, so far.
     cut_short: u64,
@@ -81,7 +81,7 @@
     /// Its line of the list.
     pub listed: &'a Listed,
     /// When it last said anything.
-    pub word_at: f64,
+    pub last_message_at: f64,
     /// Since when something is without an answer that should have one.
     pub silent_at: Option<f64>,
 }
@@ -122,7 +122,7 @@
     /// Takes a whole list. A server missing from it is gone.
     pub fn list(&mut self, list: &Snapshot, kind: ListKind, turn: &mut Turn) {
         let mut entries = Vec::new();
-        let unheard = self.link.unheard();
+        let silence_limit = self.link.silence_limit();
         for (name, listed) in &list.servers {
             let pool = *self.pools.entry(name.clone()).or_insert_with(|| {
                 self.last_pool += 1;
@@ -131,7 +131,7 @@
             entries.push(entry(pool, listed));
             let server = self.servers.entry(pool).or_insert_with(|| {
                 log::info!(server = name.as_str(), state:? = listed.readiness, address:% = listed.address; "server-listed");
-                Server::new(name.clone(), listed.clone(), turn.now, unheard, self.seed)
+                Server::new(name.clone(), listed.clone(), turn.now, silence_limit, self.seed)
             });
             server.relisted(pool, listed.clone(), turn);
         }
@@ -140,7 +140,7 @@
         for pool in gone {
             if let Some(mut server) = self.servers.remove(&pool) {
                 self.pools.remove(&server.name);
-                server.drop_channels(pool, |_| true, turn);
+                server.close_channels(pool, |_| true, turn);
                 server.fail_waiting(pool, turn);
                 let cut = turn.calls.cut(pool, f64::INFINITY, false);
                 log::info!(server = server.name.as_str(), cut; "server-gone");
@@ -172,7 +172,7 @@
             name: &s.name,
             pool: *pool,
             listed: &s.listed,
-            word_at: s.word_at,
+            last_message_at: s.last_message_at,
             silent_at: s.silent_at,
         })
     }
@@ -196,7 +196,7 @@
             {
                 // The release of an earlier attempt would cut this one.
                 server.releases.forget_unsent(id);
-                server.waiting.push_back(SetUp { id, since: turn.now, class, until, content });
+                server.waiting.push_back(WaitingSetUp { id, since: turn.now, class, until, content });
             }
             (Order::SetUp { .. }, _) => turn.calls.never_ran(pool, id),
             (Order::GiveUp, Some(server)) => server.give_up(pool, id, &self.link, turn),
@@ -253,7 +253,7 @@
 
     /// Takes the messages that were held back for long enough.
     pub fn release_held(&mut self, turn: &mut Turn) {
-        let due = |c: &Channel| c.held_since.is_some_and(|since| turn.now - since >= HOLD);
+        let due = |c: &Channel| c.held_since.is_some_and(|since| turn.now - since >= MAX_HOLD_S);
         let due: Vec<(PoolId, Key)> = (self.servers.iter())
             .flat_map(|(pool, s)| s.channels.iter().map(move |(key, c)| (*pool, *key, c)))
             .filter_map(|(pool, key, c)| due(c).then_some((pool, key)))
@@ -271,7 +271,7 @@
     /// When the next message that is held back is due.
     pub fn release_due(&self) -> Option<f64> {
         let held = self.servers.values().flat_map(|s| s.channels.values()).filter_map(|c| c.held_since);
-        held.min_by(f64::total_cmp).map(|since| since + HOLD)
+        held.min_by(f64::total_cmp).map(|since| since + MAX_HOLD_S)
     }
 
     /// Looks after connections. Called now and then.
@@ -283,7 +283,7 @@
 }
 
 impl Server {
-    fn new(name: String, listed: Listed, now: f64, patience: f64, seed: u64) -> Self {
+    fn new(name: String, listed: Listed, now: f64, silence_limit: f64, seed: u64) -> Self {
         let (channels, waiting) = (BTreeMap::new(), VecDeque::new());
         let (unreachable, quick_ends) = (false, 0);
         let (heard_at, retry_at) = (now, now);
@@ -295,14 +295,14 @@
             releases: Releases::default(),
             heard_at,
             retry_at,
-            unasked_at: now,
-            pause: 0.0,
+            idle_retry_at: now,
+            backoff: 0.0,
             tried: 0,
             seed,
             unreachable,
             quick_ends,
-            patience,
-            word_at: f64::NEG_INFINITY,
+            silence_limit,
+            last_message_at: f64::NEG_INFINITY,
             silent_at: None,
             cut_short: 0,
         }
@@ -319,9 +319,9 @@
             log::info!(server = self.name.as_str(), cut; "server-restarted");
             let stale: Vec<Key> =
                 self.channels.iter().filter(|(_, c)| c.since < before).map(|(key, _)| *key).collect();
-            self.drop_channels(pool, |key| stale.contains(&key), turn);
+            self.close_channels(pool, |key| stale.contains(&key), turn);
             self.releases.forget_unconfirmed(before);
-            (self.retry_at, self.unasked_at, self.pause) = (turn.now, turn.now, 0.0);
+            (self.retry_at, self.idle_retry_at, self.backoff) = (turn.now, turn.now, 0.0);
         }
         if self.listed.readiness != old.readiness {
             log::info!(server = self.name.as_str(), state:? = self.listed.readiness; "server-state");
--- a/crates/gatekeeper/src/node/servers/channel.rs
+++ b/crates/gatekeeper/src/node/servers/channel.rs
@@ -21,31 +21,33 @@
 pub(super) struct Channel {
     pub connection: Connection<TcpStream>,
     pub up: bool,
+    /// When it was tried, or came up.
     pub since: f64,
     pub heard_at: f64,
     /// Watched for writing too.
     pub writing: bool,
-    /// Since when a message is held back, see [`super::HOLD`].
+    /// Since when a message is held back, see [`super::MAX_HOLD_S`].
     pub held_since: Option<f64>,
     /// Set-ups out on this connection.
-    pub open: BTreeMap<u64, Out>,
+    pub open: BTreeMap<u64, SentSetUp>,
     /// Give-ups being written: the position at which each ends, and its call.
-    pub leaving: VecDeque<(u64, u64)>,
+    pub give_ups: VecDeque<(u64, u64)>,
     /// Releases and give-ups sent on this connection that were not confirmed.
     pub releases: Pending<Release>,
 }
 
-/// A set-up that is out on a connection: when it was sent, and where it ends in the stream.
+/// A set-up that is out on a connection.
 #[derive(Clone, Copy)]
-pub(super) struct Out {
-    pub sent: f64,
+pub(super) struct SentSetUp {
+    pub sent_at: f64,
+    /// Where it ends in the stream.
     pub end: u64,
 }
 
 impl Channel {
-    /// Says something; returns where it ends in the stream. A broken connection is found ready with its
+    /// Sends a message; returns where it ends in the stream. A broken connection is found ready with its
     /// end, in its turn.
-    pub(super) fn say(&mut self, key: Key, message: &Message, watch: &Watch) -> Option<u64> {
+    pub(super) fn send(&mut self, key: Key, message: &Message, watch: &Watch) -> Option<u64> {
         let end = match self.connection.send(message) {
             Ok(end) => Some(end),
             Err(error) => {
@@ -67,9 +69,9 @@
     }
 
     /// Reports the give-ups that are out.
-    pub(super) fn settle(&mut self, pool: PoolId, key: Key, turn: &mut Turn) {
+    pub(super) fn report_give_ups(&mut self, pool: PoolId, key: Key, turn: &mut Turn) {
         let written = self.connection.written();
-        while let Some((_, id)) = self.leaving.pop_front_if(|(end, _)| *end <= written) {
+        while let Some((_, id)) = self.give_ups.pop_front_if(|(end, _)| *end <= written) {
             turn.calls.gave_up(pool, id);
         }
         self.watch(key, turn.watch);
@@ -85,7 +87,7 @@
 }
 
 /// The connection for what is to be sent: the one last heard.
-pub(super) fn best(channels: &mut BTreeMap<Key, Channel>) -> Option<(Key, &mut Channel)> {
+pub(super) fn last_heard(channels: &mut BTreeMap<Key, Channel>) -> Option<(Key, &mut Channel)> {
     let up = channels.iter_mut().filter(|(_, c)| c.up);
     up.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)).map(|(key, channel)| (*key, channel))
 }
--- a/crates/gatekeeper/src/node/servers/connecting.rs
+++ b/crates/gatekeeper/src/node/servers/connecting.rs
@@ -14,23 +14,23 @@
 use crate::node::poller::Key;
 
 /// Time between tries to connect, in seconds.
-const RETRY: f64 = 0.25;
+const RETRY_INTERVAL_S: f64 = 0.25;
 /// Backoff of connections that nothing waits for, in seconds: the first pause, which doubles with each connection that ended
 /// early or did not come up, and the longest. A server says again on the next connection what ended with no connection open,
 /// and callers must hear of an end within 8 s.
-const PAUSE_FIRST: f64 = 0.5;
-pub(super) const PAUSE_MOST: f64 = 5.0;
+const FIRST_BACKOFF_S: f64 = 0.5;
+pub(super) const MAX_BACKOFF_S: f64 = 5.0;
 /// Connections that broke as soon as they were up after which the next one waits its time.
-const QUICK_ENDS: u32 = 3;
+const MAX_QUICK_ENDS: u32 = 3;
 /// Most bytes that wait to be written to one server.
-const MOST_WAITING: usize = 128 * 1024;
+const MAX_UNWRITTEN_BYTES: usize = 128 * 1024;
 
 impl Server {
     pub(super) fn connect(&mut self, pool: PoolId, link: &Link, turn: &mut Turn) {
         if turn.now < self.retry_at {
             return;
         }
-        self.retry_at = turn.now + RETRY;
+        self.retry_at = turn.now + RETRY_INTERVAL_S;
         self.tried += 1;
         // Makes room by closing what was silent for longest; set-ups open on a connection keep it until
         // they are given up.
@@ -38,21 +38,21 @@
             let unused = self.channels.iter().filter(|(_, c)| c.open.is_empty());
             let oldest = unused.min_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)).map(|(key, _)| *key);
             match oldest {
-                Some(oldest) => self.drop_channels(pool, |key| key == oldest, turn),
+                Some(oldest) => self.close_channels(pool, |key| key == oldest, turn),
                 None => return,
             }
         }
         match dial(self.listed.address).and_then(|stream| Ok((turn.watch.add(&stream, true)?, stream))) {
             Ok((key, stream)) => {
                 let channel = Channel {
-                    connection: Connection::new(stream, MOST_WAITING),
+                    connection: Connection::new(stream, MAX_UNWRITTEN_BYTES),
                     up: false,
                     since: turn.now,
                     heard_at: turn.now,
                     writing: true,
                     held_since: None,
                     open: BTreeMap::new(),
-                    leaving: VecDeque::new(),
+                    give_ups: VecDeque::new(),
                     releases: Pending::default(),
                 };
                 self.channels.insert(key, channel);
@@ -62,27 +62,34 @@
     }
 
     /// A connection is over, or of no more use: what is open on it ends, and set-ups go elsewhere.
-    pub(super) fn broken(&mut self, pool: PoolId, key: Key, reason: &Over, link: &Link, turn: &mut Turn) {
+    pub(super) fn close_failed(
+        &mut self,
+        pool: PoolId,
+        key: Key,
+        reason: &Over,
+        link: &Link,
+        turn: &mut Turn,
+    ) {
         log::debug!(server = self.name.as_str(), connection = key, reason:%; "connection-closed");
         let lived = self.channels.get(&key).map_or(0.0, |c| turn.now - c.since);
-        self.drop_channels(pool, |k| k == key, turn);
+        self.close_channels(pool, |k| k == key, turn);
         self.send_kept_releases(turn);
-        self.again(lived, pool, link, turn);
+        self.reconnect(lived, pool, link, turn);
     }
 
     /// Connects again at once, unless it keeps closing new ones, or closes idle ones that nothing waits for: a connect that
     /// is refused tells that the process died with its calls. One that is on its way may have set out to a machine that was
     /// not there and would be noticed late; this end tells that the machine is back.
-    fn again(&mut self, lived: f64, pool: PoolId, link: &Link, turn: &mut Turn) {
-        self.quick_ends = if lived >= RETRY { 0 } else { self.quick_ends.saturating_add(1) };
-        if self.quick_ends <= QUICK_ENDS {
+    fn reconnect(&mut self, lived: f64, pool: PoolId, link: &Link, turn: &mut Turn) {
+        self.quick_ends = if lived >= RETRY_INTERVAL_S { 0 } else { self.quick_ends.saturating_add(1) };
+        if self.quick_ends <= MAX_QUICK_ENDS {
             self.retry_at = turn.now;
         }
         let asked = !self.waiting.is_empty() || turn.calls.any_at(pool);
-        if !asked && !(1..=QUICK_ENDS).contains(&self.quick_ends) {
+        if !asked && !(1..=MAX_QUICK_ENDS).contains(&self.quick_ends) {
             self.back_off(lived, turn.now);
         }
-        if asked || turn.now >= self.unasked_at {
+        if asked || turn.now >= self.idle_retry_at {
             self.connect(pool, link, turn);
         }
     }
@@ -90,14 +97,14 @@
     /// A connection ended after so long, or did not come up: when the next may be tried that nothing waits for. Where they
     /// last, at once.
     fn back_off(&mut self, lived: f64, now: f64) {
-        if lived >= PAUSE_MOST {
-            self.pause = 0.0;
+        if lived >= MAX_BACKOFF_S {
+            self.backoff = 0.0;
         }
         let mut hasher = DefaultHasher::new();
         (self.seed, &self.name, self.tried).hash(&mut hasher);
         let spread = 0.5 + 0.5 * (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64;
-        self.unasked_at = now + self.pause * spread;
-        self.pause = (2.0 * self.pause).clamp(PAUSE_FIRST, PAUSE_MOST);
+        self.idle_retry_at = now + self.backoff * spread;
+        self.backoff = (2.0 * self.backoff).clamp(FIRST_BACKOFF_S, MAX_BACKOFF_S);
     }
 
     pub(super) fn connected(&mut self, pool: PoolId, key: Key, link: &Link, turn: &mut Turn) {
@@ -111,11 +118,11 @@
             Err(error) if error.kind() == ErrorKind::NotConnected => {}
             // Reset as it came up: there is somebody, and what waits has not run. Guards against a
             // healthy server taken for dead, and for a cold one as it answers again.
-            Err(error) if error.kind() == ErrorKind::ConnectionReset && self.quick_ends < QUICK_ENDS => {
-                self.broken(pool, key, &Over::Broken(error), link, turn);
+            Err(error) if error.kind() == ErrorKind::ConnectionReset && self.quick_ends < MAX_QUICK_ENDS => {
+                self.close_failed(pool, key, &Over::Broken(error), link, turn);
             }
             Err(error) => {
-                self.drop_channels(pool, |k| k == key, turn);
+                self.close_channels(pool, |k| k == key, turn);
                 self.connect_failed(pool, &error, turn);
             }
             Ok(()) => {
@@ -154,7 +161,7 @@
         }
     }
 
-    pub(super) fn drop_channels(&mut self, pool: PoolId, which: impl Fn(Key) -> bool, turn: &mut Turn) {
+    pub(super) fn close_channels(&mut self, pool: PoolId, which: impl Fn(Key) -> bool, turn: &mut Turn) {
         let keys: Vec<Key> = self.channels.keys().copied().filter(|k| which(*k)).collect();
         for key in keys {
             let Some(mut channel) = self.channels.remove(&key) else { continue };
@@ -166,7 +173,7 @@
                 turn.calls.reset(pool, id);
                 self.release(turn.now, id, turn.watch);
             }
-            for (_, id) in channel.leaving {
+            for (_, id) in channel.give_ups {
                 turn.calls.gave_up(pool, id);
             }
         }
--- a/crates/gatekeeper/src/node/servers/incoming.rs
+++ b/crates/gatekeeper/src/node/servers/incoming.rs
@@ -23,10 +23,10 @@
     ) {
         let Some(channel) = self.channels.get_mut(&key) else { return };
         channel.note_held(turn.now);
-        channel.settle(pool, key, turn);
+        channel.report_give_ups(pool, key, turn);
         if !messages.is_empty() {
             (channel.heard_at, self.heard_at, self.unreachable) = (turn.now, turn.now, false);
-            (self.word_at, self.silent_at) = (turn.now, None);
+            (self.last_message_at, self.silent_at) = (turn.now, None);
         }
         for message in messages {
             if let Err(reason) = self.heard(pool, key, message, known, turn) {
@@ -38,7 +38,7 @@
             if let Over::CutShort(cut) = &error {
                 self.count_cut_short(cut);
             }
-            self.broken(pool, key, &error, known.1, turn);
+            self.close_failed(pool, key, &error, known.1, turn);
         }
     }
 
@@ -74,9 +74,9 @@
                 return Err(Over::Improper("an answer without a description, or with a cause"));
             }
             kind::ANSWER => {
-                self.patience = link.unheard();
-                if let Some(sent) = self.closed(key, id) {
-                    self.overtake(pool, sent, link, turn);
+                self.silence_limit = link.silence_limit();
+                if let Some(sent_at) = self.take_open(key, id) {
+                    self.close_overtaken(pool, sent_at, link, turn);
                 }
                 turn.calls.stood(turn.now, pool, id, description);
                 if told {
@@ -90,15 +90,15 @@
                 }
             }
             kind::RELEASE => {
-                self.patience = link.unheard();
-                self.closed(key, id);
+                self.silence_limit = link.silence_limit();
+                self.take_open(key, id);
                 turn.calls.ended(turn.now, pool, id, end(&message, report, link.longest()));
             }
             kind::STATE | kind::TEST_RESULT if told => turn.calls.load(pool, report),
             kind::TEST => {
                 let passed = Message::new(kind::TEST_RESULT, id).caused(1);
                 if let Some(channel) = self.channels.get_mut(&key) {
-                    channel.say(key, &passed, turn.watch);
+                    channel.send(key, &passed, turn.watch);
                 }
             }
             kind::RELEASE_HEARD => self.confirm_release(id),
@@ -108,15 +108,15 @@
         Ok(())
     }
 
-    /// A set-up is no longer open on its connection, as its end came on this one. Returns when it was sent.
-    fn closed(&mut self, key: Key, id: u64) -> Option<f64> {
+    /// Takes a set-up that is no longer open, as its end came on this connection. Returns when it was sent.
+    fn take_open(&mut self, key: Key, id: u64) -> Option<f64> {
         let (&own_key, channel) = self.channels.iter_mut().find(|(_, c)| c.open.contains_key(&id))?;
         let out = channel.open.remove(&id)?;
         // Elsewhere it may answer an earlier attempt.
         if own_key == key {
             channel.releases.confirm_through(out.end);
         }
-        Some(out.sent)
+        Some(out.sent_at)
     }
 }
 
--- a/crates/gatekeeper/src/node/servers/releases.rs
+++ b/crates/gatekeeper/src/node/servers/releases.rs
@@ -14,7 +14,7 @@
 use hollypaddle_core::calls::Calls;
 use hollypaddle_platform::message::{cause, kind, Message};
 
-use super::channel::{best, Channel};
+use super::channel::{last_heard, Channel};
 use super::{Server, Turn};
 use crate::node::poller::{Key, Watch};
 
@@ -107,7 +107,7 @@
 
     /// Sends the releases that are kept, where a connection is up.
     pub(super) fn send_kept_releases(&mut self, turn: &mut Turn) {
-        if best(&mut self.channels).is_none() {
+        if last_heard(&mut self.channels).is_none() {
             return;
         }
         for release in std::mem::take(&mut self.releases.unsent) {
@@ -139,13 +139,13 @@
     }
 
     fn send_release(&mut self, now: f64, release: Release, watch: &Watch) -> bool {
-        let sent = best(&mut self.channels)
+        let sent = last_heard(&mut self.channels)
             .and_then(|(key, channel)| channel.send_release(now, key, release, watch));
         sent.is_some()
     }
 
     fn keep_unsent(&mut self, release: Release) {
-        self.unasked_at = f64::NEG_INFINITY;
+        self.idle_retry_at = f64::NEG_INFINITY;
         match self.releases.unsent.len() < MAX_UNSENT {
             true => self.releases.unsent.push(release),
             false => log::debug!(server = self.name.as_str(); "release-dropped"),
@@ -162,7 +162,7 @@
         release: Release,
         watch: &Watch,
     ) -> Option<u64> {
-        let end = self.say(key, &release.message(), watch)?;
+        let end = self.send(key, &release.message(), watch)?;
         self.releases.sent(now, release, end, self.connection.written(), release.expires_at());
         Some(end)
     }
--- a/crates/gatekeeper/src/node/servers/set_ups.rs
+++ b/crates/gatekeeper/src/node/servers/set_ups.rs
@@ -5,16 +5,18 @@
 use hollypaddle_platform::message::{code, kind, Message};
 use hollypaddle_policy::PoolId;
 
-use super::channel::{best, Out};
+use super::channel::{last_heard, SentSetUp};
 use super::releases::Release;
 use super::{Server, Turn};
 use crate::node::config::Link;
 
-/// A set-up that waits for a connection, since then.
-pub(super) struct SetUp {
+/// A set-up that waits for a connection.
+pub(super) struct WaitingSetUp {
     pub id: u64,
+    /// Since when.
     pub since: f64,
     pub class: usize,
+    /// Until when its answer is of use.
     pub until: f64,
     pub content: std::rc::Rc<Content>,
 }
@@ -27,9 +29,9 @@
     pub(super) fn send_waiting(&mut self, pool: PoolId, link: &Link, turn: &mut Turn) {
         let mut waiting = std::mem::take(&mut self.waiting);
         while !self.unreachable && !waiting.is_empty() {
-            let Some((key, channel)) = best(&mut self.channels) else { break };
+            let Some((key, channel)) = last_heard(&mut self.channels) else { break };
             let Some(next) = waiting.iter().position(|s| s.until > turn.now) else { break };
-            let SetUp { id, class, until, content, .. } = &waiting[next];
+            let WaitingSetUp { id, class, until, content, .. } = &waiting[next];
             let left = ((until - turn.now) * 1000.0).max(1.0);
             let mut message = Message::new(kind::SET_UP, *id)
                 .with(code::CLASS, link.classes.get(*class).map_or("", |c| c.name.as_str()))
@@ -42,7 +44,7 @@
             match begun {
                 Ok(None) => break,
                 Ok(Some(end)) => {
-                    channel.open.insert(id, Out { sent: turn.now, end });
+                    channel.open.insert(id, SentSetUp { sent_at: turn.now, end });
                     turn.calls.forwards += 1;
                     channel.watch(key, turn.watch);
                     waiting.remove(next);
@@ -50,10 +52,10 @@
                 }
                 // Whether any of it left is not known. The connection's end resets it.
                 Err(error) => {
-                    channel.open.insert(id, Out { sent: turn.now, end: 0 });
+                    channel.open.insert(id, SentSetUp { sent_at: turn.now, end: 0 });
                     waiting.remove(next);
                     self.forget_releases(id);
-                    self.broken(pool, key, &error, link, turn);
+                    self.close_failed(pool, key, &error, link, turn);
                 }
             }
         }
@@ -73,16 +75,16 @@
         // takes it. Nothing but the connection's end keeps it from arriving whole.
         if out.is_some_and(|out| out.end > channel.connection.written()) {
             turn.calls.gave_up(pool, id);
-            return self.broken(pool, key, &Over::Stuck, link, turn);
+            return self.close_failed(pool, key, &Over::Stuck, link, turn);
         }
         let release = Release::new(turn.now, id);
         match (channel.send_release(turn.now, key, release, turn.watch), out) {
-            (Some(end), _) => channel.leaving.push_back((end, id)),
+            (Some(end), _) => channel.give_ups.push_back((end, id)),
             // The end of this connection, which is broken, gives it up.
             (None, Some(out)) => drop(channel.open.insert(id, out)),
             (None, None) => {}
         }
-        channel.settle(pool, key, turn);
+        channel.report_give_ups(pool, key, turn);
     }
 
     pub(super) fn fail_waiting(&mut self, pool: PoolId, turn: &mut Turn) {
--- a/crates/gatekeeper/src/node/servers/tests.rs
+++ b/crates/gatekeeper/src/node/servers/tests.rs
@@ -5,7 +5,7 @@
 
 use socket2::{Domain, Socket, Type};
 
-use super::connecting::PAUSE_MOST;
+use super::connecting::MAX_BACKOFF_S;
 use super::*;
 
 /// One server, listed, that this gatekeeper and others connect to.
@@ -97,7 +97,7 @@
         let tries = w.tries(0.0, 60.0);
         assert!((10..=30).contains(&tries.len()), "{} tries: {tries:?}", tries.len());
         let longest = tries.windows(2).map(|t| t[1] - t[0]).fold(0.0, f64::max);
-        assert!(longest <= PAUSE_MOST + 0.15, "{longest} s between two");
+        assert!(longest <= MAX_BACKOFF_S + 0.15, "{longest} s between two");
         w.list(60.0, 2, "s-0", 59.0);
         assert!(w.tries(60.0, 60.1).len() == 1, "not tried as it starts");
         tries
