--- a/crates/gatekeeper/src/node/servers/releases.rs
+++ b/crates/gatekeeper/src/node/servers/releases.rs
@@ -22,7 +22,7 @@
 const MAX_UNSENT: usize = 4096;
 /// Releases kept for a server that it may not have read; the oldest are forgotten first.
 pub(super) const MAX_UNCONFIRMED: usize = 1024;
-/// Releases sent again in one turn at most.
+/// Releases sent again in one go at most.
 pub(super) const MAX_RESENT_AT_ONCE: usize = 32;
 /// A release that was sent again is not sent once more after so long, in seconds. A server that closes idle connections would be
 /// sent it on each next one.
@@ -40,6 +40,7 @@
 }
 
 impl Release {
+    /// One that is ordered now.
     pub fn new(now: f64, id: u64) -> Self {
         Release { id, ordered_at: now, resent_at: None }
     }
