Have the tests of releases wait for what they need, and keep their server's port

On the read-through: three steps of these tests took for granted that the system had carried a message within one look, and a server that stops listening could have lost its port to another test.

--- a/crates/gatekeeper/src/node/servers/tests/give_ups.rs
+++ b/crates/gatekeeper/src/node/servers/tests/give_ups.rs
@@ -1,6 +1,6 @@
 //! Attempts that are given up on connections that go in that moment.
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use hollypaddle_core::calls::{Content, Effect, Request};
@@ -14,7 +14,11 @@
 
 /// A server that listens, and the gatekeeper's side of it with one connection up.
 pub(super) fn connected() -> (World, TcpListener, Peer) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    connected_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+pub(super) fn connected_at(address: SocketAddr) -> (World, TcpListener, Peer) {
+    let listener = TcpListener::bind(address).unwrap();
     let mut w = World::new(listener.local_addr().unwrap(), 7);
     w.list(0.0, 1, "s-0", 0.0);
     w.beat(0.0);
--- a/crates/gatekeeper/src/node/servers/tests/releases.rs
+++ b/crates/gatekeeper/src/node/servers/tests/releases.rs
@@ -2,12 +2,13 @@
 
 use std::io::Write;
 use std::net::{Shutdown, TcpListener};
+use std::time::Duration;
 
 use hollypaddle_platform::message::{kind, Message};
 use hollypaddle_standin::{answer, Peer};
 
 use super::super::releases::{MAX_RESENT_AT_ONCE, MAX_UNCONFIRMED, RESEND_LIMIT_S};
-use super::give_ups::{accept, connected, POOL};
+use super::give_ups::{accept, connected, connected_at, POOL};
 use super::*;
 
 /// Time between two looks, in seconds.
@@ -40,6 +41,17 @@
         (messages, peers)
     }
 
+    fn until(&mut self, now: f64, what: &str, mut done: impl FnMut(&mut World) -> bool) {
+        for _ in 0..1000 {
+            self.beat(now);
+            if done(self) {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        panic!("waited in vain for {what}");
+    }
+
     fn server(&mut self) -> &mut Server {
         self.servers.servers.get_mut(&POOL).unwrap()
     }
@@ -170,11 +182,13 @@
     w.release(0.6, [1]);
     w.attempt(0.6, 2);
     first.send(&answer(2)).unwrap();
-    w.beat(0.7);
+    w.until(0.7, "the answer", |w| w.calls.stands(2));
     drop(second);
-    w.beat(0.8);
     let mut messages = Vec::new();
-    first.read(&mut messages).unwrap();
+    w.until(0.8, "the release", |_| {
+        first.read(&mut messages).unwrap();
+        !messages.is_empty()
+    });
     assert_eq!(releases(&messages), [1]);
 }
 
@@ -212,8 +226,7 @@
         let (came, mut peers) = w.hear_open(2.0, 1.0, &listener);
         assert_eq!(came.iter().map(|m| m.kind).collect::<Vec<u8>>(), [kind::SET_UP], "{came:?}");
         peers[0].send(&answer(1)).unwrap();
-        w.beat(3.0);
-        assert!(w.calls.stands(1));
+        w.until(3.0, "the answer", |w| w.calls.stands(1));
         drop((first, peers));
         let came = releases(&w.hear(3.1, 5.0, &listener));
         assert!(came.is_empty(), "kept: {kept}, {came:?}");
@@ -225,18 +238,22 @@
 #[test]
 fn a_server_that_came_back_is_not_flooded_with_releases() {
     let ids = 1..=1000;
-    let (mut w, mut listener, first) = connected();
+    // Nobody else takes its port while it does not listen.
+    let address = hollypaddle_standin::free_addresses(1).unwrap()[0];
+    let (mut w, listener, first) = connected_at(address);
     w.release(0.2, ids.clone());
     drop((first, listener));
-    w.beat(0.3);
-    listener = TcpListener::bind(w.address).unwrap();
-    assert!(w.hear(0.4, 10.0, &listener).is_empty(), "it refused a connection");
+    w.until(0.3, "a refused connect", |w| w.server().channels.is_empty() && w.server().tried == 2);
+    let listener = TcpListener::bind(address).unwrap();
+    let (came, peers) = w.hear_open(0.4, 10.0, &listener);
+    assert!(!peers.is_empty() && came.is_empty(), "it refused a connection: {came:?}");
 
     let (mut w, listener, first) = connected();
     w.release(0.2, ids.clone());
     drop(first);
     w.list(0.3, 2, "s-0", 0.25);
-    assert!(w.hear(0.4, 10.0, &listener).is_empty(), "its start was told");
+    let (came, peers) = w.hear_open(0.4, 10.0, &listener);
+    assert!(!peers.is_empty() && came.is_empty(), "its start was told: {came:?}");
 
     let (mut w, listener, first) = connected();
     w.release(0.2, ids);
