Log what a drained gatekeeper keeps its connections for

Nothing told why a connection stayed open in a drain, was closed or was in use at the term. Change: decisions on connections in a drain move from service::lifecycle to service::drain, carried out in clients/draining.rs; the behaviour is the same. Each connection kept is logged with its reason as that changes (drain-kept, debug), each one let go with the reason drained, and one line at the term (drain-term, info) counts what is held, waits, stands, is idle or in use. The figure drain_closed. Tests of lifecycle and figures move into test files; those of the drain's decisions too.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -1,6 +1,7 @@
 //! The callers' side: the listener, the callers' connections, and the messages on them.
 
 mod closing;
+mod draining;
 mod ends;
 mod reply;
 mod room;
@@ -11,6 +12,8 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 
 use self::closing::Closing;
+use self::draining::Drain;
+pub use self::draining::DrainCounts;
 use self::ends::CallEnd;
 pub use self::ends::EndCounts;
 use self::reply::encode;
@@ -24,6 +27,7 @@
 use hollypaddle_platform::boundary::{Candidate, Verdict};
 use hollypaddle_platform::connection::{Connection, Over};
 use hollypaddle_platform::message::{cause, kind, Message, MOST};
+use hollypaddle_service::drain::KeptFor;
 
 /// For how long a caller is to stay away from a gatekeeper that holds too much, in seconds, or for the longest that callers
 /// heed where that is less.
@@ -40,11 +44,15 @@
     /// Since when it is connected, and when it last sent or was sent something.
     since: f64,
     used_at: f64,
+    /// When its last set-up was read.
+    asked_at: Option<f64>,
     best_reply: BestReply,
     senseless: u32,
     pending_ends: Pending<CallEnd>,
     /// A write or a look at it failed: it was reset, and the system tells that only once.
     reset_seen: bool,
+    /// What it was last kept for in a drain.
+    kept_for: Option<KeptFor>,
 }
 
 /// The best that a connection was sent so far.
@@ -85,6 +93,9 @@
     /// Ends that were not read on a connection that is over, to be sent on another one at once.
     unread: VecDeque<CallEnd>,
     end_counts: EndCounts,
+    /// While drained.
+    drain: Option<Drain>,
+    drain_counts: DrainCounts,
     /// Classes of set-ups turned away here, for lack of room, until the figures take them.
     pub turned_away: Vec<usize>,
     /// Called between the last accept and the close of the listener, with its address.
@@ -128,6 +139,8 @@
             undelivered,
             unread: VecDeque::new(),
             end_counts: EndCounts::default(),
+            drain: None,
+            drain_counts: DrainCounts::default(),
             turned_away,
             #[cfg(test)]
             before_close: None,
@@ -340,10 +353,12 @@
             writing: false,
             since: now,
             used_at: now,
+            asked_at: None,
             best_reply: BestReply::None,
             senseless: 0,
             pending_ends: Pending::default(),
             reset_seen: false,
+            kept_for: None,
         };
         self.connections.insert(key, client);
         Ok(())
@@ -361,7 +376,7 @@
         let Some(client) = self.connections.get_mut(&key) else { return Ok(()) };
         match message.kind {
             kind::SET_UP => {
-                client.used_at = now;
+                (client.used_at, client.asked_at) = (now, Some(now));
                 let refusal = match request(message, &self.classes) {
                     Err(cause) => Message::new(kind::RELEASE, message.call).caused(cause),
                     Ok(request) => match calls.offer(now, key, request) {
--- a/crates/gatekeeper/src/node/clients/closing.rs
+++ b/crates/gatekeeper/src/node/clients/closing.rs
@@ -4,11 +4,10 @@
 
 use hollypaddle_core::calls::{Calls, Reply};
 use hollypaddle_platform::connection::{Connection, Over};
-use hollypaddle_service::lifecycle::{self, Lifecycle};
 
 use super::ends::CallEnd;
 use super::reply::encode;
-use super::{BestReply, Client, Clients};
+use super::{Client, Clients};
 use crate::node::delivery::{Closed, Pending};
 use crate::node::poller::{Key, Watch};
 
@@ -82,13 +81,16 @@
     pub(super) fn close_unused(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
         let (keys, reserved) = (self.connections.keys().copied().collect::<Vec<Key>>(), self.reserved(calls));
         for key in keys {
-            let idle = |c: &mut Client, calls: &Calls| {
+            let reason = |c: &mut Client, calls: &Calls| {
                 let unused =
                     c.unused(now, MUTE_TIMEOUT_S, IDLE_TIMEOUT_S) && !is_needed(key, reserved, calls);
-                unused || c.connection.stalled(now, MUTE_TIMEOUT_S)
+                match c.connection.stalled(now, MUTE_TIMEOUT_S) {
+                    true => Some(Over::Stalled),
+                    false => unused.then_some(Over::Idle),
+                }
             };
-            if self.connections.get_mut(&key).is_some_and(|c| idle(c, calls)) {
-                self.close_if(now, key, idle, watch, calls);
+            if self.connections.get_mut(&key).is_some_and(|c| reason(c, calls).is_some()) {
+                self.close_if(now, key, reason, watch, calls);
             }
         }
         let late: Vec<Key> =
@@ -96,47 +98,22 @@
         late.into_iter().for_each(|key| self.drop_closing(now, key, Closed::InOrder, watch));
     }
 
-    /// While drained, closes the connections that the lifecycle lets go: those that wait for nothing and
-    /// have been quiet a while.
-    pub fn drain(&mut self, now: f64, life: &Lifecycle, watch: &Watch, calls: &mut Calls) {
-        let reserved = self.reserved(calls);
-        let quiet = |(key, c): (&Key, &Client)| {
-            if Some(*key) == reserved {
-                return None;
-            }
-            let state = lifecycle::Connection {
-                since: c.since,
-                used_at: c.used_at,
-                told: c.best_reply != BestReply::None,
-                open: calls.open_from(*key),
-                standing: calls.standing_from(*key),
-                writing: c.connection.blocked(),
-            };
-            life.closes(now, &state).then_some(*key)
-        };
-        let closing: Vec<Key> = self.connections.iter().filter_map(quiet).collect();
-        for key in closing {
-            self.close_if(now, key, |c, calls| calls.open_from(key) == 0 && c.used_at < now, watch, calls);
-        }
-    }
-
-    /// Closes a connection that nothing seems to come on, if that is so still once it was read a last time. Guards against
-    /// a set-up that came since the poll, or long ago while this process had no processor: it would be lost.
+    /// Closes a connection that nothing seems to come on, if there is a reason still once it was read a last time; returns
+    /// whether there was. Guards against a set-up that came since the poll, or long ago while this process had no processor: it
+    /// would be lost.
     pub(super) fn close_if(
         &mut self,
         now: f64,
         key: Key,
-        idle: impl Fn(&mut Client, &Calls) -> bool,
+        reason: impl Fn(&mut Client, &Calls) -> Option<Over>,
         watch: &Watch,
         calls: &mut Calls,
-    ) {
+    ) -> bool {
         self.read(now, key, watch, calls);
-        let Some(client) = self.connections.get_mut(&key) else { return };
-        if idle(client, calls) {
-            let reason =
-                if client.connection.stalled(now, MUTE_TIMEOUT_S) { Over::Stalled } else { Over::Idle };
-            self.close_if_over(now, key, Err(reason), watch, calls);
-        }
+        let Some(client) = self.connections.get_mut(&key) else { return false };
+        let Some(reason) = reason(client, calls) else { return false };
+        self.close_if_over(now, key, Err(reason), watch, calls);
+        true
     }
 
     /// Closes every connection, once all that waits on it is written.
--- a/crates/gatekeeper/src/node/clients/room.rs
+++ b/crates/gatekeeper/src/node/clients/room.rs
@@ -1,6 +1,7 @@
 //! Room for new connections of callers, when as many are held as may be.
 
 use hollypaddle_core::calls::Calls;
+use hollypaddle_platform::connection::Over;
 
 use super::closing::RESET_WAIT_S;
 use super::{BestReply, Client, Clients};
@@ -33,8 +34,9 @@
                 return;
             }
             let reserved = self.reserved(calls);
-            let unused = |c: &mut Client, calls: &Calls| is_unused(now, key, c, reserved, calls);
-            self.close_if(now, key, unused, watch, calls);
+            let reason =
+                |c: &mut Client, calls: &Calls| is_unused(now, key, c, reserved, calls).then_some(Over::Idle);
+            self.close_if(now, key, reason, watch, calls);
             if self.held() < self.most {
                 return;
             }
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -508,8 +508,14 @@
         let phase = format!("{:?}", self.life.phase()).to_lowercase();
         if changed {
             match self.life.phase() {
-                Phase::Lameduck => self.clients.steer_away(now),
-                Phase::Serving | Phase::Stopping => self.clients.steer_back(),
+                Phase::Lameduck => {
+                    self.clients.steer_away(now);
+                    self.clients.begin_drain(now);
+                }
+                Phase::Serving | Phase::Stopping => {
+                    self.clients.steer_back();
+                    self.clients.end_drain();
+                }
             }
             log::info!(phase = phase.as_str(); "lameduck");
         }
@@ -530,6 +536,7 @@
             unusable_lists,
             ends_redelivered: ends.redelivered,
             ends_unconfirmed: ends.unconfirmed,
+            drain_closed: self.clients.drain_counts().closed,
         });
         // Written where the servers' sockets are, and counted there.
         report.forwards += self.calls.forwards;
@@ -693,9 +700,7 @@
             // Only now is all said that this turn brought. Guards against a connection closed as idle while the end of the
             // call that kept it is on its way there.
             self.clients.beat(now, &self.watch, &mut self.calls);
-            if self.life.phase() == Phase::Lameduck {
-                self.clients.drain(now, &self.life, &self.watch, &mut self.calls);
-            }
+            self.clients.drain(now, &self.watch, &mut self.calls);
             self.listen_as_told(now);
             self.decide(now);
         }
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -51,6 +51,8 @@
     Improper(&'static str),
     /// The peer has been idle, or silent from the start, for too long.
     Idle,
+    /// This side is drained, and lets its peers go.
+    Drained,
 }
 
 impl fmt::Display for Over {
@@ -65,6 +67,7 @@
             Over::Silent => write!(f, "silent, while answers come on another"),
             Over::Improper(what) => write!(f, "{what}"),
             Over::Idle => write!(f, "idle"),
+            Over::Drained => write!(f, "drained"),
         }
     }
 }
--- /dev/null
+++ b/crates/service/src/figures/tests.rs
@@ -0,0 +1,50 @@
+use super::*;
+
+#[test]
+fn the_report_has_every_figure_the_front_reads() {
+    let mut figures = Figures::new(["valve-set", "meter-read"]);
+    figures.answered("valve-set", Outcome::Succeeded);
+    figures.answered("valve-set", Outcome::Succeeded);
+    figures.answered("meter-read", Outcome::Declined);
+    figures.answered("valve-set", Outcome::Aborted);
+    figures.forwarded();
+    figures.reloaded(true);
+    figures.reloaded(false);
+    figures.reloaded(false);
+    let gauges = Gauges {
+        outstanding: 14,
+        discovered: 6,
+        ejected: 1,
+        unusable_lists: 2,
+        ends_redelivered: 5,
+        ends_unconfirmed: 3,
+        drain_closed: 4,
+    };
+    let json = serde_json::to_value(figures.report(gauges)).unwrap();
+    assert_eq!(json["succeeded"]["valve-set"], 2);
+    assert_eq!(json["succeeded"]["meter-read"], 0);
+    assert_eq!(json["declined"]["meter-read"], 1);
+    assert_eq!(json["aborted"]["valve-set"], 1);
+    assert_eq!(json["forwards"], 1);
+    assert_eq!(json["outstanding"], 14);
+    assert_eq!(json["discovered"], 6);
+    assert_eq!(json["unusable_lists"], 2);
+    assert_eq!(json["ends_redelivered"], 5);
+    assert_eq!(json["ends_unconfirmed"], 3);
+    assert_eq!(json["drain_closed"], 4);
+    assert_eq!(json["ejected"], 1);
+    assert_eq!(json["sighup_applied"], 1);
+    assert_eq!(json["sighup_rejected"], 2);
+}
+
+#[test]
+fn names_beyond_the_bound_are_counted_together() {
+    let mut figures = Figures::default();
+    for n in 0..MOST_CLASSES + 10 {
+        figures.answered(&format!("c{n}"), Outcome::Succeeded);
+    }
+    let report = figures.report(Gauges::default());
+    assert_eq!(report.succeeded.len(), MOST_CLASSES + 1);
+    assert_eq!(report.succeeded[OTHER], 10);
+    assert_eq!(report.succeeded.values().sum::<u64>(), (MOST_CLASSES + 10) as u64);
+}
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod classes;
 pub mod descriptors;
+pub mod drain;
 pub mod figures;
 pub mod http;
 pub mod lifecycle;
