--- a/crates/gatekeeper/tests/restarts/callers.rs
+++ b/crates/gatekeeper/tests/restarts/callers.rs
@@ -1,5 +1,6 @@
 //! The callers of a run.
 
+use std::collections::BTreeSet;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 
@@ -8,9 +9,9 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::history::{Call, History, What};
+use crate::history::{Call, Held, History, What};
 use crate::leavers::{never_read, Leaver, Step};
-use crate::plan::{manner, Manner, Plan};
+use crate::plan::{manner, Load, Manner};
 
 /// Seconds between the two pieces of a set-up, and before a cancel.
 const MOMENT: f64 = 0.02;
@@ -25,6 +26,10 @@
     kept: bool,
     deaf: bool,
     open: Vec<u64>,
+    /// Calls that stand, which came on it.
+    standing: BTreeSet<u64>,
+    /// When the last set-up was sent on it.
+    asked_at: Option<f64>,
     /// What is to be written: the rest of a set-up, or a cancel.
     later: Option<(f64, Later)>,
     /// When it was last seen open.
@@ -51,27 +56,39 @@
 
 impl Callers {
     /// Callers of a gatekeeper, none connected yet.
-    pub fn new(gatekeeper: SocketAddr, plan: &Plan) -> Callers {
+    pub fn new(gatekeeper: SocketAddr, load: Load) -> Callers {
         Callers {
             gatekeeper,
-            rate: plan.rate,
-            wait_ms: (plan.deadline * 1000.0) as u32,
-            kept: plan.kept,
-            pools: plan.servers.len() as u32,
+            rate: load.rate,
+            wait_ms: (load.deadline * 1000.0) as u32,
+            kept: load.kept,
+            pools: load.pools,
             connections: Vec::new(),
             leavers: Vec::new(),
-            next_id: 1,
+            next_id: load.first_id,
             next_at: 0.0,
         }
     }
 
-    /// Opens the connections that are kept.
+    /// Opens the connections that are kept, as far as they are not there.
     pub fn connect(&mut self, now: f64) {
-        for _ in 0..self.kept {
+        let there = self.connections.iter().filter(|c| c.kept).count();
+        for _ in there..self.kept {
             let _ = self.open(now, true);
         }
     }
 
+    /// The connections that are open and read.
+    pub fn held(&self, now: f64) -> Vec<Held> {
+        let read = self.connections.iter().filter(|c| !c.deaf);
+        let held = |c: &Connection| Held {
+            open: c.open.len(),
+            standing: c.standing.len(),
+            asked_ago: c.asked_at.map(|at| now - at),
+        };
+        read.map(held).collect()
+    }
+
     /// Set-ups whose answer is waited for.
     pub fn waiting(&self) -> usize {
         let others: usize = self.connections.iter().filter(|c| !c.deaf).map(|c| c.open.len()).sum();
@@ -82,8 +99,16 @@
     fn open(&mut self, now: f64, kept: bool) -> Option<usize> {
         let stream = TcpStream::connect(self.gatekeeper).ok()?;
         let peer = peer(stream).ok()?;
-        let (open, later) = (Vec::new(), None);
-        self.connections.push(Connection { peer, kept, deaf: false, open, later, seen: now });
+        self.connections.push(Connection {
+            peer,
+            kept,
+            deaf: false,
+            open: Vec::new(),
+            standing: BTreeSet::new(),
+            asked_at: None,
+            later: None,
+            seen: now,
+        });
         Some(self.connections.len() - 1)
     }
 
@@ -133,6 +158,7 @@
         let deaf = matches!(manner, Manner::Deaf | Manner::LeavesBoth);
         let mut call = Call { sent: true, deaf, kept: connection.kept, ..Call::default() };
         connection.open.push(id);
+        connection.asked_at = Some(now);
         if manner == Manner::Pieces {
             let mut bytes = Vec::new();
             message.encode(&mut bytes);
@@ -162,6 +188,7 @@
             let Some((_, later)) = connection.later.take_if(|(at, _)| *at <= now) else { continue };
             match later {
                 Later::Rest(id, rest) => {
+                    connection.asked_at = Some(now);
                     let written = connection.peer.stream().write_all(&rest).is_ok();
                     history.calls.entry(id).or_default().written = written.then_some(now);
                 }
@@ -176,13 +203,14 @@
     /// Takes what has come.
     pub fn hear(&mut self, now: f64, history: &mut History) {
         self.hear_leavers(now, history);
+        let mut over = Vec::new();
         self.connections.retain_mut(|connection| {
             if connection.deaf {
                 return true;
             }
             let mut heard = Vec::new();
             let end = connection.peer.read(&mut heard);
-            heard.iter().for_each(|message| connection.take(now, message, history));
+            over.extend(heard.iter().filter_map(|message| connection.take(now, message, history)));
             if end.is_err() {
                 for id in connection.open.drain(..) {
                     history.calls.entry(id).or_default().ended = Some(connection.seen);
@@ -195,6 +223,10 @@
             }
             connection.kept || !connection.open.is_empty()
         });
+        // The end of a call may come on any connection.
+        for connection in self.connections.iter_mut().filter(|_| !over.is_empty()) {
+            connection.standing.retain(|id| !over.contains(id));
+        }
     }
 
     fn hear_leavers(&mut self, now: f64, history: &mut History) {
@@ -216,9 +248,15 @@
 }
 
 impl Connection {
-    fn take(&mut self, now: f64, message: &Message, history: &mut History) {
-        let Some(what) = What::of(message) else { return };
+    /// Takes a message; returns the call that is over by it.
+    fn take(&mut self, now: f64, message: &Message, history: &mut History) -> Option<u64> {
+        let what = What::of(message)?;
+        let over = matches!(what, What::Release(_));
         history.heard(now, message.call, what);
         self.open.retain(|id| *id != message.call);
+        if !over {
+            self.standing.insert(message.call);
+        }
+        over.then_some(message.call)
     }
 }
--- a/crates/gatekeeper/tests/restarts/history.rs
+++ b/crates/gatekeeper/tests/restarts/history.rs
@@ -94,6 +94,32 @@
     }
 }
 
+/// A connection as its caller saw it at the term of a drain.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Held {
+    /// Calls that wait for their answer.
+    pub open: usize,
+    /// Calls that stand, which came on it.
+    pub standing: usize,
+    /// How long before its last request was sent.
+    pub asked_ago: Option<f64>,
+}
+
+/// A drain, as the operators and the callers saw it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Drain {
+    /// When the gatekeeper said yes to it.
+    pub on: f64,
+    /// When it said yes to its end.
+    pub off: Option<f64>,
+    /// When it was first ready again after that.
+    pub ready: Option<f64>,
+    /// When it last said while drained that it is ready.
+    pub said_yes: Option<f64>,
+    /// When the connections were looked at that were open at its term, and these.
+    pub term: Option<(f64, Vec<Held>)>,
+}
+
 /// An attempt, as its server saw it.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -132,6 +158,8 @@
     pub departures: Vec<Departure>,
     /// Until when a connection that its caller keeps was open to the first process.
     pub kept_until: f64,
+    /// In the order of their beginnings.
+    pub drains: Vec<Drain>,
 }
 
 impl History {
--- a/crates/gatekeeper/tests/restarts/judge.rs
+++ b/crates/gatekeeper/tests/restarts/judge.rs
@@ -4,7 +4,7 @@
 
 use hollypaddle_platform::message::cause;
 
-use crate::history::{Attempt, Call, Departure, History};
+use crate::history::{Attempt, Call, Departure, Drain, Held, History};
 #[cfg(test)]
 use crate::history::{Reply, What};
 
@@ -18,6 +18,11 @@
 const END_TOLD: f64 = 1.0;
 /// A process that ends by itself tells before that what was left unread so long before.
 const LEFT_BEFORE_OVER: f64 = 0.3;
+/// A drained gatekeeper holds no connection idle, or with a request of the last [`IN_USE`], so long after the drain began.
+pub const TERM: f64 = 4.0;
+const IN_USE: f64 = 2.0;
+/// It is ready so long after the end of a drain.
+const READY_AFTER: f64 = 2.0;
 /// SIGKILL comes once the longest deadline, counted as 3 s where it is shorter, and this have passed.
 pub const KILL_AFTER: f64 = 0.7;
 
@@ -87,7 +92,7 @@
 type Check = fn(&History) -> Vec<String>;
 
 /// The rules by name.
-pub const RULES: [(&str, Check); 10] = [
+pub const RULES: [(&str, Check); 13] = [
     ("a set-up that was taken is answered", unanswered),
     ("a call has one final answer", answered_twice),
     ("one attempt of a call is out at a time", two_out),
@@ -98,6 +103,9 @@
     ("the end of a call reaches its caller in time", end_not_told),
     ("nothing is said of a call that nobody asked for", of_nobodys_call),
     ("an end left unread is told to a caller that is there", left_end_not_told),
+    ("a drained gatekeeper holds no connection idle or in use at its term", held_past_term),
+    ("a drained gatekeeper does not say that it is ready", ready_while_drained),
+    ("a gatekeeper is ready in time after a drain", late_after_drain),
 ];
 
 /// What breaks a rule.
@@ -214,6 +222,37 @@
     history.departures.iter().enumerate().filter_map(lost).collect()
 }
 
+fn held_past_term(history: &History) -> Vec<String> {
+    let idle = |held: &Held| held.open == 0 && held.standing == 0;
+    let in_use = |held: &Held| held.asked_ago.is_some_and(|ago| ago < IN_USE);
+    let judge = |drain: &Drain| {
+        let (at, all) = drain.term.as_ref()?;
+        let held: Vec<&Held> = all.iter().filter(|held| idle(held) || in_use(held)).collect();
+        let what = format!("on at {:.3}, held at {at:.3}: {held:?} of {}", drain.on, all.len());
+        (!held.is_empty()).then_some(what)
+    };
+    history.drains.iter().filter_map(judge).collect()
+}
+
+fn ready_while_drained(history: &History) -> Vec<String> {
+    let said = |drain: &Drain| {
+        Some(format!("on at {:.3}, said that it is ready at {:.3}", drain.on, drain.said_yes?))
+    };
+    history.drains.iter().filter_map(said).collect()
+}
+
+/// One that was stopped before is never ready again.
+fn late_after_drain(history: &History) -> Vec<String> {
+    let late = |drain: &Drain| {
+        let off = drain.off?;
+        let due = off + READY_AFTER + SLACK + history.paused;
+        let known = history.term.min(history.over()) > due;
+        let in_time = drain.ready.is_some_and(|at| at <= due);
+        (known && !in_time).then(|| format!("off at {off:.3}, ready {:?}", drain.ready))
+    };
+    history.drains.iter().filter_map(late).collect()
+}
+
 /// A run without fault, with one call of each kind.
 fn sound() -> History {
     let reply = |at, what| Reply { at, what };
@@ -231,6 +270,15 @@
     let left_at_its_end =
         Attempt { answer: Some(vec![8]), call_ended: Some(0.25), ..attempt(4, 0.11, Some(0.15)) };
     let stood = Attempt { answer: Some(vec![7]), call_ended: Some(0.9), ..attempt(1, 0.5, Some(0.6)) };
+    let waits = Held { open: 1, standing: 0, asked_ago: Some(2.1) };
+    let stands = Held { open: 0, standing: 1, asked_ago: Some(2.6) };
+    let drain = Drain {
+        on: 0.1,
+        off: Some(6.0),
+        ready: Some(6.1),
+        said_yes: None,
+        term: Some((4.15, vec![waits, stands])),
+    };
     History {
         calls: BTreeMap::from([(1, answered), (2, left), (3, crossed), (4, end_left)]),
         attempts: vec![attempt(1, 0.11, Some(0.12)), stood, attempt(2, 0.35, Some(0.4)), left_at_its_end],
@@ -241,6 +289,7 @@
         successor: None,
         departures: vec![departure],
         kept_until: 2.0,
+        drains: vec![drain],
     }
 }
 
@@ -252,7 +301,7 @@
 /// Each rule finds the fault that is planted for it, and no other rule does.
 #[test]
 fn faults_put_in_on_purpose_are_found() {
-    let planted: [fn(&mut History); 10] = [
+    let planted: [fn(&mut History); 13] = [
         |h| h.calls.get_mut(&3).unwrap().ended = Some(1.06),
         |h| {
             let replies = &mut h.calls.get_mut(&1).unwrap().replies;
@@ -266,6 +315,9 @@
         |h| drop(h.calls.get_mut(&1).unwrap().replies.pop()),
         |h| h.calls.get_mut(&2).unwrap().sent = false,
         |h| drop(h.calls.get_mut(&4).unwrap().replies.pop()),
+        |h| h.drains[0].term.as_mut().unwrap().1[0].asked_ago = Some(1.9),
+        |h| h.drains[0].said_yes = Some(3.0),
+        |h| (h.term, h.exit, h.drains[0].ready) = (9.0, Some((10.0, true)), Some(8.1)),
     ];
     for ((rule, _), plant) in RULES.into_iter().zip(planted) {
         let mut history = sound();
@@ -354,3 +406,12 @@
     };
     assert_eq!((aborted(1), aborted(2)), (0, 1));
 }
+
+/// Guards against a connection taken for needed on which nothing waits or stands, and against one held for what stands.
+#[test]
+fn a_connection_is_held_past_the_term_idle_but_not_with_a_call() {
+    let idle: fn(&mut History) = |h| h.drains[0].term.as_mut().unwrap().1[1].standing = 0;
+    assert_eq!(broken_by(idle), ["a drained gatekeeper holds no connection idle or in use at its term"]);
+    let never_asked: fn(&mut History) = |h| h.drains[0].term.as_mut().unwrap().1[1].asked_ago = None;
+    assert_eq!(broken_by(never_asked), [""; 0]);
+}
--- a/crates/gatekeeper/tests/restarts/main.rs
+++ b/crates/gatekeeper/tests/restarts/main.rs
@@ -3,6 +3,7 @@
 //! platform's rules. `SEED=n RUNS=1` plays one again, `RUNS=n` plays more; `SIDE_BY_SIDE=n` plays so many at once.
 
 mod callers;
+mod drains;
 mod history;
 mod judge;
 mod leavers;
@@ -62,12 +63,12 @@
         let plan = Plan::of(seed);
         let servers = Servers::open(&plan.servers);
         let resolver = Resolver::open().unwrap();
-        let config = config(&plan, &servers, &resolver);
+        let config = config(plan.deadline, &servers, &resolver);
         let listen = free_addresses(1).unwrap()[0];
         Run {
             begun: Instant::now(),
             rng: ChaCha8Rng::seed_from_u64(!seed),
-            callers: Callers::new(listen, &plan),
+            callers: Callers::new(listen, plan.load()),
             history: History { deadline: plan.deadline, ..History::default() },
             folder: tempfile::tempdir().unwrap(),
             plan,
@@ -158,21 +159,7 @@
 
     /// Sends a signal; returns until when the program is paused.
     fn signal(&self, signal: Signal, program: &Program) -> Option<f64> {
-        let path = self.folder.path().join("n0.json");
-        let write = |text: &str| std::fs::write(&path, text).unwrap();
-        match signal {
-            Signal::SameFile => write(&self.config),
-            Signal::NewFile => write(&self.config.replace(r#""goalTime":0.5"#, r#""goalTime":0.6"#)),
-            Signal::BrokenFile => write(&self.config[..self.config.len() / 2]),
-            Signal::Term | Signal::Pause => {}
-        }
-        let name = match signal {
-            Signal::SameFile | Signal::NewFile | Signal::BrokenFile => "-HUP",
-            Signal::Term => "-TERM",
-            Signal::Pause => "-STOP",
-        };
-        // It may have ended by itself in this moment.
-        let _ = program.signal(name);
+        send_signal(program, self.folder.path(), "n0", &self.config, signal);
         (signal == Signal::Pause).then(|| self.now() + PAUSE)
     }
 
@@ -187,9 +174,27 @@
     }
 }
 
+/// Sends a signal to a program of this name, with the platform's file that goes with it.
+fn send_signal(program: &Program, folder: &Path, name: &str, config: &str, signal: Signal) {
+    let write = |text: &str| std::fs::write(folder.join(format!("{name}.json")), text).unwrap();
+    match signal {
+        Signal::SameFile => write(config),
+        Signal::NewFile => write(&config.replace(r#""goalTime":0.5"#, r#""goalTime":0.6"#)),
+        Signal::BrokenFile => write(&config[..config.len() / 2]),
+        Signal::Term | Signal::Pause => {}
+    }
+    let name = match signal {
+        Signal::SameFile | Signal::NewFile | Signal::BrokenFile => "-HUP",
+        Signal::Term => "-TERM",
+        Signal::Pause => "-STOP",
+    };
+    // It may have ended by itself in this moment.
+    let _ = program.signal(name);
+}
+
 /// The platform's file.
-fn config(plan: &Plan, servers: &Servers, resolver: &Resolver) -> String {
-    let pools: Vec<String> = (0..plan.servers.len()).map(|n| n.to_string()).collect();
+fn config(deadline: f64, servers: &Servers, resolver: &Resolver) -> String {
+    let pools: Vec<String> = (0..servers.listed().len()).map(|n| n.to_string()).collect();
     format!(
         r#"{{"seed":"8c1f","dns":"{}","limits":{{"sockets":256}},"known":{},
           "settings":{{"peersTotal":1,"period":0.005,
@@ -200,7 +205,7 @@
         resolver.address().unwrap(),
         resolver::known(1, servers.listed()),
         pools.join(","),
-        plan.deadline,
+        deadline,
     )
 }
 
--- a/crates/gatekeeper/tests/restarts/plan.rs
+++ b/crates/gatekeeper/tests/restarts/plan.rs
@@ -20,6 +20,8 @@
     Resets(usize),
     /// Each stands at once and ends so many seconds later.
     Holds(f64),
+    /// Each stands after so many seconds, and ends after some more: so many on average.
+    Stands(f64, f64),
     /// Each stands at once; of so many answers one stops short of its length, with the next ones behind it.
     StopsShort(usize),
     /// Each stands at once, is answered twice, and another answer under an id that nobody knows comes ahead.
@@ -64,6 +66,21 @@
     Aborts,
 }
 
+/// What callers bring to a gatekeeper.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// Set-ups a second.
+    pub rate: f64,
+    /// The longest deadline, in seconds.
+    pub deadline: f64,
+    /// Connections that callers keep open.
+    pub kept: usize,
+    /// Servers that they name as their first choice.
+    pub pools: u32,
+    /// The id of the first call.
+    pub first_id: u64,
+}
+
 /// One run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -88,6 +105,12 @@
 }
 
 impl Plan {
+    /// What its callers bring.
+    pub fn load(&self) -> Load {
+        let (rate, deadline, kept) = (self.rate, self.deadline, self.kept);
+        Load { rate, deadline, kept, pools: self.servers.len() as u32, first_id: 1 }
+    }
+
     /// The run of a seed.
     pub fn of(seed: u64) -> Plan {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/gatekeeper/tests/restarts/servers.rs
+++ b/crates/gatekeeper/tests/restarts/servers.rs
@@ -6,6 +6,9 @@
 use hollypaddle_platform::message::{cause, code, kind, Message};
 use hollypaddle_standin::resolver::Listed;
 use hollypaddle_standin::{full, peer, release, Peer};
+use rand::Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use crate::history::Attempt;
 use crate::plan::Service;
@@ -115,6 +118,12 @@
     Message::new(kind::ANSWER, id).with(code::DESCRIPTION, format!("made for {id:016x}, attempt {attempt}"))
 }
 
+/// For how long a call stands: drawn from its id, exponentially, with this mean.
+fn hold(id: u64, mean: f64) -> f64 {
+    let share = ChaCha8Rng::seed_from_u64(id).gen_range(0.0..1.0_f64);
+    -mean * (1.0 - share).ln()
+}
+
 fn description(answer: &Message) -> Option<Vec<u8>> {
     answer.bytes(code::DESCRIPTION).map(<[u8]>::to_vec)
 }
@@ -163,7 +172,9 @@
         self.brought += 1;
         self.open.push(attempt);
         match service {
-            Service::Answers(after) => self.due.push((now + after, attempt, Due::Answer)),
+            Service::Answers(after) | Service::Stands(after, _) => {
+                self.due.push((now + after, attempt, Due::Answer));
+            }
             Service::Resets(_) | Service::Holds(_) | Service::StopsShort(_) | Service::Repeats => {
                 self.due.push((now, attempt, Due::Answer));
             }
@@ -196,6 +207,7 @@
         self.close(now, attempt, attempts);
         match service {
             Service::Holds(hold) => self.due.push((now + hold, attempt, Due::End)),
+            Service::Stands(_, mean) => self.due.push((now + hold(id, mean), attempt, Due::End)),
             // The reset may destroy it.
             Service::Resets(_) => drop(self.peer.send(&release(id, cause::NORMAL))),
             _ => self.end_call(now, &mut attempts[attempt]),
