Tell the ends of calls to a caller that asks again, not to the newest one

What callers saw: calls whose own connection was gone ended, and nobody was told in time. Evidence, the gatekeeper's log at debug with end-sent, which is new: the ends of five calls went to caller 55, the newest that was sent an answer; it read none, and its connection was reset 0.4 s after the first. A reset tells that the last of them was unread, no more. Cause: Clients::successor took the newest connection that was sent an answer. Callers that ask once and leave are always the newest. Change: first comes a connection on which a set-up came after something was told there, the latest of them: its caller reads and goes on. Where none is, the choice is as before. The soak's programs log as PROGRAM_LOG says, into the target folder.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -46,6 +46,8 @@
     used_at: f64,
     /// When its last set-up was read.
     asked_at: Option<f64>,
+    /// When its last set-up was read that came after something was told of a call: its caller reads what it is sent.
+    asked_again_at: Option<f64>,
     best_reply: BestReply,
     senseless: u32,
     pending_ends: Pending<CallEnd>,
@@ -354,6 +356,7 @@
             since: now,
             used_at: now,
             asked_at: None,
+            asked_again_at: None,
             best_reply: BestReply::None,
             senseless: 0,
             pending_ends: Pending::default(),
@@ -377,6 +380,9 @@
         match message.kind {
             kind::SET_UP => {
                 (client.used_at, client.asked_at) = (now, Some(now));
+                if client.best_reply >= BestReply::Outcome {
+                    client.asked_again_at = Some(now);
+                }
                 let refusal = match request(message, &self.classes) {
                     Err(cause) => Message::new(kind::RELEASE, message.call).caused(cause),
                     Ok(request) => match calls.offer(now, key, request) {
--- a/crates/gatekeeper/src/node/clients/ends.rs
+++ b/crates/gatekeeper/src/node/clients/ends.rs
@@ -8,7 +8,7 @@
 use hollypaddle_platform::message::Message;
 
 use super::reply::encode;
-use super::{BestReply, Clients};
+use super::{BestReply, Client, Clients};
 use crate::node::delivery::{Closed, Pending};
 use crate::node::poller::{Key, Watch};
 
@@ -81,6 +81,7 @@
     }
 
     fn write_end(&mut self, now: f64, key: Key, end: CallEnd, best_reply: BestReply, watch: &Watch) {
+        log::debug!(call:% = format_args!("{:016x}", end.id), caller = key, cut = end.cut; "end-sent");
         self.send(now, key, &end.message(), best_reply, watch);
         let Some(client) = self.connections.get_mut(&key) else { return };
         let (position, written) = (client.connection.queued(), client.connection.written());
@@ -150,11 +151,17 @@
     }
 
     /// The connection on which the end of a call is sent whose caller's own connection is gone: one that was sent an answer, as
-    /// whoever never had a call passes over it; the newest of them as the least likely to be closing.
+    /// whoever never had a call passes over it. First one whose caller asked again after that, so that it reads, the latest of
+    /// them; then the newest as the least likely to be closing. Guards against ends left unread by callers that ask once.
     fn successor(&self) -> Option<Key> {
         let known =
             self.connections.iter().filter(|(_, c)| c.best_reply >= BestReply::Outcome && !c.reset_seen);
-        known.max_by_key(|(&key, c)| (c.best_reply, key)).map(|(key, _)| *key)
+        let order = |c: &Client| (c.best_reply, c.asked_again_at.unwrap_or(f64::NEG_INFINITY));
+        let best = known.max_by(|(a_key, a), (b_key, b)| {
+            let (a, b) = (order(a), order(b));
+            a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)).then(a_key.cmp(b_key))
+        });
+        best.map(|(key, _)| *key)
     }
 
     /// Sends the ends that have waited long enough for a better connection on any.
--- a/crates/gatekeeper/src/node/tests/ends.rs
+++ b/crates/gatekeeper/src/node/tests/ends.rs
@@ -240,3 +240,18 @@
     w.pass(1.0);
     assert_told_once(&w, 1);
 }
+
+/// Guards against ends left unread by callers that ask once, while another one asks again and reads.
+#[test]
+fn an_end_whose_connection_is_gone_goes_to_a_caller_that_asks_again() {
+    let mut w = World::new(1);
+    w.stand(8);
+    let gone = with_a_call(&mut w);
+    let asked_once = with_a_call_of(&mut w, 2);
+    drop(gone);
+    w.pass(0.3);
+    w.servers_say(&release(1, cause::NORMAL));
+    (0..5).for_each(|_| w.turn());
+    assert_told_once(&w, 1);
+    drop(asked_once);
+}
--- a/crates/gatekeeper/tests/restarts/drains.rs
+++ b/crates/gatekeeper/tests/restarts/drains.rs
@@ -1,5 +1,6 @@
 //! Drains of several gatekeepers, in series and side by side, each drawn from a seed, while callers go on using open
-//! connections. `SEED=n DRAINS=1` plays one again, `DRAINS=n` plays more; `SIDE_BY_SIDE=n` plays so many at once.
+//! connections. `SEED=n DRAINS=1` plays one again, `DRAINS=n` plays more; `SIDE_BY_SIDE=n` plays so many at once. With
+//! `PROGRAM_LOG=debug` the gatekeepers' logs are written into the target folder's `tmp`, with seconds of the run.
 
 mod control;
 mod plan;
@@ -9,7 +10,7 @@
 use std::time::Instant;
 
 use hollypaddle_standin::free_addresses;
-use hollypaddle_standin::program::Program;
+use hollypaddle_standin::program::{unix_time, Program, LOG_LEVEL};
 use hollypaddle_standin::resolver::Resolver;
 use rand_chacha::rand_core::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -122,6 +123,8 @@
 struct Run {
     plan: DrainPlan,
     begun: Instant,
+    begun_unix: f64,
+    seed: u64,
     rng: ChaCha8Rng,
     servers: Servers,
     resolver: Resolver,
@@ -137,6 +140,8 @@
         let config = config(plan.deadline, &servers, &resolver);
         let mut run = Run {
             begun: Instant::now(),
+            begun_unix: 0.0,
+            seed,
             rng: ChaCha8Rng::seed_from_u64(!seed),
             servers,
             resolver,
@@ -146,7 +151,7 @@
             plan,
         };
         run.nodes = (0..run.plan.nodes).map(|n| run.start(n)).collect();
-        run.begun = Instant::now();
+        (run.begun, run.begun_unix) = (Instant::now(), unix_time());
         run
     }
 
@@ -252,7 +257,22 @@
         std::thread::sleep(TURN);
     }
 
+    /// Writes the logs of the gatekeepers, a line an event.
+    fn write_logs(&self) {
+        for node in &self.nodes {
+            let line = |event: &serde_json::Value| {
+                let at = event["time"].as_f64().unwrap_or(0.0) - self.begun_unix;
+                format!("{at:.3} {event}\n")
+            };
+            let file = format!("{}/drains-{}-{}.log", env!("CARGO_TARGET_TMPDIR"), self.seed, node.name);
+            std::fs::write(file, node.program.log.iter().map(line).collect::<String>()).unwrap();
+        }
+    }
+
     fn finish(mut self) -> Vec<History> {
+        if std::env::var_os(LOG_LEVEL).is_some() {
+            self.write_logs();
+        }
         let attempts = self.servers.attempts();
         for node in &mut self.nodes {
             node.callers.finish(&mut node.history);
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -16,6 +16,9 @@
 /// Lines that wait to be read; beyond it the program waits to write.
 const LINES: usize = 10_000;
 
+/// The variable of the environment that names how talkative the logs of programs are, as `RUST_LOG` has it.
+pub const LOG_LEVEL: &str = "PROGRAM_LOG";
+
 /// The system's time, in Unix seconds.
 pub fn unix_time() -> f64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
@@ -86,7 +89,7 @@
             .env("PROXY_NAME", name)
             .env("PROXY_CONFIG", &platform)
             .envs(environment.iter().copied())
-            .env_remove("RUST_LOG")
+            .env("RUST_LOG", std::env::var(LOG_LEVEL).unwrap_or_else(|_| "info".into()))
             .stderr(Stdio::piped())
             .spawn()?;
         let (send, lines) = sync_channel(LINES);
