Let connections in use and idle ones go by the term of a drain

Cause: each exemption from closing was made for one rule without the bound of another. A connection with a set-up open stayed (a busy one was never found free by the look each 50 ms), one with a standing call, and the one reserved for ends of calls whose own connection is gone, idle or not, all without end, and callers move to what is left. Change (service::drain decides, clients/draining.rs carries out): from 1.5 s each turn closes what waits for nothing, busy ones with standing calls too as long as another takes the ends. Quiet connections stay for their standing calls. At 3.5 s open set-ups of connections in use get their final answer, and calls whose own connection must go, with no other there for their ends, are cut and told. The ends of others go first to a caller that asked again. Why it works: every way in which a connection is kept now has a bound below 4 s, or is one that the term allows (a set-up that came before 2 s, a quiet connection with a standing call); nothing_idle_or_in_use_is_kept_at_the_term holds each combination to that.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -343,8 +343,8 @@
         // An id is taken once: the servers and the caller tell calls apart by it alone.
         match self.ids.get(&id).and_then(|call| self.calls.get(call)) {
             Some(first) if first.origin == origin => return Err(NotTaken::Repeated),
-            None if !self.offered.contains(&id) && !self.adopted.contains_key(&id) => {}
-            _ => return Err(NotTaken::Known),
+            _ if self.is_known(id) => return Err(NotTaken::Known),
+            _ => {}
         }
         if self.held_bytes > self.most_held {
             return Err(NotTaken::Crowded);
@@ -365,6 +365,11 @@
         Ok(())
     }
 
+    /// Whether a call of this id came earlier, as far as is remembered.
+    pub fn is_known(&self, id: u64) -> bool {
+        self.ids.contains_key(&id) || self.offered.contains(&id) || self.adopted.contains_key(&id)
+    }
+
     /// An id is known from now on, as long as not too many came since.
     fn remember(&mut self, id: u64) {
         if self.offered.insert(id) {
@@ -575,12 +580,27 @@
     /// Answers all calls that have no final answer, before the program ends: refused, with the time to stay away, or failed
     /// where an attempt may have run and the class may not be repeated, as a caller that is refused tries again.
     pub fn answer_all(&mut self, repeatable: impl Fn(usize) -> bool, stay_away: f64) {
-        let open = |(_, c): &(&CallId, &Call)| !matches!(c.state, State::Standing { .. });
+        self.answer_now(|_| true, repeatable, stay_away);
+    }
+
+    /// Answers the calls of an origin that have no final answer in the same way, as its connection is to be closed.
+    pub fn answer_from(&mut self, origin: Origin, repeatable: impl Fn(usize) -> bool, stay_away: f64) {
+        self.answer_now(|from| from == origin, repeatable, stay_away);
+    }
+
+    fn answer_now(
+        &mut self,
+        from: impl Fn(Origin) -> bool,
+        repeatable: impl Fn(usize) -> bool,
+        stay_away: f64,
+    ) {
+        let open = |(_, c): &(&CallId, &Call)| from(c.origin) && !matches!(c.state, State::Standing { .. });
         let mut all: Vec<(CallId, bool)> = (self.calls.iter().filter(open))
             .map(|(call, c)| (*call, c.attempts == 0 || repeatable(c.class)))
             .collect();
         all.sort_unstable();
         for (call, harmless) in all {
+            self.events.push(Event::Abandoned { call });
             match harmless {
                 true => self.refuse(call, stay_away),
                 false => self.fail(call),
@@ -588,6 +608,23 @@
         }
     }
 
+    /// Cuts the calls of these origins that stand, as their ends could not be told to anybody: their servers and callers are
+    /// told now. Returns how many.
+    pub fn cut_standing(&mut self, from: impl Fn(Origin) -> bool) -> usize {
+        let standing = |(call, c): (&CallId, &Call)| match c.state {
+            State::Standing { pool, .. } if from(c.origin) => Some((*call, pool, c.id)),
+            _ => None,
+        };
+        let mut all: Vec<(CallId, PoolId, u64)> = self.calls.iter().filter_map(standing).collect();
+        all.sort_unstable();
+        for &(call, pool, id) in &all {
+            // The server is not to blame.
+            self.over(call, pool, End::of(Outcome::Cancelled));
+            self.order(pool, id, Order::Release);
+        }
+        all.len()
+    }
+
     // ---- What callers say
 
     /// A caller gives a call up, or releases one that stands.
--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -385,6 +385,11 @@
                 }
                 let refusal = match request(message, &self.classes) {
                     Err(cause) => Message::new(kind::RELEASE, message.call).caused(cause),
+                    Ok(_)
+                        if !calls.is_known(message.call) && self.refuse_drained(now, key, message, watch) =>
+                    {
+                        return Ok(())
+                    }
                     Ok(request) => match calls.offer(now, key, request) {
                         Ok(()) => return Ok(()),
                         Err(NotTaken::Crowded) => {
@@ -400,6 +405,7 @@
                     },
                 };
                 log::debug!(call:% = format_args!("{:016x}", message.call), cause = refusal.cause(); "set-up-not-taken");
+                let Some(client) = self.connections.get_mut(&key) else { return Ok(()) };
                 client.senseless += 1;
                 let senseless = client.senseless;
                 self.send(now, key, &refusal, BestReply::Notice, watch);
--- a/crates/gatekeeper/src/node/clients/draining.rs
+++ b/crates/gatekeeper/src/node/clients/draining.rs
@@ -1,15 +1,17 @@
 //! Connections of callers while the gatekeeper is drained.
 
-use hollypaddle_core::calls::Calls;
+use std::collections::BTreeSet;
+
+use hollypaddle_core::calls::{Calls, Reply};
 use hollypaddle_platform::connection::Over;
+use hollypaddle_platform::message::Message;
 use hollypaddle_service::drain::{self, Decision, KeptFor};
 
+use super::reply::encode;
+use super::set_up::request_class;
 use super::{BestReply, Client, Clients};
 use crate::node::poller::{Key, Watch};
 
-/// At the term, a connection counts as in use with a request from this last time, in seconds.
-const IN_USE_S: f64 = 2.0;
-
 /// A drain that goes on.
 pub(super) struct Drain {
     began: f64,
@@ -22,6 +24,19 @@
 pub struct DrainCounts {
     /// Connections that were closed.
     pub closed: u64,
+    /// Set-ups that were refused, as they came late in a drain.
+    pub refused: u64,
+}
+
+/// What is to be done to calls before connections can be closed.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct DrainOrders {
+    /// The connections whose open set-ups get their final answer now.
+    pub answer: Vec<Key>,
+    /// Calls that stand are cut, as no connection stays on which their ends could be told.
+    pub cut: bool,
+    /// The connections that stay for calls of their own, which are not cut.
+    pub staying: BTreeSet<Key>,
 }
 
 impl Clients {
@@ -41,27 +56,80 @@
         self.drain_counts
     }
 
-    /// While drained, closes the connections that are to be let go.
-    pub fn drain(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
-        let Some(began) = self.drain.as_ref().map(|drain| drain.began) else { return };
-        let reserved = self.reserved(calls);
+    /// Whether connections are closed as soon as they wait for nothing, so that every turn may bring one.
+    pub fn drains_firmly(&self, now: f64) -> bool {
+        self.drain.as_ref().is_some_and(|drain| now - drain.began >= drain::FIRM_AFTER_S)
+    }
+
+    /// While drained, closes the connections that are to be let go; returns what is to be done before others can be.
+    pub fn drain(&mut self, now: f64, watch: &Watch, calls: &mut Calls) -> DrainOrders {
+        let Some(began) = self.drain.as_ref().map(|drain| drain.began) else { return DrainOrders::default() };
+        let staying = self.staying(now, began, calls);
+        let end_path = self.end_path(now, began, &staying, calls);
+        let mut orders = DrainOrders { staying, ..DrainOrders::default() };
         let mut closing = Vec::new();
         for (key, client) in &mut self.connections {
-            let state = client.state(*key, reserved, calls);
+            let state = client.state(*key, end_path, calls);
             match drain::decide(now, began, &state) {
                 Decision::Close => closing.push(*key),
+                Decision::AnswerSetUps => orders.answer.push(*key),
+                Decision::CutCalls => orders.cut = true,
                 Decision::Keep(reason) => client.log_kept(*key, reason, &state),
             }
         }
         for key in closing {
-            let reason = |c: &mut Client, calls: &Calls| {
-                (calls.open_from(key) == 0 && c.used_at < now).then_some(Over::Drained)
+            let reason = |client: &mut Client, calls: &Calls| {
+                let state = client.state(key, end_path, calls);
+                (drain::decide(now, began, &state) == Decision::Close).then_some(Over::Drained)
             };
             self.drain_counts.closed += u64::from(self.close_if(now, key, reason, watch, calls));
         }
+        if orders.cut {
+            self.send_all_undelivered(now, watch, calls);
+        }
         if now - began >= drain::TERM_S {
             self.log_term(now, calls);
         }
+        orders
+    }
+
+    /// Refuses a set-up that comes late in a drain; returns whether it did.
+    pub(super) fn refuse_drained(&mut self, now: f64, key: Key, message: &Message, watch: &Watch) -> bool {
+        let refuses = self.drain.as_ref().is_some_and(|drain| drain::refuses_set_ups(now, drain.began));
+        if refuses {
+            log::debug!(call:% = format_args!("{:016x}", message.call), caller = key; "set-up-refused-in-drain");
+            self.drain_counts.refused += 1;
+            self.turned_away.push(request_class(message, &self.classes));
+            let refusal = encode(message.call, Reply::Refused(self.stay_away()));
+            self.send(now, key, &refusal, BestReply::Outcome, watch);
+        }
+        refuses
+    }
+
+    /// The connections that stay for calls of their own.
+    fn staying(&self, now: f64, began: f64, calls: &Calls) -> BTreeSet<Key> {
+        let stays = |(key, client): &(&Key, &Client)| {
+            !client.reset_seen && drain::may_stay(now, began, &client.state(**key, None, calls))
+        };
+        self.connections.iter().filter(stays).map(|(key, _)| *key).collect()
+    }
+
+    /// The connection that stays for the ends of calls whose own does not, while there are any.
+    fn end_path(&self, now: f64, began: f64, staying: &BTreeSet<Key>, calls: &Calls) -> Option<Key> {
+        if self.undelivered.is_empty() && !calls.stands_elsewhere(|origin| staying.contains(&origin)) {
+            return None;
+        }
+        let usable = self.connections.iter().filter(|(_, client)| !client.reset_seen);
+        let fitness = |key: Key, client: &Client| {
+            let (reads, may_stay, unused) =
+                drain::fitness_for_ends(now, began, &client.state(key, None, calls));
+            ((reads, may_stay, client.best_reply), unused)
+        };
+        let fittest = usable.max_by(|(a_key, a), (b_key, b)| {
+            let (a, b) = (fitness(**a_key, a), fitness(**b_key, b));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        });
+        fittest.map(|(key, _)| *key)
     }
 
     /// Logs once what is held at the term of a drain.
@@ -73,22 +141,25 @@
         let standing = held().filter(|(key, _)| calls.standing_from(**key) > 0).count();
         let idle =
             held().filter(|(key, _)| calls.open_from(**key) == 0 && calls.standing_from(**key) == 0).count();
-        let in_use =
-            held().filter(|(_, client)| client.asked_at.is_some_and(|at| now - at < IN_USE_S)).count();
+        let is_in_use = |client: &Client| client.asked_at.is_some_and(|at| now - at < drain::IN_USE_S);
+        let in_use = held().filter(|(_, client)| is_in_use(client)).count();
         log::info!(held = held().count(), waiting, standing, idle, in_use; "drain-term");
     }
 }
 
 impl Client {
-    fn state(&self, key: Key, reserved: Option<Key>, calls: &Calls) -> drain::Connection {
+    fn state(&self, key: Key, end_path: Option<Key>, calls: &Calls) -> drain::Connection {
         drain::Connection {
             since: self.since,
             used_at: self.used_at,
+            asked_at: self.asked_at,
             told: self.best_reply != BestReply::None,
-            open: calls.open_from(key),
+            asks_again: self.asked_again_at.is_some(),
+            // An answer that came in this turn is not written yet.
+            open: calls.open_from(key) + usize::from(calls.owes_reply(key)),
             standing: calls.standing_from(key),
             writing: self.connection.blocked(),
-            reserved: Some(key) == reserved,
+            end_path: Some(key) == end_path,
         }
     }
 
--- a/crates/gatekeeper/src/node/clients/ends.rs
+++ b/crates/gatekeeper/src/node/clients/ends.rs
@@ -166,9 +166,23 @@
 
     /// Sends the ends that have waited long enough for a better connection on any.
     pub(super) fn send_undelivered(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
-        let due = |end: &mut CallEnd| now - end.ended_at >= ANY_CONNECTION_AFTER;
+        self.send_undelivered_if(now, |end| now - end.ended_at >= ANY_CONNECTION_AFTER, watch, calls);
+    }
+
+    /// Sends all ends that wait for a better connection on any.
+    pub(super) fn send_all_undelivered(&mut self, now: f64, watch: &Watch, calls: &mut Calls) {
+        self.send_undelivered_if(now, |_| true, watch, calls);
+    }
+
+    fn send_undelivered_if(
+        &mut self,
+        now: f64,
+        due: impl Fn(&mut CallEnd) -> bool,
+        watch: &Watch,
+        calls: &mut Calls,
+    ) {
         while let Some(newest) = self.connections.keys().next_back().copied() {
-            let Some(end) = self.undelivered.pop_front_if(due) else { return };
+            let Some(end) = self.undelivered.pop_front_if(&due) else { return };
             // Whether its caller ever has a call is not known.
             self.send_end(now, newest, end, BestReply::Notice, watch, calls);
         }
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -10,6 +10,7 @@
 use hollypaddle_policy::{Action, CallId, Controller, Event, ListKind, Settings};
 use serde_json::{json, Value};
 
+use self::draining::DrainedCalls;
 use super::clients::Clients;
 use super::clock::Clock;
 use super::config::{Config, ConfigError, LinkClass};
@@ -31,6 +32,8 @@
 use hollypaddle_service::http::{self as control_http, Call};
 use hollypaddle_service::lifecycle::{Lifecycle, Phase};
 
+mod draining;
+
 /// A tick of the timer wheel, in seconds.
 const TICK: f64 = 0.005;
 /// Time between looks at connections that owe a sign.
@@ -81,6 +84,11 @@
     };
 }
 
+/// Whether set-ups of a class may be sent again, by its number.
+fn repeatable(classes: &Table<(ClassSettings, LinkClass)>) -> impl Fn(usize) -> bool + '_ {
+    |class| classes.entries().get(class).is_some_and(|entry| entry.settings.0.repeatable)
+}
+
 /// The first mistake, and how many there are.
 fn first_of(problems: &[Problem]) -> String {
     let first = problems.first().map(Problem::to_string).unwrap_or_default();
@@ -152,6 +160,8 @@
     started: f64,
     /// Calls of this turn whose caller could not be told that they stand.
     untold: Vec<u64>,
+    /// Calls that were ended in drains.
+    drained_calls: DrainedCalls,
     /// The longest time after SIGTERM.
     last: f64,
     /// Between two questions to the resolver.
@@ -232,6 +242,7 @@
             classes,
             started: now,
             untold: Vec::new(),
+            drained_calls: DrainedCalls::default(),
             last,
             ask_every,
             #[cfg(test)]
@@ -319,10 +330,7 @@
                 self.reload(load());
             }
             if stopping.is_none() && signals.stop.load(Ordering::Relaxed) {
-                let (open, standing) = self.calls.count();
-                log::info!(open, standing; "stopping");
-                self.life.stop(now);
-                self.clients.steer_away(now);
+                self.begin_stop(now);
                 stopping = Some(Stopping { seen_at: now, sent_after: not_stopped_at });
             }
             not_stopped_at = now;
@@ -537,6 +545,9 @@
             ends_redelivered: ends.redelivered,
             ends_unconfirmed: ends.unconfirmed,
             drain_closed: self.clients.drain_counts().closed,
+            drain_refused: self.clients.drain_counts().refused,
+            drain_answered: self.drained_calls.answered,
+            drain_cut: self.drained_calls.cut,
         });
         // Written where the servers' sockets are, and counted there.
         report.forwards += self.calls.forwards;
@@ -561,6 +572,14 @@
         Some(self.crossing()?.report(now, span))
     }
 
+    /// SIGTERM: it serves what still comes, and is not ready any more. A drain goes on.
+    pub(super) fn begin_stop(&mut self, now: f64) {
+        let (open, standing) = self.calls.count();
+        log::info!(open, standing; "stopping");
+        self.life.stop(now);
+        self.clients.steer_away(now);
+    }
+
     pub(super) fn finish(&mut self, now: f64) -> io::Result<()> {
         let (open, standing) = self.calls.count();
         self.answer_rest(now);
@@ -612,9 +631,7 @@
 
     /// Answers the calls that have no final answer yet, as the program ends.
     fn answer_open(&mut self, now: f64) {
-        let classes = self.classes.entries();
-        let repeatable = |class: usize| classes.get(class).is_some_and(|e| e.settings.0.repeatable);
-        self.calls.answer_all(repeatable, self.clients.stay_away());
+        self.calls.answer_all(repeatable(&self.classes), self.clients.stay_away());
         self.decide(now);
     }
 
@@ -700,8 +717,10 @@
             // Only now is all said that this turn brought. Guards against a connection closed as idle while the end of the
             // call that kept it is on its way there.
             self.clients.beat(now, &self.watch, &mut self.calls);
-            self.clients.drain(now, &self.watch, &mut self.calls);
             self.listen_as_told(now);
+        }
+        if beat || self.clients.drains_firmly(now) {
+            self.drain(now);
             self.decide(now);
         }
         let mut room = room!(self, now);
--- a/crates/gatekeeper/src/node/fleet.rs
+++ b/crates/gatekeeper/src/node/fleet.rs
@@ -167,6 +167,11 @@
         self.told.pool(server)
     }
 
+    /// Whether other members have callers whom they could tell the ends of calls.
+    pub fn others_have_callers(&self) -> bool {
+        self.member.others_have_callers()
+    }
+
     /// Hands the ends for which no caller is here to members that have some.
     pub fn hand_over(&mut self, now: f64, clients: &mut Clients) {
         let here = clients.has_successor();
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -4,6 +4,7 @@
 mod connections;
 mod crowds;
 mod cut_messages;
+mod draining;
 mod ends;
 mod rare;
 mod said;
@@ -816,55 +817,6 @@
     assert_eq!(v["sighup_rejected"], 0);
 }
 
-/// Guards against a drained gatekeeper that keeps idle connections, or drops a request of the last moment.
-#[test]
-fn lameduck_lets_quiet_connections_go_and_answers_the_last_requests() {
-    let mut w = World::controlled(1);
-    let mut idle = peer(TcpStream::connect(w.node.address()).unwrap());
-    w.stand(1);
-    assert_eq!(w.post("/_lameduck/on").0, 200);
-    let drained = w.node.now();
-    // A request on an open connection after the drain is still served.
-    w.caller.send(&set_up(2, 3000)).unwrap();
-    w.at_servers(2, kind::SET_UP);
-    w.servers_say(&answer(2));
-    w.heard(2, kind::ANSWER, None);
-    // A new connection within the front's 0.2 s is served too.
-    let mut late = peer(TcpStream::connect(w.node.address()).unwrap());
-    late.send(&set_up(3, 3000)).unwrap();
-    w.at_servers(3, kind::SET_UP);
-    w.servers_say(&answer(3));
-    let mut heard = Vec::new();
-    for _ in 0..TURNS {
-        w.turn();
-        let _ = late.read(&mut heard);
-        if heard.iter().any(|m| m.call == 3 && m.kind == kind::ANSWER) {
-            break;
-        }
-    }
-    assert!(heard.iter().any(|m| m.call == 3 && m.kind == kind::ANSWER));
-    // Within 4 s of the drain every connection that waits for nothing is closed; the process goes on.
-    w.pass(3.0);
-    assert!(w.node.now() - drained < 4.0);
-    let closed = |p: &mut Peer| p.read(&mut Vec::new()).is_err();
-    assert!(closed(&mut idle), "the idle connection is closed");
-    assert_eq!(w.get("/_ready").0, 503);
-    assert!(TcpStream::connect(w.node.address()).is_err(), "a drained listener takes no connection");
-    assert!(!control_gone(&mut w), "the process goes on");
-    assert_eq!(w.post("/_lameduck/off").0, 200);
-    assert_eq!(w.get("/_ready").0, 200);
-    // The listener is open again at the next beat.
-    w.pass(0.2);
-    let mut again = peer(TcpStream::connect(w.node.address()).unwrap());
-    again.send(&set_up(4, 3000)).unwrap();
-    w.at_servers(4, kind::SET_UP);
-}
-
-fn control_gone(w: &mut World) -> bool {
-    w.turn();
-    w.node.control_address().is_none()
-}
-
 /// Guards against an upgrade in which the new process cannot listen beside the old one.
 #[test]
 fn a_second_gatekeeper_listens_at_the_same_address() {
--- a/crates/gatekeeper/tests/restarts/drains.rs
+++ b/crates/gatekeeper/tests/restarts/drains.rs
@@ -208,7 +208,7 @@
             }
             if let Some((_, n, count)) = crowd.take_if(|(at, ..)| now >= *at) {
                 let node = &mut self.nodes[n];
-                if node.drained.is_none() && !node.termed {
+                if node.load(now).1 {
                     node.callers.crowd(now, count, &mut self.rng, &mut node.history);
                 }
             }
--- a/crates/gatekeeper/tests/restarts/drains/plan.rs
+++ b/crates/gatekeeper/tests/restarts/drains/plan.rs
@@ -87,9 +87,7 @@
             .map(|_| (rng.gen_range(0.3..at), rng.gen_range(0..nodes), signal(&mut rng)))
             .collect();
         signals.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let crowd = rng
-            .gen_bool(0.3)
-            .then(|| (rng.gen_range(0.3..at), rng.gen_range(0..nodes), rng.gen_range(50..=150)));
+        let crowd = rng.gen_bool(0.4).then(|| crowd(&waves, &mut rng));
         let last = waves[waves.len() - 1].clone();
         // In the middle of the last drain, or after it.
         let term_at = if rng.gen_bool(0.4) { rng.gen_range(last.on + 0.2..last.off) } else { at };
@@ -107,6 +105,13 @@
     }
 }
 
+/// Close to the begin of a drain, of a gatekeeper that is drained then.
+fn crowd(waves: &[Wave], rng: &mut ChaCha8Rng) -> (f64, usize, usize) {
+    let wave = &waves[rng.gen_range(0..waves.len())];
+    let node = wave.nodes[rng.gen_range(0..wave.nodes.len())];
+    (wave.on + rng.gen_range(-0.3..0.15), node, rng.gen_range(50..=200))
+}
+
 fn wave(on: f64, nodes: usize, rng: &mut ChaCha8Rng) -> Wave {
     let many = rng.gen_bool(0.6);
     let count = if many { rng.gen_range(3..=nodes) } else { 1 };
--- a/crates/gatekeeper/tests/restarts/history.rs
+++ b/crates/gatekeeper/tests/restarts/history.rs
@@ -1,6 +1,7 @@
 //! What callers and servers saw of one run.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use hollypaddle_platform::message::{cause, code, kind, Message};
 
@@ -42,7 +43,7 @@
 }
 
 /// Something that a caller heard of its call.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, PartialEq)]
 pub struct Reply {
     /// When it was read.
     pub at: f64,
@@ -50,6 +51,15 @@
     pub what: What,
 }
 
+impl fmt::Debug for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.what {
+            What::Answer(description) => write!(f, "{:.3} answer {}", self.at, description.escape_ascii()),
+            What::Release(why) => write!(f, "{:.3} release {why:?}", self.at),
+        }
+    }
+}
+
 /// What a caller can hear.
 #[derive(Clone, Debug, PartialEq)]
 pub enum What {
--- a/crates/service/src/drain.rs
+++ b/crates/service/src/drain.rs
@@ -11,10 +11,21 @@
 pub const QUIET_S: f64 = 0.25;
 /// One that connected and said nothing is closed after so long, in seconds.
 pub const MUTE_S: f64 = 0.5;
-/// So long after the drain began, in seconds, a connection that waits for nothing is closed however busy it was.
+/// So long after the drain began, in seconds, a connection that waits for nothing is closed however busy it was, and so is one
+/// with standing calls that had a request in the last [`BUSY_S`], as others can take the ends of those.
 pub const FIRM_AFTER_S: f64 = 1.5;
-/// So long after the drain began, in seconds, no connection may be held idle, or with a request of the last 2 s.
+const BUSY_S: f64 = 0.5;
+/// So long after the drain began, in seconds, no connection may be held idle, or with a request of the last [`IN_USE_S`].
 pub const TERM_S: f64 = 4.0;
+/// A connection is in use with a request of this last time, in seconds.
+pub const IN_USE_S: f64 = 2.0;
+/// Set-ups are refused from so long after the drain began on, in seconds: those that come later are in use at the term.
+pub const REFUSE_AFTER_S: f64 = TERM_S - IN_USE_S;
+/// Whatever must not be held at the term is closed so long after the drain began, in seconds: early enough for a process that
+/// turns late or is paused.
+pub const FINAL_AFTER_S: f64 = 3.5;
+/// So long after the drain began, in seconds, the term is past: the last connection on which ends of calls can be told stays.
+const PAST_TERM_S: f64 = TERM_S + 0.2;
 
 /// What a client connection is like at the moment.
 #[derive(Clone, Copy, Debug)]
@@ -23,8 +34,12 @@
     pub since: f64,
     /// When it last said or was told something.
     pub used_at: f64,
+    /// When its last set-up came.
+    pub asked_at: Option<f64>,
     /// Whether it was ever told anything.
     pub told: bool,
+    /// A set-up came after something was told of a call: its caller reads what it is sent.
+    pub asks_again: bool,
     /// Calls of it that wait for their final answer.
     pub open: usize,
     /// Calls of it that stand: their end is to reach the caller, and a drained gatekeeper takes no new
@@ -32,8 +47,8 @@
     pub standing: usize,
     /// Bytes wait to be written to it.
     pub writing: bool,
-    /// It stays for the ends of calls whose own connection is gone.
-    pub reserved: bool,
+    /// It is the one that stays for the ends of calls, see [`fitness_for_ends`].
+    pub end_path: bool,
 }
 
 /// What becomes of a connection.
@@ -41,6 +56,11 @@
 pub enum Decision {
     /// It is closed.
     Close,
+    /// Its set-ups get their final answer now, and it is closed then.
+    AnswerSetUps,
+    /// It is the last on which ends of calls can be told whose own connection does not stay, and must go: those calls are cut
+    /// and told, and it is closed then.
+    CutCalls,
     /// It stays.
     Keep(KeptFor),
 }
@@ -52,7 +72,7 @@
     OpenSetUp,
     /// A call that came on it stands.
     StandingCall,
-    /// The ends of calls whose own connection is gone.
+    /// The ends of calls whose own connection is gone or goes.
     OtherEnds,
     /// Bytes wait to be written.
     Writing,
@@ -72,26 +92,58 @@
     }
 }
 
+/// Whether set-ups are refused at a gatekeeper that is drained since then.
+pub fn refuses_set_ups(now: f64, drained_since: f64) -> bool {
+    now - drained_since >= REFUSE_AFTER_S
+}
+
 /// Decides on a connection of a gatekeeper that is drained since then.
 pub fn decide(now: f64, drained_since: f64, c: &Connection) -> Decision {
-    if c.reserved {
-        return Decision::Keep(KeptFor::OtherEnds);
-    }
+    let age = now - drained_since;
+    let in_use_at_term = asked_late(drained_since, c.asked_at);
     if c.open > 0 {
-        return Decision::Keep(KeptFor::OpenSetUp);
-    }
-    if c.standing > 0 {
-        return Decision::Keep(KeptFor::StandingCall);
+        return match in_use_at_term && age >= FINAL_AFTER_S {
+            true => Decision::AnswerSetUps,
+            false => Decision::Keep(KeptFor::OpenSetUp),
+        };
     }
     if c.writing {
         return Decision::Keep(KeptFor::Writing);
     }
-    if now - drained_since >= FIRM_AFTER_S || is_quiet(now, drained_since, c) {
+    let may_stay = may_stay(now, drained_since, c);
+    if c.end_path {
+        return match may_stay || !(FINAL_AFTER_S..PAST_TERM_S).contains(&age) {
+            true => Decision::Keep(KeptFor::OtherEnds),
+            false => Decision::CutCalls,
+        };
+    }
+    if may_stay {
+        return Decision::Keep(KeptFor::StandingCall);
+    }
+    if age >= FIRM_AFTER_S || is_quiet(now, drained_since, c) {
         return Decision::Close;
     }
     Decision::Keep(KeptFor::RecentUse)
 }
 
+/// Whether a connection stays, as things are, for the calls that stand, which came on it.
+pub fn may_stay(now: f64, drained_since: f64, c: &Connection) -> bool {
+    let firm = now - drained_since >= FIRM_AFTER_S;
+    let busy = firm && c.asked_at.is_some_and(|at| now - at < BUSY_S);
+    c.standing > 0 && !busy && !asked_late(drained_since, c.asked_at)
+}
+
+/// How fit a connection is to be the one that stays for the ends of calls whose own does not, the fittest being the greatest:
+/// its caller reads, it may stay beyond the term, and it was used longest ago.
+pub fn fitness_for_ends(now: f64, drained_since: f64, c: &Connection) -> (bool, bool, f64) {
+    (c.asks_again, may_stay(now, drained_since, c), -c.asked_at.unwrap_or(f64::NEG_INFINITY))
+}
+
+/// Whether a connection is in use at the term by its last request.
+fn asked_late(drained_since: f64, asked_at: Option<f64>) -> bool {
+    asked_at.is_some_and(|at| refuses_set_ups(at, drained_since))
+}
+
 /// Whether nothing was said on a connection for a while. What was said before the drain began counts as said at its start.
 fn is_quiet(now: f64, drained_since: f64, c: &Connection) -> bool {
     let quiet_for = |at: f64| now - at.max(drained_since);
--- a/crates/service/src/drain/tests.rs
+++ b/crates/service/src/drain/tests.rs
@@ -3,7 +3,18 @@
 const DRAINED: f64 = 10.0;
 
 fn quiet(since: f64, used_at: f64) -> Connection {
-    Connection { since, used_at, told: true, open: 0, standing: 0, writing: false, reserved: false }
+    let asked_at = Some(used_at);
+    Connection {
+        since,
+        used_at,
+        asked_at,
+        told: true,
+        asks_again: true,
+        open: 0,
+        standing: 0,
+        writing: false,
+        end_path: false,
+    }
 }
 
 fn closes(now: f64, c: &Connection) -> bool {
@@ -37,3 +48,72 @@
     // Every connection that waits for nothing is gone well before 4 s.
     assert!([old, answered, mute, busy].iter().all(|c| closes(11.5, c)));
 }
+
+/// Guards against any exemption that holds a connection at the term which must not be held then.
+#[test]
+fn nothing_idle_or_in_use_is_kept_at_the_term() {
+    let asked = [None, Some(5.0), Some(10.5), Some(11.9), Some(12.0), Some(12.5), Some(13.4)];
+    for (asked_at, open, standing, end_path) in connections(&asked).filter(|(asked_at, open, standing, _)| {
+        let in_use = asked_at.is_some_and(|at| at >= DRAINED + TERM_S - IN_USE_S);
+        in_use || (*open, *standing) == (0, 0)
+    }) {
+        let used_at = asked_at.unwrap_or(0.0);
+        let c = Connection { asked_at, open, standing, end_path, ..quiet(0.0, used_at) };
+        for now in [DRAINED + FINAL_AFTER_S, 13.9, DRAINED + TERM_S, 14.1] {
+            let decision = decide(now, DRAINED, &c);
+            assert!(!matches!(decision, Decision::Keep(_)), "{decision:?} at {now}: {c:?}");
+        }
+    }
+}
+
+/// Guards against a call cut or a set-up answered that the term does not ask for.
+#[test]
+fn what_is_not_in_use_at_the_term_keeps_its_calls() {
+    for (asked_at, open, standing, end_path) in connections(&[Some(5.0), Some(10.5), Some(11.9)]) {
+        let c = Connection { asked_at, open, standing, end_path, ..quiet(0.0, 5.0) };
+        for now in [10.1, 11.6, 12.1, DRAINED + FINAL_AFTER_S, DRAINED + TERM_S, 30.0] {
+            let decision = decide(now, DRAINED, &c);
+            let needed = open > 0 || standing > 0;
+            let ends_calls = matches!(decision, Decision::AnswerSetUps | Decision::CutCalls);
+            assert!(!(needed && ends_calls), "{decision:?} at {now}: {c:?}");
+        }
+    }
+}
+
+/// Every connection of these last requests, with and without open set-ups, standing calls, and the ends of others.
+fn connections(asked: &[Option<f64>]) -> impl Iterator<Item = (Option<f64>, usize, usize, bool)> + '_ {
+    let kinds = (0..8).map(|bits| (bits & 1, bits >> 1 & 1, bits & 4 > 0));
+    asked
+        .iter()
+        .flat_map(move |at| kinds.clone().map(move |(open, standing, path)| (*at, open, standing, path)))
+}
+
+#[test]
+fn one_connection_in_use_stays_for_ends_until_the_last_moment_and_others_go() {
+    let in_use = Connection { standing: 1, ..quiet(0.0, 12.2) };
+    let end_path = Connection { end_path: true, ..in_use };
+    assert_eq!(decide(12.3, DRAINED, &in_use), Decision::Close);
+    assert_eq!(decide(13.4, DRAINED, &end_path), Decision::Keep(KeptFor::OtherEnds));
+    assert_eq!(decide(13.5, DRAINED, &end_path), Decision::CutCalls);
+    // The term is past: its ends can be told there.
+    assert_eq!(decide(14.3, DRAINED, &end_path), Decision::Keep(KeptFor::OtherEnds));
+    let quiet = Connection { standing: 1, ..quiet(0.0, 5.0) };
+    assert!(fitness_for_ends(12.3, DRAINED, &quiet) > fitness_for_ends(12.3, DRAINED, &in_use));
+    // A caller that may never read is no one to tell ends of others to.
+    let asked_once = Connection { asks_again: false, ..quiet };
+    assert!(fitness_for_ends(12.3, DRAINED, &in_use) > fitness_for_ends(12.3, DRAINED, &asked_once));
+}
+
+/// Guards against set-ups refused on a connection that could have been closed between two of them.
+#[test]
+fn a_busy_connection_with_standing_calls_goes_between_two_set_ups_where_another_takes_their_ends() {
+    let busy = Connection { standing: 1, ..quiet(0.0, 11.4) };
+    assert_eq!(decide(11.45, DRAINED, &busy), Decision::Keep(KeptFor::StandingCall));
+    assert_eq!(decide(11.55, DRAINED, &busy), Decision::Close);
+    assert_eq!(
+        decide(11.55, DRAINED, &Connection { end_path: true, ..busy }),
+        Decision::Keep(KeptFor::OtherEnds)
+    );
+    // A moment without requests: it may stay.
+    assert_eq!(decide(12.0, DRAINED, &busy), Decision::Keep(KeptFor::StandingCall));
+}
--- a/crates/service/src/figures.rs
+++ b/crates/service/src/figures.rs
@@ -45,6 +45,12 @@
     pub ends_unconfirmed: u64,
     /// Connections of clients that were closed in drains, since the start.
     pub drain_closed: u64,
+    /// Set-ups that were refused as they came late in a drain, since the start.
+    pub drain_refused: u64,
+    /// Set-ups that got their final answer in drains before a server gave one, since the start.
+    pub drain_answered: u64,
+    /// Calls that stood and were cut in drains, since the start.
+    pub drain_cut: u64,
 }
 
 /// What is told of the fleet, where there is one: gauges of members, records and calls adopted now, and counts.
--- a/crates/service/src/figures/tests.rs
+++ b/crates/service/src/figures/tests.rs
@@ -19,6 +19,9 @@
         ends_redelivered: 5,
         ends_unconfirmed: 3,
         drain_closed: 4,
+        drain_refused: 7,
+        drain_answered: 8,
+        drain_cut: 9,
     };
     let json = serde_json::to_value(figures.report(gauges)).unwrap();
     assert_eq!(json["succeeded"]["valve-set"], 2);
@@ -31,7 +34,8 @@
     assert_eq!(json["unusable_lists"], 2);
     assert_eq!(json["ends_redelivered"], 5);
     assert_eq!(json["ends_unconfirmed"], 3);
-    assert_eq!(json["drain_closed"], 4);
+    let drains = ["drain_closed", "drain_refused", "drain_answered", "drain_cut"];
+    assert_eq!(drains.map(|name| json[name].as_u64().unwrap()), [4, 7, 8, 9]);
     assert_eq!(json["ejected"], 1);
     assert_eq!(json["sighup_applied"], 1);
     assert_eq!(json["sighup_rejected"], 2);
