Let callers that read nothing go by the term of a drain

What operators would see: 4 s after a drain began, a connection is held whose caller does not read, idle or in use. Change: from 2.5 s such bytes keep nothing, and closed connections to which bytes wait are dropped at 3.8 s; neither takes ends of other calls.

--- a/crates/gatekeeper/src/node/clients/draining.rs
+++ b/crates/gatekeeper/src/node/clients/draining.rs
@@ -10,6 +10,7 @@
 use super::reply::encode;
 use super::set_up::request_class;
 use super::{BestReply, Client, Clients};
+use crate::node::delivery::Closed;
 use crate::node::poller::{Key, Watch};
 
 /// A drain that goes on.
@@ -84,6 +85,9 @@
             };
             self.drain_counts.closed += u64::from(self.close_if(now, key, reason, watch, calls));
         }
+        if now - began >= drain::DROP_AFTER_S {
+            self.drop_blocked(now, watch);
+        }
         if orders.cut {
             self.send_all_undelivered(now, watch, calls);
         }
@@ -93,6 +97,16 @@
         orders
     }
 
+    /// Drops the closed connections whose peers do not read what was sent before the close.
+    fn drop_blocked(&mut self, now: f64, watch: &Watch) {
+        let blocked = self.closing.iter().filter(|(_, closing)| closing.is_blocked());
+        let blocked: Vec<Key> = blocked.map(|(key, _)| *key).collect();
+        for key in blocked {
+            log::debug!(caller = key; "drain-dropped");
+            self.drop_closing(now, key, Closed::Unknown, watch);
+        }
+    }
+
     /// Refuses a set-up that comes late in a drain; returns whether it did.
     pub(super) fn refuse_drained(&mut self, now: f64, key: Key, message: &Message, watch: &Watch) -> bool {
         let refuses = self.drain.as_ref().is_some_and(|drain| drain::refuses_set_ups(now, drain.began));
--- a/crates/gatekeeper/src/node/tests/draining.rs
+++ b/crates/gatekeeper/src/node/tests/draining.rs
@@ -227,3 +227,55 @@
     w.pass(1.3);
     assert!(w.caller_is_closed());
 }
+
+/// A caller that reads nothing, to which bytes wait to be written.
+fn blocked_caller(w: &mut World) -> Peer {
+    w.stand(9);
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    // Set before it connects, so that little is taken for it.
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.connect(&w.node.address().into()).unwrap();
+    let mut caller = peer(socket.into());
+    (0..2).for_each(|_| w.turn());
+    w.node.shrink_send_buffers();
+    for _ in 0..50 {
+        (0..100).for_each(|id| caller.send(&Message::new(kind::TEST, id).caused(0)).map(drop).unwrap());
+        w.until("that all is written", |_| caller.flush().is_err() || !caller.blocked());
+        (0..3).for_each(|_| w.turn());
+        if w.node.blocked_callers() {
+            break;
+        }
+    }
+    assert!(w.node.blocked_callers());
+    caller
+}
+
+/// Whether a connection is over behind what the system holds of it; the gatekeeper has no turn meanwhile.
+fn is_over(caller: &mut Peer) -> bool {
+    (0..TURNS).any(|_| is_closed(caller))
+}
+
+/// Guards against an idle connection held past the term, as its caller does not read.
+#[test]
+fn an_idle_connection_whose_caller_reads_nothing_is_let_go_by_the_term() {
+    let mut w = World::controlled(1);
+    let mut blocked = blocked_caller(&mut w);
+    w.drain();
+    w.pass(3.9);
+    assert!(is_over(&mut blocked));
+}
+
+/// Guards against a close in the last moments that a caller which does not read never sees.
+#[test]
+fn a_connection_in_use_whose_caller_reads_nothing_is_let_go_by_the_term() {
+    let mut w = World::controlled(1);
+    let mut blocked = blocked_caller(&mut w);
+    w.drain();
+    blocked.send(&set_up(2, 9000)).unwrap();
+    w.at_servers(2, kind::SET_UP);
+    w.pass(2.2);
+    blocked.send(&set_up(3, 9000)).unwrap();
+    w.pass(1.7);
+    w.at_servers(2, kind::RELEASE);
+    assert!(is_over(&mut blocked));
+}
--- a/crates/service/src/drain.rs
+++ b/crates/service/src/drain.rs
@@ -24,6 +24,12 @@
 /// Whatever must not be held at the term is closed so long after the drain began, in seconds: early enough for a process that
 /// turns late or is paused.
 pub const FINAL_AFTER_S: f64 = 3.5;
+/// So long after the drain began, in seconds, bytes that wait to be written keep a connection no more: it is closed, and the
+/// peer has until [`DROP_AFTER_S`] to read them.
+const BLOCKED_AFTER_S: f64 = 2.5;
+/// Closed connections to which bytes still wait to be written are dropped so long after the drain began, in seconds: their
+/// peers have not seen the close.
+pub const DROP_AFTER_S: f64 = 3.8;
 /// So long after the drain began, in seconds, the term is past: the last connection on which ends of calls can be told stays.
 const PAST_TERM_S: f64 = TERM_S + 0.2;
 
@@ -107,7 +113,7 @@
             false => Decision::Keep(KeptFor::OpenSetUp),
         };
     }
-    if c.writing {
+    if c.writing && age < BLOCKED_AFTER_S {
         return Decision::Keep(KeptFor::Writing);
     }
     let may_stay = may_stay(now, drained_since, c);
@@ -136,7 +142,7 @@
 /// How fit a connection is to be the one that stays for the ends of calls whose own does not, the fittest being the greatest:
 /// its caller reads, it may stay beyond the term, and it was used longest ago.
 pub fn fitness_for_ends(now: f64, drained_since: f64, c: &Connection) -> (bool, bool, f64) {
-    (c.asks_again, may_stay(now, drained_since, c), -c.asked_at.unwrap_or(f64::NEG_INFINITY))
+    (c.asks_again && !c.writing, may_stay(now, drained_since, c), -c.asked_at.unwrap_or(f64::NEG_INFINITY))
 }
 
 /// Whether a connection is in use at the term by its last request.
