Keep a client connection in a drain while half a message is there

What callers would see: a set-up written in pieces more than 0.25 s apart is lost as its connection closes between them, though the drain has just begun. Change: a connection with half a message stays, to 3.5 s after the drain began and no longer than the 2 s that half a message has anyway. Measured: a_set_up_that_comes_slowly_in_a_drain_is_served fails without it and passes; 149 tests of the gatekeeper pass.

--- a/crates/gatekeeper/src/node/clients/draining.rs
+++ b/crates/gatekeeper/src/node/clients/draining.rs
@@ -173,6 +173,7 @@
             open: calls.open_from(key) + usize::from(calls.owes_reply(key)),
             standing: calls.standing_from(key),
             writing: self.connection.blocked(),
+            reading: self.connection.holds_part(),
             end_path: Some(key) == end_path,
         }
     }
--- a/crates/gatekeeper/src/node/tests/draining.rs
+++ b/crates/gatekeeper/src/node/tests/draining.rs
@@ -279,3 +279,19 @@
     w.at_servers(2, kind::RELEASE);
     assert!(is_over(&mut blocked));
 }
+
+/// Guards against a set-up lost whose pieces are further apart than a quiet connection is kept.
+#[test]
+fn a_set_up_that_comes_slowly_in_a_drain_is_served() {
+    let mut w = World::controlled(1);
+    w.drain();
+    let mut bytes = Vec::new();
+    set_up(1, 3000).encode(&mut bytes);
+    for piece in bytes.chunks(bytes.len() / 3) {
+        w.caller.stream().write_all(piece).unwrap();
+        w.pass(0.4);
+    }
+    w.at_servers(1, kind::SET_UP);
+    w.servers_say(&answer(1));
+    w.heard(1, kind::ANSWER, None);
+}
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -202,6 +202,11 @@
         self.half.is_some() && now - since >= limit
     }
 
+    /// Whether a part of a message has been read, and not its end.
+    pub fn holds_part(&self) -> bool {
+        !self.input.is_empty()
+    }
+
     /// Takes the messages that are whole. The first `earlier` bytes of the input came in an earlier read.
     fn take(&mut self, earlier: usize, messages: &mut Vec<M>, judge: Judge) -> Result<(), Over> {
         self.held = false;
--- a/crates/service/src/drain.rs
+++ b/crates/service/src/drain.rs
@@ -53,6 +53,8 @@
     pub standing: usize,
     /// Bytes wait to be written to it.
     pub writing: bool,
+    /// A part of a message has come.
+    pub reading: bool,
     /// It is the one that stays for the ends of calls, see [`fitness_for_ends`].
     pub end_path: bool,
 }
@@ -82,6 +84,8 @@
     OtherEnds,
     /// Bytes wait to be written.
     Writing,
+    /// The rest of a message is on its way.
+    Reading,
     /// It was used a moment ago.
     RecentUse,
 }
@@ -93,6 +97,7 @@
             KeptFor::StandingCall => "standing-call",
             KeptFor::OtherEnds => "ends-of-other-calls",
             KeptFor::Writing => "writing",
+            KeptFor::Reading => "reading",
             KeptFor::RecentUse => "recent-use",
         })
     }
@@ -116,6 +121,9 @@
     if c.writing && age < BLOCKED_AFTER_S {
         return Decision::Keep(KeptFor::Writing);
     }
+    if c.reading && age < FINAL_AFTER_S {
+        return Decision::Keep(KeptFor::Reading);
+    }
     let may_stay = may_stay(now, drained_since, c);
     if c.end_path {
         return match may_stay || !(FINAL_AFTER_S..PAST_TERM_S).contains(&age) {
--- a/crates/service/src/drain/tests.rs
+++ b/crates/service/src/drain/tests.rs
@@ -13,6 +13,7 @@
         open: 0,
         standing: 0,
         writing: false,
+        reading: false,
         end_path: false,
     }
 }
@@ -61,8 +62,8 @@
         let used_at = asked_at.unwrap_or(0.0);
         let c = Connection { asked_at, open, standing, end_path, ..quiet(0.0, used_at) };
         let times = [DRAINED + FINAL_AFTER_S, 13.9, DRAINED + TERM_S, 14.1];
-        for (now, writing) in times.iter().flat_map(|now| [(*now, false), (*now, true)]) {
-            let decision = decide(now, DRAINED, &Connection { writing, ..c });
+        for (now, half) in times.iter().flat_map(|now| [(*now, false), (*now, true)]) {
+            let decision = decide(now, DRAINED, &Connection { writing: half, reading: half, ..c });
             assert!(!matches!(decision, Decision::Keep(_)), "{decision:?} at {now}: {c:?}");
         }
     }
