--- a/crates/gatekeeper/src/node/clients/draining.rs
+++ b/crates/gatekeeper/src/node/clients/draining.rs
@@ -111,7 +111,8 @@
     pub(super) fn refuse_drained(&mut self, now: f64, key: Key, message: &Message, watch: &Watch) -> bool {
         let refuses = self.drain.as_ref().is_some_and(|drain| drain::refuses_set_ups(now, drain.began));
         if refuses {
-            log::debug!(call:% = format_args!("{:016x}", message.call), caller = key; "set-up-refused-in-drain");
+            let call = format_args!("{:016x}", message.call);
+            log::debug!(call:%, caller = key; "set-up-refused-in-drain");
             self.drain_counts.refused += 1;
             self.turned_away.push(request_class(message, &self.classes));
             let refusal = encode(message.call, Reply::Refused(self.stay_away()));
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -2,38 +2,33 @@
 //! what comes back.
 
 use std::io;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 
-use hollypaddle_config::{Conf, Names, OwnFile, Platform, Problem};
+use hollypaddle_config::{Conf, Names, OwnFile, Platform};
 use hollypaddle_crossing::{Crossing, Report, Span};
 use hollypaddle_policy::{Action, CallId, Controller, Event, ListKind, Settings};
-use serde_json::{json, Value};
+use serde_json::Value;
 
 use self::draining::DrainedCalls;
+pub use self::stopping::Signals;
+use self::stopping::{KILL_AFTER, KILL_RESERVE, LONGEST_WAIT};
 use super::clients::Clients;
 use super::clock::Clock;
-use super::config::{Config, ConfigError, LinkClass};
-use super::control::Question;
+use super::config::{Config, LinkClass};
 use super::gates::Gates;
 use super::http::Http;
 use super::poller::{Key, Watch};
-use super::resolver::{self, Resolver};
+use super::resolver::Resolver;
 use super::servers::{Servers, Turn};
 use super::subjects::{Room, Subjects};
 use hollypaddle_core::calls::Reply;
 use hollypaddle_core::calls::{Calls, Effect, Order};
 use hollypaddle_core::wheel::Wheel;
 use hollypaddle_policy::ClassSettings;
-use hollypaddle_relay::settings::Set;
 use hollypaddle_service::classes::Table;
 use hollypaddle_service::descriptors::{self, Descriptors};
-use hollypaddle_service::figures::{Figures, Gauges, Outcome, OTHER};
-use hollypaddle_service::http::{self as control_http, Call};
+use hollypaddle_service::figures::{Figures, Outcome, OTHER};
 use hollypaddle_service::lifecycle::{Lifecycle, Phase};
 
-mod draining;
-
 /// A tick of the timer wheel, in seconds.
 const TICK: f64 = 0.005;
 /// Time between looks at connections that owe a sign.
@@ -49,18 +44,6 @@
 /// How much later than the settings say the sockets' rules let a limit end; the release rule's strict
 /// reading waits for it too.
 const SOCKET_SLACK: f64 = 0.05;
-/// After SIGTERM connections arrive for up to 0.4 s and requests for 0.2 s more. With what is on its
-/// way, both are served for this long.
-const LAST_REQUESTS: f64 = 0.8;
-/// After the listener closed, what its last connections send is read for so long before the program may end.
-const READ_AFTER_CLOSE: f64 = 0.2;
-/// After SIGTERM the program may be killed once the longest deadline, counted as this where it is
-/// longer, and 0.7 s have passed. What is left of that is kept as a reserve.
-const LONGEST_WAIT: f64 = 3.0;
-const KILL_AFTER: f64 = 0.7;
-const KILL_RESERVE: f64 = 0.2;
-/// At the end, callers have so long to read their last answers and close, out of the reserve.
-const LAST_WORDS: f64 = 0.1;
 /// Parts of the memory for set-ups held, and for what waits to be written to callers.
 const HELD_SHARE: usize = 8;
 const WAITING_SHARE: usize = 4;
@@ -84,20 +67,16 @@
     };
 }
 
+mod control;
+mod draining;
+mod settings;
+mod stopping;
+
 /// Whether set-ups of a class may be sent again, by its number.
 fn repeatable(classes: &Table<(ClassSettings, LinkClass)>) -> impl Fn(usize) -> bool + '_ {
     |class| classes.entries().get(class).is_some_and(|entry| entry.settings.0.repeatable)
 }
 
-/// The first mistake, and how many there are.
-fn first_of(problems: &[Problem]) -> String {
-    let first = problems.first().map(Problem::to_string).unwrap_or_default();
-    match problems.len() {
-        0 | 1 => first,
-        all => format!("{first} (and {} more)", all - 1),
-    }
-}
-
 enum Timer {
     Module(u32),
     Deadline(CallId),
@@ -106,23 +85,6 @@
     Ask,
 }
 
-/// What signals ask of the gatekeeper.
-#[derive(Default)]
-pub struct Signals {
-    /// To see to what is open, and end.
-    pub stop: Arc<AtomicBool>,
-    /// To read the configuration anew.
-    pub reload: Arc<AtomicBool>,
-}
-
-/// SIGTERM was seen. A process that was paused sees it late, and is killed all the same so long after it was sent.
-#[derive(Clone, Copy)]
-struct Stopping {
-    seen_at: f64,
-    /// When it was last known not to have been sent.
-    sent_after: f64,
-}
-
 /// One gatekeeper.
 pub struct Gatekeeper {
     clock: Clock,
@@ -315,246 +277,6 @@
         self.clock.skip(seconds);
     }
 
-    /// Runs until it is told to stop and all is seen to. `load` reads the configuration anew.
-    pub fn run(
-        &mut self,
-        signals: &Signals,
-        load: impl Fn() -> Result<Config, ConfigError>,
-    ) -> io::Result<()> {
-        let (mut stopping, mut closed): (Option<Stopping>, Option<f64>) = (None, None);
-        let mut not_stopped_at = self.clock.now();
-        loop {
-            self.turn()?;
-            let now = self.clock.now();
-            if signals.reload.swap(false, Ordering::Relaxed) {
-                self.reload(load());
-            }
-            if stopping.is_none() && signals.stop.load(Ordering::Relaxed) {
-                self.begin_stop(now);
-                stopping = Some(Stopping { seen_at: now, sent_after: not_stopped_at });
-            }
-            not_stopped_at = now;
-            if let Some(Stopping { seen_at, sent_after }) = stopping {
-                if now - seen_at >= LAST_REQUESTS {
-                    if closed.is_none() && self.clients.stop_listening(now, &mut self.watch, &mut self.calls)
-                    {
-                        closed = Some(now);
-                    }
-                    // Connections taken from the queue as the listener closed have not been read yet. Counted from the close
-                    // itself: a process without a processor for a while closes late.
-                    let read = closed.is_some_and(|at| now - at >= READ_AFTER_CLOSE);
-                    if (read && self.calls.count() == (0, 0)) || now - sent_after >= self.last {
-                        return self.finish(now);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Moves to a configuration read anew: to its resolver, and to its list where that is newer than the
-    /// one held. Calls, connections and the position in the list stay. Guards against a file that is
-    /// not whole, and against an older list, which would bring servers back that have gone.
-    pub fn reload(&mut self, read: Result<Config, ConfigError>) {
-        let now = self.clock.now();
-        let new = match read {
-            Ok(new) => new,
-            Err(ConfigError::Own(problems)) => return self.own_rejected(&problems),
-            Err(error) => {
-                self.figures.reloaded(false);
-                return log::warn!(error:%; "configuration-rejected");
-            }
-        };
-        // The fleet's settings stay in force beside the own file, as long as that has a tier.
-        let mut own = new.own.clone();
-        let kept = own.fleet.as_ref().is_some_and(|fleet| fleet.tier.is_some());
-        if kept && !self.fleet_entries.is_empty() {
-            match new.own_file.with(&self.fleet_entries, &new.names()) {
-                Ok(merged) => own = merged,
-                Err(problems) => return self.own_rejected(&problems),
-            }
-        }
-        // What can fail comes first, so that all of the new configuration counts or nothing.
-        let opened = resolver::open(new.dns).and_then(|socket| Ok((self.watch.add(&socket, false)?, socket)));
-        let (key, socket) = match opened {
-            Ok(opened) => opened,
-            Err(error) => {
-                self.figures.reloaded(false);
-                return log::error!(resolver:% = new.dns, error:%; "resolver-failed");
-            }
-        };
-        let both = new.settings.classes.iter().cloned().zip(new.link.classes.iter().cloned());
-        let table = match self.classes.retuned(new.link.classes.iter().map(|c| c.name.clone()).zip(both)) {
-            Ok(table) => table,
-            Err(full) => {
-                self.watch.remove(&socket);
-                self.figures.reloaded(false);
-                return log::warn!(error:% = full; "configuration-rejected");
-            }
-        };
-        let names = new.names();
-        let changes = match self.take_own(now, own) {
-            Ok(changes) => changes,
-            Err(error) => {
-                self.watch.remove(&socket);
-                self.figures.reloaded(false);
-                return log::warn!(error:%; "configuration-rejected");
-            }
-        };
-        (self.own_file, self.names) = (new.own_file, names);
-        if !kept {
-            self.fleet_entries.clear();
-        }
-        self.watch.remove(&self.resolver.move_to(socket));
-        self.resolver_key = key;
-        if self.resolver.accept(new.known.position) {
-            let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
-            self.servers.list(&new.known, ListKind::Full, &mut turn);
-            self.clients.set_most(self.servers.left_to_callers());
-        }
-        let classes = table.changes(&self.classes);
-        self.retune(new.settings.clone(), table);
-        self.resolver.ask();
-        self.decide(now);
-        self.figures.reloaded(true);
-        log::info!(resolver:% = new.dns, changes:% = changes, classes:% = classes; "configuration-read");
-        self.settings = new.settings;
-        if new.platform != self.platform {
-            // The districts and the classes that budgets name count from the next start on.
-            log::warn!("platform-changed");
-        }
-        // What did not fit the file as it was may fit it now.
-        if let Some(set) = self.subjects.tier.turned_down() {
-            self.take_settings(now, &set);
-        }
-    }
-
-    /// Notes that the own configuration file was turned down, with each mistake.
-    fn own_rejected(&mut self, problems: &[Problem]) {
-        self.figures.reloaded(false);
-        for problem in problems {
-            let (place, what) = (problem.place.to_string(), problem.what.as_str());
-            log::warn!(place = place.as_str(), what; "configuration-problem");
-        }
-        log::warn!(problems = problems.len(); "configuration-rejected");
-    }
-
-    /// Takes settings of the fleet, beside the own file as it was last read: all of them or none, as at a reading anew. The
-    /// relay hears what came of it.
-    fn take_settings(&mut self, now: f64, set: &Set) {
-        let version = set.mark().version;
-        let entries: Vec<(String, String)> =
-            set.entries().map(|(name, text)| (name.to_string(), text.to_string())).collect();
-        let merged = self.own_file.with(&entries, &self.names);
-        let taken = match merged {
-            Ok(conf) => self.take_own(now, conf).map_err(|error| error.to_string()),
-            Err(problems) => Err(first_of(&problems)),
-        };
-        match &taken {
-            Ok(changes) => {
-                self.fleet_entries = entries;
-                self.decide(now);
-                log::info!(version, changes = changes.as_str(); "fleet-settings-taken");
-            }
-            Err(reason) => {
-                log::warn!(version, reason = reason.as_str(); "fleet-settings-not-taken");
-            }
-        }
-        self.subjects.tier.verdict(version, taken.map(drop));
-    }
-
-    /// Takes what the own configuration file says now, all of it or nothing; returns what has changed in a word.
-    fn take_own(&mut self, now: f64, new: Conf) -> io::Result<String> {
-        let changes = self.subjects.take(&mut room!(self, now), &self.own, &new)?;
-        self.own = new;
-        Ok(if changes.is_empty() { "none".into() } else { changes.join(",") })
-    }
-
-    /// Answers a question of the control socket.
-    fn answer(&mut self, now: f64, question: Question) -> Value {
-        match question {
-            Question::Status {} => {
-                let (open, standing) = self.calls.count();
-                let districts = &self.platform.districts;
-                let servers: Vec<Value> = (self.servers.status())
-                    .map(|(name, state, district, connections)| {
-                        let district = district.and_then(|d| districts.get(usize::from(d)));
-                        let state = format!("{state:?}").to_lowercase();
-                        json!({"name": name, "state": state, "district": district, "connections": connections})
-                    })
-                    .collect();
-                json!({"ok": {"name": self.platform.name, "up_s": now - self.started, "open": open,
-                    "standing": standing, "servers": servers}})
-            }
-            question => {
-                let mut room = room!(self, now);
-                let told = self.subjects.all().into_iter().find_map(|s| s.answer(&mut room, &question));
-                told.unwrap_or_else(|| json!({"error": "nobody here answers that"}))
-            }
-        }
-    }
-
-    /// Carries out a call of the control address; returns the answer's bytes.
-    fn call(&mut self, now: f64, call: Call) -> Vec<u8> {
-        let changed = match call {
-            Call::Ready => {
-                return match self.life.phase() {
-                    Phase::Serving => match self.subjects.not_ready() {
-                        Some(why) => control_http::answer(503, "text/plain", &format!("{why}\n")),
-                        None => control_http::answer(200, "text/plain", "ready\n"),
-                    },
-                    Phase::Lameduck => control_http::answer(503, "text/plain", "lameduck\n"),
-                    Phase::Stopping => control_http::answer(503, "text/plain", "stopping\n"),
-                };
-            }
-            Call::Vars => {
-                let json = serde_json::to_string(&self.figures_now()).unwrap_or_else(|_| "{}".into());
-                return control_http::answer(200, "application/json", &json);
-            }
-            Call::LameduckOn => self.life.lameduck_on(now),
-            Call::LameduckOff => self.life.lameduck_off(now),
-        };
-        let phase = format!("{:?}", self.life.phase()).to_lowercase();
-        if changed {
-            match self.life.phase() {
-                Phase::Lameduck => {
-                    self.clients.steer_away(now);
-                    self.clients.begin_drain(now);
-                }
-                Phase::Serving | Phase::Stopping => {
-                    self.clients.steer_back();
-                    self.clients.end_drain();
-                }
-            }
-            log::info!(phase = phase.as_str(); "lameduck");
-        }
-        control_http::answer(200, "text/plain", &format!("{phase}\n"))
-    }
-
-    /// The figures, with the gauges of this moment.
-    pub fn figures_now(&self) -> hollypaddle_service::figures::Report {
-        let (open, standing) = self.calls.count();
-        let (discovered, ejected) = self.servers.counts();
-        let outstanding = (open + standing) as u64;
-        let unusable_lists = self.resolver.unusable_answers();
-        let ends = self.clients.end_counts();
-        let mut report = self.figures.report(Gauges {
-            outstanding,
-            discovered,
-            ejected,
-            unusable_lists,
-            ends_redelivered: ends.redelivered,
-            ends_unconfirmed: ends.unconfirmed,
-            drain_closed: self.clients.drain_counts().closed,
-            drain_refused: self.clients.drain_counts().refused,
-            drain_answered: self.drained_calls.answered,
-            drain_cut: self.drained_calls.cut,
-        });
-        // Written where the servers' sockets are, and counted there.
-        report.forwards += self.calls.forwards;
-        report.fleet = self.subjects.fellows.fleet.as_ref().map(|fleet| fleet.figures(&self.calls));
-        report
-    }
-
     /// Whether it says that it takes clients.
     pub fn ready(&self) -> bool {
         self.life.ready() && self.subjects.not_ready().is_none()
@@ -572,69 +294,6 @@
         Some(self.crossing()?.report(now, span))
     }
 
-    /// SIGTERM: it serves what still comes, and is not ready any more. A drain goes on.
-    pub(super) fn begin_stop(&mut self, now: f64) {
-        let (open, standing) = self.calls.count();
-        log::info!(open, standing; "stopping");
-        self.life.stop(now);
-        self.clients.steer_away(now);
-    }
-
-    pub(super) fn finish(&mut self, now: f64) -> io::Result<()> {
-        let (open, standing) = self.calls.count();
-        self.answer_rest(now);
-        let mut room = room!(self, now);
-        self.subjects.all().into_iter().rev().for_each(|subject| subject.end(&mut room));
-        if let Some(http) = self.http.take() {
-            http.close(&self.watch);
-        }
-        // A process that ends with something unread resets its connections, and what is still to be written to one that takes
-        // nothing now would be lost with it.
-        self.clients.close_all(now, &self.watch, &mut self.calls);
-        let until = now + LAST_WORDS;
-        while (self.clients.closing() || self.clients.listening()) && self.clock.now() < until {
-            let wait = if self.clock.runs() { (until - self.clock.now()).max(0.0) } else { 0.0 };
-            let all = self.watch.wait(wait)?;
-            if all.is_empty() && !self.clock.runs() {
-                self.clock.skip(TICK);
-            }
-            for ready in all {
-                self.clients.ready(self.clock.now(), ready, &mut self.watch, &mut self.calls);
-                // What servers and the resolver still say is read away: what is ready would be so again at once.
-                let mut turn = Turn { now, watch: &mut self.watch, calls: &mut self.calls };
-                self.servers.ready(ready, &mut turn);
-                if ready.key == self.resolver_key {
-                    self.resolver.read();
-                }
-            }
-            // Connections that were closed have left their descriptors to callers that still wait.
-            if self.clients.listening() {
-                self.answer_rest(now);
-                self.clients.close_all(now, &self.watch, &mut self.calls);
-            }
-        }
-        log::info!(refused = open, standing; "stopped");
-        Ok(())
-    }
-
-    /// Answers all that has come by now, at the end of the program: a connection that ends with a set-up unread in it, or
-    /// that is not accepted, has lost that.
-    fn answer_rest(&mut self, now: f64) {
-        self.clients.take_last(now, &mut self.watch, &mut self.calls);
-        self.clients.read_all(now, &self.watch, &mut self.calls);
-        self.answer_open(now);
-        // What was read on the way to telling these.
-        if self.calls.count().0 > 0 {
-            self.answer_open(now);
-        }
-    }
-
-    /// Answers the calls that have no final answer yet, as the program ends.
-    fn answer_open(&mut self, now: f64) {
-        self.calls.answer_all(repeatable(&self.classes), self.clients.stay_away());
-        self.decide(now);
-    }
-
     /// One turn: waits, gathers, decides.
     pub fn turn(&mut self) -> io::Result<()> {
         let wait = match self.clock.runs() {
@@ -818,30 +477,6 @@
 }
 
 impl Gatekeeper {
-    /// Takes settings read anew: the module gets them with every class number since the start, so that open
-    /// calls keep the rules they came with; the sockets and the figures get the names.
-    fn retune(&mut self, mut settings: Settings, table: Table<(ClassSettings, LinkClass)>) {
-        let entries = table.entries();
-        settings.classes = entries.iter().map(|e| e.settings.0.clone()).collect();
-        settings.release += SOCKET_SLACK;
-        self.calls.calls_last(settings.hold);
-        self.clients.set_stay_away(settings.retry_after);
-        self.controller.retune(settings);
-        let link = |e: &hollypaddle_service::classes::Entry<(ClassSettings, LinkClass)>| LinkClass {
-            live: e.live,
-            ..e.settings.1.clone()
-        };
-        let links: Vec<LinkClass> = entries.iter().map(link).collect();
-        self.clients.set_classes(links.clone());
-        self.servers.set_classes(links);
-        self.class_names = entries.iter().map(|e| e.name.clone()).collect();
-        if let Some(fleet) = &mut self.subjects.fellows.fleet {
-            fleet.set_classes(&self.class_names);
-        }
-        self.figures.name(entries.iter().filter(|e| e.live).map(|e| e.name.as_str()));
-        self.classes = table;
-    }
-
     /// Closes or opens the clients' listener as the lifecycle says. What does not succeed is tried again at the next beat: a
     /// close while callers wait for a place, an address that cannot be listened at.
     fn listen_as_told(&mut self, now: f64) {
--- /dev/null
+++ b/crates/gatekeeper/src/node/event_loop/control.rs
@@ -0,0 +1,97 @@
+//! What the control socket and the control address ask.
+
+use super::Gatekeeper;
+use crate::node::control::Question;
+use crate::node::subjects::Room;
+use hollypaddle_service::figures::Gauges;
+use hollypaddle_service::http::{self as control_http, Call};
+use hollypaddle_service::lifecycle::Phase;
+use serde_json::{json, Value};
+
+impl Gatekeeper {
+    /// Answers a question of the control socket.
+    pub(super) fn answer(&mut self, now: f64, question: Question) -> Value {
+        match question {
+            Question::Status {} => {
+                let (open, standing) = self.calls.count();
+                let districts = &self.platform.districts;
+                let servers: Vec<Value> = (self.servers.status())
+                    .map(|(name, state, district, connections)| {
+                        let district = district.and_then(|d| districts.get(usize::from(d)));
+                        let state = format!("{state:?}").to_lowercase();
+                        json!({"name": name, "state": state, "district": district, "connections": connections})
+                    })
+                    .collect();
+                json!({"ok": {"name": self.platform.name, "up_s": now - self.started, "open": open,
+                    "standing": standing, "servers": servers}})
+            }
+            question => {
+                let mut room = room!(self, now);
+                let told = self.subjects.all().into_iter().find_map(|s| s.answer(&mut room, &question));
+                told.unwrap_or_else(|| json!({"error": "nobody here answers that"}))
+            }
+        }
+    }
+
+    /// Carries out a call of the control address; returns the answer's bytes.
+    pub(super) fn call(&mut self, now: f64, call: Call) -> Vec<u8> {
+        let changed = match call {
+            Call::Ready => {
+                return match self.life.phase() {
+                    Phase::Serving => match self.subjects.not_ready() {
+                        Some(why) => control_http::answer(503, "text/plain", &format!("{why}\n")),
+                        None => control_http::answer(200, "text/plain", "ready\n"),
+                    },
+                    Phase::Lameduck => control_http::answer(503, "text/plain", "lameduck\n"),
+                    Phase::Stopping => control_http::answer(503, "text/plain", "stopping\n"),
+                };
+            }
+            Call::Vars => {
+                let json = serde_json::to_string(&self.figures_now()).unwrap_or_else(|_| "{}".into());
+                return control_http::answer(200, "application/json", &json);
+            }
+            Call::LameduckOn => self.life.lameduck_on(now),
+            Call::LameduckOff => self.life.lameduck_off(now),
+        };
+        let phase = format!("{:?}", self.life.phase()).to_lowercase();
+        if changed {
+            match self.life.phase() {
+                Phase::Lameduck => {
+                    self.clients.steer_away(now);
+                    self.clients.begin_drain(now);
+                }
+                Phase::Serving | Phase::Stopping => {
+                    self.clients.steer_back();
+                    self.clients.end_drain();
+                }
+            }
+            log::info!(phase = phase.as_str(); "lameduck");
+        }
+        control_http::answer(200, "text/plain", &format!("{phase}\n"))
+    }
+
+    /// The figures, with the gauges of this moment.
+    pub fn figures_now(&self) -> hollypaddle_service::figures::Report {
+        let (open, standing) = self.calls.count();
+        let (discovered, ejected) = self.servers.counts();
+        let outstanding = (open + standing) as u64;
+        let unusable_lists = self.resolver.unusable_answers();
+        let ends = self.clients.end_counts();
+        let mut report = self.figures.report(Gauges {
+            outstanding,
+            discovered,
+            ejected,
+            unusable_lists,
+            ends_redelivered: ends.redelivered,
+            ends_unconfirmed: ends.unconfirmed,
+            drain_closed: self.clients.drain_counts().closed,
+            drain_refused: self.clients.drain_counts().refused,
+            drain_answered: self.drained_calls.answered,
+            drain_cut: self.drained_calls.cut,
+        });
+        // Written where the servers' sockets are, and counted there.
+        report.forwards += self.calls.forwards;
+        report.fleet = self.subjects.fellows.fleet.as_ref().map(|fleet| fleet.figures(&self.calls));
+        report
+    }
+}
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -8,6 +8,7 @@
 mod channel;
 mod connecting;
 mod incoming;
+mod release;
 mod releases;
 mod set_ups;
 mod silence;
--- a/crates/gatekeeper/src/node/servers/channel.rs
+++ b/crates/gatekeeper/src/node/servers/channel.rs
@@ -9,7 +9,7 @@
 use hollypaddle_policy::PoolId;
 use socket2::{Domain, Socket, Type};
 
-use super::releases::Release;
+use super::release::Release;
 use super::Turn;
 use crate::node::delivery::Pending;
 use crate::node::poller::{Key, Watch};
--- a/crates/gatekeeper/src/node/servers/releases.rs
+++ b/crates/gatekeeper/src/node/servers/releases.rs
@@ -12,9 +12,9 @@
 use std::collections::VecDeque;
 
 use hollypaddle_core::calls::Calls;
-use hollypaddle_platform::message::{cause, kind, Message};
 
 use super::channel::{last_heard, Channel};
+use super::release::Release;
 use super::{Server, Turn};
 use crate::node::poller::{Key, Watch};
 
@@ -24,36 +24,6 @@
 pub(super) const MAX_UNCONFIRMED: usize = 1024;
 /// Releases sent again in one go at most.
 pub(super) const MAX_RESENT_AT_ONCE: usize = 32;
-/// A release that was sent again is not sent once more after so long, in seconds. A server that closes idle connections would be
-/// sent it on each next one.
-pub(super) const RESEND_LIMIT_S: f64 = 30.0;
-
-/// The release of a call at a server, or of an attempt that is given up there.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct Release {
-    /// The call.
-    pub id: u64,
-    /// When it was ordered.
-    ordered_at: f64,
-    /// When it was first sent again.
-    resent_at: Option<f64>,
-}
-
-impl Release {
-    /// One that is ordered now.
-    pub fn new(now: f64, id: u64) -> Self {
-        Release { id, ordered_at: now, resent_at: None }
-    }
-
-    fn message(self) -> Message {
-        Message::new(kind::RELEASE, self.id).caused(cause::NORMAL)
-    }
-
-    /// When it is too late to send it once more.
-    fn expires_at(self) -> f64 {
-        self.resent_at.map_or(f64::INFINITY, |at| at + RESEND_LIMIT_S)
-    }
-}
 
 /// The releases that are to be sent on another connection to a server.
 #[derive(Debug, Default)]
--- a/crates/gatekeeper/src/node/servers/set_ups.rs
+++ b/crates/gatekeeper/src/node/servers/set_ups.rs
@@ -6,7 +6,7 @@
 use hollypaddle_policy::PoolId;
 
 use super::channel::{last_heard, SentSetUp};
-use super::releases::Release;
+use super::release::Release;
 use super::{Server, Turn};
 use crate::node::config::Link;
 
--- a/crates/gatekeeper/src/node/servers/tests/releases.rs
+++ b/crates/gatekeeper/src/node/servers/tests/releases.rs
@@ -7,7 +7,8 @@
 use hollypaddle_platform::message::{kind, Message};
 use hollypaddle_standin::{answer, Peer};
 
-use super::super::releases::{MAX_RESENT_AT_ONCE, MAX_UNCONFIRMED, RESEND_LIMIT_S};
+use super::super::release::RESEND_LIMIT_S;
+use super::super::releases::{MAX_RESENT_AT_ONCE, MAX_UNCONFIRMED};
 use super::give_ups::{accept, connected, connected_at, POOL};
 use super::*;
 
--- a/crates/gatekeeper/src/node/tier/tests.rs
+++ b/crates/gatekeeper/src/node/tier/tests.rs
@@ -28,8 +28,16 @@
 #[test]
 fn every_event_is_on_the_page_for_on_call_staff() {
     let page = include_str!("../../../../../docs/ONCALL.md");
-    let sources =
-        [include_str!("../tier.rs"), include_str!("../relays.rs"), include_str!("../event_loop.rs")];
+    let sources = [
+        include_str!("../tier.rs"),
+        include_str!("../relays.rs"),
+        include_str!("../event_loop.rs"),
+        include_str!("../event_loop/control.rs"),
+        include_str!("../event_loop/draining.rs"),
+        include_str!("../event_loop/settings.rs"),
+        include_str!("../event_loop/stopping.rs"),
+        include_str!("../clients/draining.rs"),
+    ];
     let mut found = 0;
     for source in sources {
         // The name stands behind the fields, or alone.
