--- a/crates/gatekeeper/src/node/clients/draining.rs
+++ b/crates/gatekeeper/src/node/clients/draining.rs
@@ -62,16 +62,21 @@
         self.drain.as_ref().is_some_and(|drain| now - drain.began >= drain::FIRM_AFTER_S)
     }
 
-    /// While drained, closes the connections that are to be let go; returns what is to be done before others can be.
-    pub fn drain(&mut self, now: f64, watch: &Watch, calls: &mut Calls) -> DrainOrders {
+    /// While drained, closes the connections that are to be let go; returns what is to be done before others can be. With
+    /// `told_elsewhere`, others tell the ends for which no caller is here.
+    pub fn drain(&mut self, now: f64, told_elsewhere: bool, watch: &Watch, calls: &mut Calls) -> DrainOrders {
         let Some(began) = self.drain.as_ref().map(|drain| drain.began) else { return DrainOrders::default() };
         let staying = self.staying(now, began, calls);
         let end_path = self.end_path(now, began, &staying, calls);
         let mut orders = DrainOrders { staying, ..DrainOrders::default() };
         let mut closing = Vec::new();
+        let decide = |state: &drain::Connection| match drain::decide(now, began, state) {
+            Decision::CutCalls if told_elsewhere => Decision::Close,
+            decision => decision,
+        };
         for (key, client) in &mut self.connections {
             let state = client.state(*key, end_path, calls);
-            match drain::decide(now, began, &state) {
+            match decide(&state) {
                 Decision::Close => closing.push(*key),
                 Decision::AnswerSetUps => orders.answer.push(*key),
                 Decision::CutCalls => orders.cut = true,
@@ -81,7 +86,7 @@
         for key in closing {
             let reason = |client: &mut Client, calls: &Calls| {
                 let state = client.state(key, end_path, calls);
-                (drain::decide(now, began, &state) == Decision::Close).then_some(Over::Drained)
+                (decide(&state) == Decision::Close).then_some(Over::Drained)
             };
             self.drain_counts.closed += u64::from(self.close_if(now, key, reason, watch, calls));
         }
--- a/crates/gatekeeper/src/node/event_loop/draining.rs
+++ b/crates/gatekeeper/src/node/event_loop/draining.rs
@@ -14,16 +14,17 @@
 impl Gatekeeper {
     /// While drained, lets connections go, and ends the calls that keep those which must not stay.
     pub(super) fn drain(&mut self, now: f64) {
-        let orders = self.clients.drain(now, &self.watch, &mut self.calls);
+        // Members of a fleet tell the ends that cannot be told here.
+        let fleet = self.subjects.fellows.fleet.as_ref();
+        let told_elsewhere = fleet.is_some_and(|fleet| fleet.others_have_callers());
+        let orders = self.clients.drain(now, told_elsewhere, &self.watch, &mut self.calls);
         for origin in orders.answer {
             let open = self.calls.open_from(origin);
             log::info!(caller = origin, open; "drain-set-ups-answered");
             self.drained_calls.answered += open as u64;
             self.calls.answer_from(origin, repeatable(&self.classes), self.clients.stay_away());
         }
-        // Members of a fleet tell the ends that cannot be told here.
-        let fleet = self.subjects.fellows.fleet.as_ref();
-        if orders.cut && !fleet.is_some_and(|fleet| fleet.others_have_callers()) {
+        if orders.cut {
             let cut = self.calls.cut_standing(|origin| !orders.staying.contains(&origin));
             log::warn!(calls = cut; "drain-calls-cut");
             self.drained_calls.cut += cut as u64;
