Let a paused gatekeeper go on before the play waits for its answer to an operator

Cause in the test alone: the answer is waited for in the loop that ends pauses. Change: a paused gatekeeper is continued before it is asked; the pause counts as before, no check changes.

--- a/crates/gatekeeper/tests/restarts/drains.rs
+++ b/crates/gatekeeper/tests/restarts/drains.rs
@@ -68,11 +68,12 @@
         self.history.exit.is_some()
     }
 
-    /// Drains it, or ends its drain.
+    /// Drains it, or ends its drain. One that is paused goes on first: nobody would see to it while the answer is waited for.
     fn lameduck(&mut self, on: bool, usage: Use, clock: &Instant) {
         if self.is_over() || self.termed {
             return;
         }
+        self.go_on();
         let path = if on { "/_lameduck/on" } else { "/_lameduck/off" };
         let said_yes = control::ask(self.control, "POST", path) == Some(true);
         let now = clock.elapsed().as_secs_f64();
@@ -87,6 +88,14 @@
         self.ready = false;
     }
 
+    /// Ends its pause.
+    fn go_on(&mut self) {
+        if self.paused_until.take().is_some() {
+            self.history.paused += PAUSE;
+            self.program.signal("-CONT").unwrap();
+        }
+    }
+
     /// The front asks whether it is ready.
     fn ask_ready(&mut self, now: f64) {
         if self.is_over() || self.termed || self.paused_until.is_some() || now < self.front_asks_at {
@@ -236,9 +245,7 @@
                 continue;
             }
             if node.paused_until.is_some_and(|until| now >= until) {
-                node.paused_until = None;
-                node.history.paused += PAUSE;
-                node.program.signal("-CONT").unwrap();
+                node.go_on();
             }
             let term_at = self.plan.term_at + n as f64 * BETWEEN_TERMS;
             if !node.termed && now >= term_at && node.paused_until.is_none() {
