Review, case 2: a resolver that answers after 1 s is never heard

Cause: the resolver is asked every 80 ms and answers to the latest eight queries only are accepted, so none that takes over 0.64 s is used. Drains are not obeyed, and what is gone or new is never learned.

Adds the case with its claim: a drain that over eighty answers tell of.

--- a/review/bench/main.rs
+++ b/review/bench/main.rs
@@ -10,6 +10,7 @@
 mod record;
 mod resolver;
 mod server;
+mod slow_discovery;
 mod taken_back;
 mod wire;
 
