Review, case 3: a configuration file that lacks a key is taken at SIGHUP

Cause: a missing key counts as its default. Without poolsByClass every class may go to every server, and the reload applies that.

Adds the case with its claim: SIGHUP with a file that lacks that key, and a server that is full for a while.

--- a/review/bench/cases.rs
+++ b/review/bench/cases.rs
@@ -7,13 +7,14 @@
 use crate::record::{now, sleep_until, Record, Timers};
 use crate::resolver::{List, Listed, Resolver};
 use crate::server::{Habits, Server};
-use crate::{slow_discovery, taken_back};
+use crate::{broken_file, slow_discovery, taken_back};
 
 /// Plays a case; returns whether the rule was broken.
 pub fn play(name: &str, root: PathBuf, trouble: bool, record: &Record) -> Result<bool, String> {
     match name {
         "taken-back" => taken_back::play(root, trouble, record),
         "slow-discovery" => slow_discovery::play(root, trouble, record),
+        "broken-file" => broken_file::play(root, trouble, record),
         _ => Err(format!("there is no case {name}")),
     }
 }
