Review, case 2: SIGHUP with settings that name tenants ends the process

Cause: tenant_factor indexes counts that keep the length of the tenants at the start, by the tenants of the settings in force.

Adds the case with its claim. The slow resolver is case 3 now.

--- a/review/bench/caller.rs
+++ b/review/bench/caller.rs
@@ -76,11 +76,6 @@
         let answer = got.iter().position(|got| got.kind == wire::ANSWER);
         answer.is_some_and(|at| got[at..].iter().any(|got| got.cause == Some(41)))
     }
-
-    /// Whether the call was answered: it stands, or has stood.
-    pub fn answered(&self, call: u64) -> bool {
-        self.got(call).iter().any(|got| got.kind == wire::ANSWER)
-    }
 }
 
 impl Connection {
--- a/review/bench/cases.rs
+++ b/review/bench/cases.rs
@@ -3,18 +3,18 @@
 use std::path::PathBuf;
 
 use crate::caller::{set_up, Caller, Connection};
-use crate::gatekeeper::{Gatekeeper, Pools};
+use crate::gatekeeper::Gatekeeper;
 use crate::record::{now, sleep_until, Record, Timers};
 use crate::resolver::{List, Listed, Resolver};
 use crate::server::{Habits, Server};
-use crate::{broken_file, slow_discovery, taken_back};
+use crate::{new_tenants, slow_discovery, taken_back};
 
 /// Plays a case; returns whether the rule was broken.
 pub fn play(name: &str, root: PathBuf, trouble: bool, record: &Record) -> Result<bool, String> {
     match name {
         "taken-back" => taken_back::play(root, trouble, record),
+        "new-tenants" => new_tenants::play(root, trouble, record),
         "slow-discovery" => slow_discovery::play(root, trouble, record),
-        "broken-file" => broken_file::play(root, trouble, record),
         _ => Err(format!("there is no case {name}")),
     }
 }
@@ -34,7 +34,7 @@
 }
 
 impl Deployment {
-    pub fn start(root: PathBuf, habits: Habits, pools: Pools, record: &Record) -> Result<Deployment, String> {
+    pub fn start(root: PathBuf, habits: Habits, record: &Record) -> Result<Deployment, String> {
         let timers = Timers::start();
         let servers: Vec<Server> =
             (0..2).map(|n| Server::start(&format!("s-{n:08x}"), n, habits, record, &timers)).collect();
@@ -42,7 +42,7 @@
         let list = List { position: 1, servers: listed };
         let resolver = Resolver::start(list.clone(), record, &timers);
         let mut gatekeeper = Gatekeeper::new(root, record);
-        gatekeeper.write_config(&gatekeeper.config(resolver.address, &list.known(), pools));
+        gatekeeper.write_config(&gatekeeper.config(resolver.address, &list.known()));
         gatekeeper.start()?;
         Ok(Deployment { servers, list, resolver, gatekeeper })
     }
--- a/review/bench/gatekeeper.rs
+++ b/review/bench/gatekeeper.rs
@@ -29,14 +29,8 @@
     }
 }
 
-/// The pools that each class may go to, by their numbers, as the settings give them; `None` leaves the key out.
-pub type Pools<'a> = Option<&'a str>;
-
-/// Both classes may go to both servers.
-pub const ALL_POOLS: Pools = Some("[[0,1],[0,1]]");
-
 /// The settings of a small deployment: one gatekeeper, two servers, two classes, in the site's ranges.
-fn settings(pools: Pools) -> String {
+fn settings() -> String {
     let class = |name: &str, goal: f64, limit: f64, value: f64, late: f64| {
         format!(
             r#"{{"name":"{name}","effect":"read_like","stream":true,"goalTime":{goal},"hardLimit":{limit},"value":{value},"lateWorth":{late}}}"#
@@ -44,21 +38,16 @@
     };
     let classes =
         [class("meter-read", 1.5, 9.0, 1.0, 0.15), class("valve-set", 1.2, 6.0, 8.0, 0.2)].join(",");
-    let pools = pools.map_or(String::new(), |pools| format!(r#""poolsByClass":{pools},"#));
     let parts = [
-        r#""peersTotal":1,"position":0,"period":0.005,"zone":0,"zones":["downtown","medical-center","riverside"]"#.into(),
-        r#""discovery":"push","tenants":[],"overShareWorth":0.1,"valueBy":"request","weights":"none""#.into(),
-        r#""clientHabits":{"marksRetry":false},"telemetry":{"how":"answers","names":["free","size","hold_back"]}"#.into(),
-        r#""goal":{"whole":0.55,"worstWindow":0.25,"worstClass":0.2,"worstTenant":0}"#.into(),
-        format!(
-            r#""familyInfo":{{"topology":"pools",{pools}"widths":[1,1],"holding":[8.8,5.3],"release":0.3,"retransmit":0.4,"retryHint":false}}"#
-        ),
-        r#""limits":{"tryLimit":6,"secondCopies":false,"mayCancel":true,"probes":true,"retryAfter":true,"maxRetryAfter":2,"connectTimeout":0.5,"connIdle":600,"streamsPerConn":1048576}"#.into(),
-        r#""safety":{"drainGrace":0.25,"cold":14,"coldFrom":0.29,"overloadFactor":3,"tipAfter":1,"graceToAnswer":0.02}"#.into(),
-        format!(r#""requestClasses":[{classes}]"#),
+        r#""peersTotal":1,"position":0,"period":0.005,"zone":0,"zones":["downtown","medical-center","riverside"]"#,
+        r#""discovery":"push","tenants":[],"overShareWorth":0.1,"valueBy":"request","weights":"none""#,
+        r#""clientHabits":{"marksRetry":false},"telemetry":{"how":"answers","names":["free","size","hold_back"]}"#,
+        r#""goal":{"whole":0.55,"worstWindow":0.25,"worstClass":0.2,"worstTenant":0}"#,
+        r#""familyInfo":{"topology":"pools","poolsByClass":[[0,1],[0,1]],"widths":[1,1],"holding":[8.8,5.3],"release":0.3,"retransmit":0.4,"retryHint":false}"#,
+        r#""limits":{"tryLimit":6,"secondCopies":false,"mayCancel":true,"probes":true,"retryAfter":true,"maxRetryAfter":2,"connectTimeout":0.5,"connIdle":600,"streamsPerConn":1048576}"#,
+        r#""safety":{"drainGrace":0.25,"cold":14,"coldFrom":0.29,"overloadFactor":3,"tipAfter":1,"graceToAnswer":0.02}"#,
     ];
-    let parts: [String; 8] = parts;
-    format!("{{{}}}", parts.join(","))
+    format!(r#"{{{},"requestClasses":[{classes}]}}"#, parts.join(","))
 }
 
 pub struct Gatekeeper {
@@ -85,13 +74,13 @@
     }
 
     /// The configuration as the platform writes it.
-    pub fn config(&self, dns: SocketAddr, known: &str, pools: Pools) -> String {
+    pub fn config(&self, dns: SocketAddr, known: &str) -> String {
         format!(
             r#"{{"name":"n0","listen":"{}","control":"{}","seed":"51b2c6a09e{:06x}","limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"dns":"{dns}","known":{known},"settings":{}}}"#,
             self.listen,
             self.control,
             self.starts,
-            settings(pools)
+            settings()
         )
     }
 
--- a/review/bench/main.rs
+++ b/review/bench/main.rs
@@ -4,10 +4,10 @@
 //! `review-bench CASE ROOT` writes `record.txt` into the current folder and exits with 1 if the rule was broken, 0 if it
 //! held, 2 if the case couldn't run. With `TROUBLE=0` it leaves the disruption out.
 
-mod broken_file;
 mod caller;
 mod cases;
 mod gatekeeper;
+mod new_tenants;
 mod record;
 mod resolver;
 mod server;
--- a/review/bench/server.rs
+++ b/review/bench/server.rs
@@ -31,7 +31,6 @@
 pub struct Arrival {
     pub at: f64,
     pub call: u64,
-    pub class: String,
 }
 
 #[derive(Default)]
@@ -44,8 +43,6 @@
     arrivals: Vec<Arrival>,
     /// When a release by the gatekeeper arrived.
     released: HashMap<u64, f64>,
-    /// Its processor is full.
-    full: bool,
     stopped: bool,
 }
 
@@ -86,12 +83,6 @@
         server
     }
 
-    /// Its processor is full: it turns set-ups away.
-    pub fn set_full(&self, full: bool) {
-        self.record.line(format!("{} is full: {full}", self.name));
-        self.state.lock().unwrap().full = full;
-    }
-
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.state.lock().unwrap().arrivals.clone()
     }
@@ -167,11 +158,7 @@
             wire::SET_UP => {
                 let (class, number) = (message.text(wire::CLASS), message.text(wire::NUMBER));
                 self.record.line(format!("{} gets set-up {id:016x} {class} {number}", self.name));
-                state.arrivals.push(Arrival { at: now(), call: id, class: class.clone() });
-                if state.full {
-                    let full = Message::new(wire::RELEASE, id).with(wire::CAUSE, [34]);
-                    return send(&state, connection, &full.with(wire::NOTE, "throttled"));
-                }
+                state.arrivals.push(Arrival { at: now(), call: id });
                 state.calls.insert(id, Call { connection, stands: false });
                 drop(state);
                 let (server, habits) = (self.clone(), *self.habits.lock().unwrap());
--- a/review/bench/slow_discovery.rs
+++ b/review/bench/slow_discovery.rs
@@ -1,9 +1,8 @@
-//! Case 2: the resolver answers late.
+//! Case 3: the resolver answers late.
 
 use std::path::PathBuf;
 
 use crate::cases::{Console, Deployment, SLACK_S};
-use crate::gatekeeper::ALL_POOLS;
 use crate::record::{now, sleep, Record};
 use crate::server::Habits;
 
@@ -18,7 +17,7 @@
     const TOLD_WITHIN_S: f64 = 7.0;
     /// Time between the drain and the end of the server, in seconds; the site's deploys take 7.2 to 9.3 s.
     const DRAIN_S: f64 = 9.0;
-    let deployment = Deployment::start(root, Habits { answer_after: 0.02, hold: 8.8 }, ALL_POOLS, record)?;
+    let deployment = Deployment::start(root, Habits { answer_after: 0.02, hold: 8.8 }, record)?;
     let mut console = Console::connect(&deployment.gatekeeper, 2, record)?;
     console.call_until(now() + 4.0)?;
     if trouble {
--- a/review/bench/taken_back.rs
+++ b/review/bench/taken_back.rs
@@ -4,7 +4,6 @@
 
 use crate::caller::{release, set_up, Caller, Connection};
 use crate::cases::{Console, Deployment};
-use crate::gatekeeper::ALL_POOLS;
 use crate::record::{now, sleep, Record};
 use crate::server::Habits;
 
@@ -15,7 +14,7 @@
 /// Rule `lost`: each usual request gets its final answer.
 pub fn play(root: PathBuf, trouble: bool, record: &Record) -> Result<bool, String> {
     const BAD_REQUESTS: usize = 10;
-    let deployment = Deployment::start(root, Habits { answer_after: 0.4, hold: 8.8 }, ALL_POOLS, record)?;
+    let deployment = Deployment::start(root, Habits { answer_after: 0.4, hold: 8.8 }, record)?;
     let mut console = Console::connect(&deployment.gatekeeper, 2, record)?;
     let bad = Caller::new("bad-client", deployment.gatekeeper.listen, record);
     let mut taken_back = Vec::new();
--- a/review/bench/wire.rs
+++ b/review/bench/wire.rs
@@ -15,7 +15,6 @@
 pub const WAIT: u8 = 19;
 pub const NUMBER: u8 = 28;
 pub const FIGURES: u8 = 31;
-pub const NOTE: u8 = 37;
 pub const REPORT: u8 = 43;
 pub const CAUSE: u8 = 58;
 pub const DESCRIPTION: u8 = 61;
