--- a/review/bench/gatekeeper.rs
+++ b/review/bench/gatekeeper.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicI32, Ordering};
@@ -12,21 +13,30 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets as its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGHUP: i32 = 1;
 const SIGKILL: i32 = 9;
 
 /// The process that runs now, or 0.
 static RUNNING: AtomicI32 = AtomicI32::new(0);
 
-/// Kills the gatekeeper that still runs, if any: the case took too long.
+/// Kills the gatekeeper that still runs, if any, and removes its folder: the case took too long or was ended.
 pub fn kill_running() {
     let process = RUNNING.swap(0, Ordering::Relaxed);
     if process > 0 {
         // SAFETY: a plain system call; the process is this one's child and has not been waited for.
         unsafe { kill(process, SIGKILL) };
     }
+    let _ = fs::remove_dir_all(folder());
+}
+
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("hollypaddle-review-{}", std::process::id()))
 }
 
 /// The settings of a small deployment: one gatekeeper, two servers, two classes, in the site's ranges.
@@ -67,7 +77,7 @@
 impl Gatekeeper {
     /// Prepares one; `root` is the project's folder.
     pub fn new(root: PathBuf, record: &Record) -> Gatekeeper {
-        let folder = std::env::temp_dir().join(format!("hollypaddle-review-{}", std::process::id()));
+        let folder = folder();
         fs::create_dir_all(folder.join("tmp")).expect("a temporary folder");
         let (listen, control) = (free_address(), free_address());
         Gatekeeper { listen, control, folder, root, child: None, starts: 0, record: record.clone() }
@@ -98,7 +108,8 @@
         self.starts += 1;
         let log =
             File::create(self.folder.join(format!("log-{}.txt", self.starts))).map_err(|e| e.to_string())?;
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        command
             .args(["-c", run])
             .current_dir(&self.root)
             .env("PROXY_NAME", "n0")
@@ -108,9 +119,15 @@
             .env("TMPDIR", self.folder.join("tmp"))
             .stdin(Stdio::null())
             .stdout(log.try_clone().map_err(|e| e.to_string())?)
-            .stderr(log)
-            .spawn()
-            .map_err(|e| e.to_string())?;
+            .stderr(log);
+        // SAFETY: between fork and exec only a plain system call is made. If this process is killed outright, so is its child.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command.spawn().map_err(|e| e.to_string())?;
         self.record.line(format!("the gatekeeper is started: {run}, process {}", child.id()));
         RUNNING.store(child.id() as i32, Ordering::Relaxed);
         self.child = Some(child);
--- a/review/bench/main.rs
+++ b/review/bench/main.rs
@@ -17,9 +17,24 @@
 
 use std::path::PathBuf;
 use std::process::exit;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use record::Record;
 
+extern "C" {
+    fn signal(signal: i32, handler: extern "C" fn(i32)) -> usize;
+}
+
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+
+/// Set by a signal that ends the run.
+static ENDED: AtomicBool = AtomicBool::new(false);
+
+extern "C" fn end(_: i32) {
+    ENDED.store(true, Ordering::Relaxed);
+}
+
 /// A case ends at the latest after this time, in seconds.
 const LONGEST_S: f64 = 110.0;
 
@@ -35,10 +50,14 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.tell(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
+    for ending in [SIGINT, SIGTERM] {
+        // SAFETY: the handler only sets a flag.
+        unsafe { signal(ending, end) };
+    }
     let (name, root, shared) = (case.clone(), PathBuf::from(root), record.clone());
     let played = std::thread::spawn(move || cases::play(&name, root, trouble, &shared));
     let until = record::now() + LONGEST_S;
-    while !played.is_finished() && record::now() < until {
+    while !played.is_finished() && record::now() < until && !ENDED.load(Ordering::Relaxed) {
         record::sleep(0.05);
     }
     let code = match played.is_finished().then(|| played.join()) {
@@ -54,7 +73,7 @@
         }
         None => {
             gatekeeper::kill_running();
-            record.tell("the case couldn't run: it takes too long");
+            record.tell("the case couldn't run: it takes too long, or was ended by a signal");
             2
         }
     };
--- a/review/bench/taken_back.rs
+++ b/review/bench/taken_back.rs
@@ -57,5 +57,8 @@
         taken_back.len()
     ));
     deployment.finish()?;
+    if trouble && taken_back.is_empty() {
+        return Err("no request was open as the bad client came".into());
+    }
     Ok(lost > 0)
 }
