An open set-up is released on its own connection alone

What callers saw: a caller waited for its answer until its time was over and was told nothing, as somebody else had sent a set-up under the id of its open one and taken it back, or a release alone.

Cause: Calls::caller_release looked the call up by id alone and was not told the connection. It ended the set-up as if its own caller had given it up, and such a caller is owed no answer.

Change: a release carries its connection. A peer's word that a call has ended is ignored while that call is open here. caller_release is cut up by case.

A second set-up and the loss of another connection were right.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -180,8 +180,8 @@
     Pending,
     /// An attempt is open at a server.
     Attempting(Attempt),
-    /// A server has answered the call.
-    Standing { pool: PoolId, since: f64 },
+    /// A server has answered the call. `answer_sent` is set once the answer was sent to the caller.
+    Standing { pool: PoolId, since: f64, answer_sent: bool },
 }
 
 struct Call {
@@ -207,6 +207,16 @@
     fn ended(&self, call: CallId, pool: PoolId, complete: bool, end: End) -> Event {
         end.event(call, pool, self.attempts.saturating_sub(1), complete)
     }
+
+    fn is_open(&self) -> bool {
+        !matches!(self.state, State::Standing { .. })
+    }
+
+    /// Whether a release from this origin may be from the call's own caller. A set-up is given up on the connection on which it
+    /// came. A standing call may be released on any connection, but not before its caller was sent the answer.
+    fn accepts_release_from(&self, origin: Origin) -> bool {
+        self.origin == origin || matches!(self.state, State::Standing { answer_sent: true, .. })
+    }
 }
 
 /// Decrements an origin's count, and removes the entry at zero.
@@ -315,7 +325,7 @@
         if self.open_count(origin) == 0 {
             return Vec::new();
         }
-        let open = |c: &&Call| c.origin == origin && !matches!(c.state, State::Standing { .. });
+        let open = |c: &&Call| c.origin == origin && c.is_open();
         let mut ids: Vec<u64> = self.calls.values().filter(open).map(|c| c.id).collect();
         ids.sort_unstable();
         ids
@@ -393,11 +403,11 @@
     fn remove(&mut self, call: CallId) -> Option<Call> {
         let removed = self.calls.remove(&call)?;
         self.calls_by_id.remove(&removed.id);
-        if matches!(removed.state, State::Standing { .. }) {
+        if removed.is_open() {
+            self.remove_open(removed.origin, removed.held_bytes());
+        } else {
             decrement(&mut self.standing_by_origin, removed.origin);
             self.record_change(CallChange::Ended { id: removed.id });
-        } else {
-            self.remove_open(removed.origin, removed.held_bytes());
         }
         Some(removed)
     }
@@ -414,7 +424,7 @@
         self.changes = on.then(Vec::new);
         let standing: Vec<CallChange> = (self.calls.values())
             .filter_map(|c| match c.state {
-                State::Standing { pool, since } => {
+                State::Standing { pool, since, .. } => {
                     Some(CallChange::Established { id: c.id, class: c.class, pool, since })
                 }
                 _ => None,
@@ -474,8 +484,12 @@
         self.record_change(CallChange::Ended { id });
     }
 
-    /// Reports the end of a call that is not known here to its caller, on any connection.
+    /// Reports the end of a call that is not known here to its caller, on any connection. Has no effect on an open call of this
+    /// gatekeeper: its caller would take the end for the final answer.
     pub fn report_end(&mut self, id: u64, cut: bool) {
+        if self.is_open(id) {
+            return;
+        }
         self.adopted.remove(&id);
         self.record_change(CallChange::Ended { id });
         let reply = Reply::Ended { cut };
@@ -545,7 +559,7 @@
 
     fn send_final_answer(&mut self, call: CallId, reply: Reply) {
         // A standing call has already had its final answer.
-        if self.calls.get(&call).is_some_and(|c| matches!(c.state, State::Standing { .. })) {
+        if self.calls.get(&call).is_some_and(|c| !c.is_open()) {
             return;
         }
         let Some(removed) = self.remove(call) else { return };
@@ -611,8 +625,7 @@
         repeatable: impl Fn(usize) -> bool,
         stay_away: f64,
     ) {
-        let open =
-            |(_, c): &(&CallId, &Call)| matches(c.origin) && !matches!(c.state, State::Standing { .. });
+        let open = |(_, c): &(&CallId, &Call)| matches(c.origin) && c.is_open();
         let mut all: Vec<(CallId, bool)> = (self.calls.iter().filter(open))
             .map(|(call, c)| (*call, c.attempts == 0 || repeatable(c.class)))
             .collect();
@@ -645,31 +658,36 @@
 
     // ---- Messages from callers
 
-    /// Handles a caller's release: it gives up a set-up, or ends a standing call.
-    pub fn caller_release(&mut self, now: f64, id: u64) {
+    /// Handles a release that came on the connection `origin`: it gives up a set-up of that connection, or ends a standing call of
+    /// any. The open set-up of another connection is left alone, as its caller still waits for the final answer.
+    pub fn caller_release(&mut self, now: f64, origin: Origin, id: u64) {
         let Some(call) = self.calls_by_id.get(&id).copied() else {
-            if let Some(adopted) = self.adopted.remove(&id) {
-                self.record_change(CallChange::Ended { id });
-                return self.push_command(adopted.pool, id, Command::Release);
-            }
-            // The call may have stood through this gatekeeper before a restart. The server is not known then.
-            let mut release_everywhere = false;
-            if self.may_predate_start(now, id) {
-                let (left, at) = self.stray_tokens;
-                let left = (left + (now - at) * STRAY_RELEASES_PER_S).min(MAX_STRAY_RELEASES);
-                self.stray_tokens = (left, now);
-                if left >= 1.0 {
-                    self.stray_tokens.0 -= 1.0;
-                    release_everywhere = true;
-                }
-            }
-            match self.changes.is_some() {
-                true => self.effects.push(Effect::UnknownCallReleased { id, release_everywhere }),
-                false if release_everywhere => self.effects.push(Effect::ReleaseEverywhere { id }),
-                false => {}
-            }
-            return;
+            return self.release_unknown_call(now, id);
         };
+        if self.calls.get(&call).is_some_and(|c| c.accepts_release_from(origin)) {
+            self.release(call);
+        } else {
+            log::debug!(call:% = format_args!("{id:016x}"), caller = origin; "release-ignored");
+        }
+    }
+
+    /// Handles that a caller was sent the answer that establishes its call.
+    pub fn answer_sent(&mut self, id: u64) {
+        let call = self.calls_by_id.get(&id).and_then(|call| self.calls.get_mut(call));
+        if let Some(State::Standing { answer_sent, .. }) = call.map(|c| &mut c.state) {
+            *answer_sent = true;
+        }
+    }
+
+    /// Handles that the answer could not be sent, because the caller left before it: the call is released at its server.
+    pub fn answer_not_sent(&mut self, id: u64) {
+        if let Some(call) = self.calls_by_id.get(&id).copied() {
+            self.release(call);
+        }
+    }
+
+    /// Removes a call that its caller gave up or ended, and tells its server and the decision module.
+    fn release(&mut self, call: CallId) {
         let Some(removed) = self.remove(call) else { return };
         // The call was given up before the module handled it, so it is neither decided nor counted. Otherwise a flood of
         // such calls would be ranked with other callers' calls and outnumber them.
@@ -684,7 +702,7 @@
         }
         match removed.state {
             State::Standing { pool, .. } => {
-                self.push_command(pool, id, Command::Release);
+                self.push_command(pool, removed.id, Command::Release);
                 self.events.push(removed.ended(call, pool, true, End::with_outcome(Outcome::Cancelled)));
             }
             State::Attempting(_) | State::Pending => {
@@ -694,10 +712,34 @@
         }
     }
 
+    /// Handles the release of a call that is not one of this process: an adopted call, or possibly one that stood through this
+    /// gatekeeper before a restart. The server of the latter is not known.
+    fn release_unknown_call(&mut self, now: f64, id: u64) {
+        if let Some(adopted) = self.adopted.remove(&id) {
+            self.record_change(CallChange::Ended { id });
+            return self.push_command(adopted.pool, id, Command::Release);
+        }
+        let release_everywhere = self.may_predate_start(now, id) && self.take_stray_token(now);
+        match self.changes.is_some() {
+            true => self.effects.push(Effect::UnknownCallReleased { id, release_everywhere }),
+            false if release_everywhere => self.effects.push(Effect::ReleaseEverywhere { id }),
+            false => {}
+        }
+    }
+
+    /// Takes a token for a release that goes to every server; returns whether there was one.
+    fn take_stray_token(&mut self, now: f64) -> bool {
+        let (left, at) = self.stray_tokens;
+        let left = (left + (now - at) * STRAY_RELEASES_PER_S).min(MAX_STRAY_RELEASES);
+        let is_available = left >= 1.0;
+        self.stray_tokens = (if is_available { left - 1.0 } else { left }, now);
+        is_available
+    }
+
     /// Gives up the open set-ups of a caller's connection that was lost. Standing calls belong to no connection and stay.
     pub fn origin_lost(&mut self, now: f64, origin: Origin) {
         for id in self.open_ids(origin) {
-            self.caller_release(now, id);
+            self.caller_release(now, origin, id);
         }
     }
 
@@ -717,7 +759,7 @@
                     let (origin, bytes, class) = (c.origin, c.held_bytes(), c.class);
                     let change = CallChange::Established { id, class, pool, since: now };
                     c.content = Rc::default();
-                    c.state = State::Standing { pool, since: now };
+                    c.state = State::Standing { pool, since: now, answer_sent: false };
                     let attempt = c.attempts.saturating_sub(1);
                     self.events.push(Event::Established { call, pool, delay: now - sent_at, attempt });
                     self.remove_open(origin, bytes);
@@ -822,7 +864,7 @@
     /// restarted and can't report their ends. With `release` the server gets a release for each as soon as it can be
     /// reached: it may only have been unreachable and may still hold the calls. Returns the number of calls.
     pub fn cut_calls_at(&mut self, pool: PoolId, before: f64, release: bool) -> usize {
-        let cut = |c: &&Call| matches!(c.state, State::Standing { pool: at, since } if at == pool && since < before);
+        let cut = |c: &&Call| matches!(c.state, State::Standing { pool: at, since, .. } if at == pool && since < before);
         let mut ids: Vec<u64> = self.calls.values().filter(cut).map(|c| c.id).collect();
         ids.sort_unstable();
         for &id in &ids {
@@ -848,13 +890,13 @@
     /// Whether a call that came to this gatekeeper is standing.
     pub fn is_standing(&self, id: u64) -> bool {
         let call = self.calls_by_id.get(&id).and_then(|call| self.calls.get(call));
-        call.is_some_and(|c| matches!(c.state, State::Standing { .. }))
+        call.is_some_and(|c| !c.is_open())
     }
 
     /// Whether a call has no final answer yet: an attempt is open or may still follow.
     pub fn is_open(&self, id: u64) -> bool {
         let call = self.calls_by_id.get(&id).and_then(|call| self.calls.get(call));
-        call.is_some_and(|c| !matches!(c.state, State::Standing { .. }))
+        call.is_some_and(Call::is_open)
     }
 
     /// Whether a call is standing at a pool, or has an open attempt there.
--- a/crates/core/src/calls/tests.rs
+++ b/crates/core/src/calls/tests.rs
@@ -41,6 +41,7 @@
                             assert!(!m.answered, "a second final answer");
                             m.answered = true;
                             m.over = !matches!(reply, Reply::Established(_));
+                            self.calls.answer_sent(id);
                         }
                     }
                 }
@@ -111,7 +112,7 @@
             6 => self.calls.deadline_passed(self.now, call),
             7 => {
                 m.abandoned = true;
-                self.calls.caller_release(self.now, id);
+                self.calls.caller_release(self.now, origin, id);
             }
             8 => {
                 let lost = |id: &u64, m: &Model| (*id % 3) as Origin == origin && !m.answered;
@@ -137,6 +138,13 @@
             }
             12..=15 => self.end_attempt(id, pool, what - 12),
             16 => self.calls.give_up_written(pool, id),
+            19 => {
+                let is_open = !m.answered && !m.abandoned;
+                m.abandoned |= !is_open;
+                self.calls.caller_release(self.now, origin + 1, id);
+                let is_untouched = self.calls.effects.is_empty() && self.calls.events.is_empty();
+                assert!(is_untouched || !is_open, "a release on another connection acted on an open call");
+            }
             _ => drop(self.calls.cut_calls_at(pool, self.now, what == 17)),
         }
     }
@@ -151,16 +159,16 @@
     calls.effects.clear();
     calls.ended(1.5, PoolId(1), 7, End::with_outcome(Outcome::Done));
     assert_eq!(calls.effects, [], "once, although the server repeats it");
-    calls.caller_release(1.0, 8);
+    calls.caller_release(1.0, 1, 8);
     assert_eq!(calls.effects, [Effect::ReleaseEverywhere { id: 8 }]);
     calls.effects.clear();
     // A refusal can't belong to a call that was standing.
     calls.ended(1.0, PoolId(1), 9, End::with_outcome(Outcome::Full));
     assert_eq!(calls.effects, []);
     // The releases of made-up ids that go to every server are limited, and unknown ids are ignored some time after the start.
-    (100..1100).for_each(|id| calls.caller_release(1.0, id));
+    (100..1100).for_each(|id| calls.caller_release(1.0, 1, id));
     assert_eq!(calls.effects.len(), MAX_STRAY_RELEASES as usize - 1);
-    calls.caller_release(MIN_EARLIER_CALLS_S, 9);
+    calls.caller_release(MIN_EARLIER_CALLS_S, 1, 9);
     calls.ended(MIN_EARLIER_CALLS_S, PoolId(1), 9, End::with_outcome(Outcome::Done));
     assert_eq!(calls.effects.len(), MAX_STRAY_RELEASES as usize - 1);
     // If calls stand for minutes on average, those from before the start are expected for longer.
@@ -180,12 +188,40 @@
 fn a_call_released_in_the_same_iteration_is_not_reported_to_the_module() {
     let mut calls = Calls::new(0.0, 1 << 20);
     calls.offer(0.0, 1, request(1)).unwrap();
-    calls.caller_release(0.0, 1);
+    calls.caller_release(0.0, 1, 1);
     assert!(calls.events.is_empty() && calls.effects.is_empty() && calls.held_bytes == 0);
     calls.start_attempt(0.0, 1, PoolId(1), 0.0);
     assert_eq!(calls.events, [End::with_outcome(Outcome::NotSent).event(1, PoolId(1), 0, true)]);
 }
 
+/// Guards against a caller that is never answered, or keeps a call that is over, because a message of somebody else names its
+/// call by id: a release on another connection, or the word of another gatekeeper that the call has ended.
+#[test]
+fn an_open_call_is_released_on_its_own_connection_alone() {
+    let mut calls = Calls::new(0.0, 1 << 20);
+    let ignores_others = |calls: &mut Calls, state: &str| {
+        let before = (calls.events.len(), calls.effects.len());
+        calls.caller_release(0.0, 2, 7);
+        calls.report_end(7, true);
+        assert_eq!((calls.events.len(), calls.effects.len()), before, "{state}");
+        assert!(calls.is_known(7));
+    };
+    calls.offer(0.0, 1, request(7)).unwrap();
+    ignores_others(&mut calls, "not handed to the decision module yet");
+    calls.events.clear();
+    ignores_others(&mut calls, "without an attempt");
+    calls.start_attempt(0.0, 1, PoolId(1), 0.0);
+    ignores_others(&mut calls, "with an attempt");
+    calls.established(0.0, PoolId(1), 7, None);
+    calls.effects.clear();
+    calls.caller_release(0.0, 2, 7);
+    assert_eq!(calls.effects, [], "the caller was not sent the answer yet");
+    // From here on the call stands for its caller, who may release it on any connection.
+    calls.answer_sent(7);
+    calls.caller_release(0.0, 2, 7);
+    assert_eq!(calls.effects, [Effect::Command { pool: PoolId(1), id: 7, command: Command::Release }]);
+}
+
 /// Guards against two calls with the same id, which servers and callers could not tell apart, and against a set-up that a
 /// caller repeats before the release time and that would then be sent again.
 #[test]
@@ -211,7 +247,7 @@
     /// Random steps of callers, servers, timers and decision module are checked against a model of each call.
     #[test]
     fn each_call_has_at_most_one_open_attempt_and_one_final_answer(
-        steps in prop::collection::vec((0u8..19, 1u64..8, 0..POOLS), 1..150),
+        steps in prop::collection::vec((0u8..20, 1u64..8, 0..POOLS), 1..150),
     ) {
         let mut harness = Harness { calls: Calls::new(0.0, 1 << 20), now: 0.0, models: BTreeMap::new() };
         for id in 1..8 {
--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -430,7 +430,7 @@
             }
             kind::RELEASE => {
                 client.used_at = now;
-                calls.caller_release(now, message.call);
+                calls.caller_release(now, key, message.call);
             }
             kind::RELEASE_COMPLETE => client.pending_ends.confirm(|end| end.id == message.call),
             kind::TEST => {
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -483,13 +483,16 @@
                 if matches!(reply, Reply::Ended { .. }) && self.undelivered.contains(&id) {
                     return;
                 }
-                if !self.clients.reply(now, origin, id, reply, &self.poller, &mut self.calls)
-                    && is_established
-                {
+                let sent = self.clients.reply(now, origin, id, reply, &self.poller, &mut self.calls);
+                match (is_established, sent) {
+                    (true, true) => self.calls.answer_sent(id),
                     // The caller left in the same iteration in which the answer came, and doesn't know of it. The call
                     // must be released. If its end came in the same iteration too, nobody else needs to be told.
-                    self.undelivered.push(id);
-                    self.calls.caller_release(now, id);
+                    (true, false) => {
+                        self.undelivered.push(id);
+                        self.calls.answer_not_sent(id);
+                    }
+                    (false, _) => {}
                 }
             }
             Effect::Command { pool, id, command } => {
