Answers of the resolver are awaited for 30 s, not for eight queries

What was seen: while the resolver answered each query correctly but 1 s late, the gatekeeper learned of nothing and sent half of all calls to a server that drained, until it stopped and cut them. The figures showed nothing.

Cause: Resolver read the answers to the latest eight queries alone, and asks every 80 ms; what took over 0.64 s was passed over. On a related path each SIGHUP opened a new socket to the same resolver and forgot its queries, so configurations faster than answers had the same effect.

Change: a query is awaited for 30 s, 2,048 of them at most, and an answered one is not kept. A SIGHUP that names the resolver in use keeps its socket. accept_answer became position.rs: answers to the latest eight queries are judged as before; a later one takes nothing back, and confirms nothing, that was received after its query was sent, and a newer list that comes so and was overtaken needs a second answer. The list's time is that of the query. lists_passed_over counts what is passed over. resolver.rs is in modules by job.

With eight queries six tests of the resolver fail; with a new socket at each SIGHUP the one on configurations; with each rule of position.rs taken out at least one.

--- a/crates/gatekeeper/src/node/components.rs
+++ b/crates/gatekeeper/src/node/components.rs
@@ -405,7 +405,7 @@
             if fleet.tick(ctx.now, guard) {
                 // Answers that wait at the socket were sent before or while this process was paused, so they are old.
                 ctx.resolver.forget_queries();
-                ctx.resolver.send_query();
+                ctx.resolver.send_query(ctx.now);
             }
         }
     }
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -112,7 +112,7 @@
     /// The parts other than callers, servers and resolver.
     components: Components,
     seed: u64,
-    /// When the complete list of servers was last confirmed, by the resolver or by the configuration file.
+    /// The time as of which the complete list of servers was last confirmed, by the resolver or by the configuration file.
     list_at: f64,
     /// The control address, the readiness and lameduck state, and the metrics that it reports.
     http: Option<HttpServer>,
@@ -343,12 +343,12 @@
         for ready in all {
             let mut ctx = Context { now, poller: &mut self.poller, calls: &mut self.calls };
             if ready.key == self.resolver_key {
-                if let Some(list) = self.resolver.read_answers() {
+                if let Some(list) = self.resolver.read_answers(now) {
                     self.servers.apply_list(&list, ListKind::Full, &mut ctx);
                     self.clients.set_max_connections(self.servers.max_caller_connections());
                 }
-                if self.resolver.take_confirmed() {
-                    self.list_at = now;
+                if let Some(confirmed_at) = self.resolver.take_confirmed() {
+                    self.list_at = self.list_at.max(confirmed_at);
                 }
             } else {
                 self.servers.handle_ready(ready, &mut ctx);
@@ -400,7 +400,7 @@
                     self.wheel.schedule(now + HEARTBEAT_S, Timer::Heartbeat);
                 }
                 Timer::QueryResolver => {
-                    self.resolver.send_query();
+                    self.resolver.send_query(now);
                     self.wheel.schedule(now + self.resolver_interval, Timer::QueryResolver);
                 }
             }
--- a/crates/gatekeeper/src/node/event_loop/control.rs
+++ b/crates/gatekeeper/src/node/event_loop/control.rs
@@ -76,13 +76,13 @@
         let (open, standing) = self.calls.count();
         let (discovered, ejected) = self.servers.counts();
         let outstanding = (open + standing) as u64;
-        let unusable_lists = self.resolver.unusable_answers();
         let ends = self.clients.end_counts();
         let mut report = self.figures.report(Gauges {
             outstanding,
             discovered,
             ejected,
-            unusable_lists,
+            unusable_lists: self.resolver.unusable_answers(),
+            lists_passed_over: self.resolver.answers_passed_over(),
             ends_redelivered: ends.redelivered,
             ends_unconfirmed: ends.unconfirmed,
             drain_closed: self.clients.drain_counts().closed,
--- a/crates/gatekeeper/src/node/event_loop/settings.rs
+++ b/crates/gatekeeper/src/node/event_loop/settings.rs
@@ -3,6 +3,7 @@
 use super::{Gatekeeper, LIMIT_TOLERANCE_S};
 use crate::node::components::ComponentContext;
 use crate::node::config::{Config, ConfigError, ProtocolClass};
+use crate::node::poller::Key;
 use crate::node::resolver;
 use crate::node::servers::Context;
 use hollypaddle_config::{Conf, Problem};
@@ -10,6 +11,7 @@
 use hollypaddle_relay::settings::SettingsSet;
 use hollypaddle_service::classes::ClassTable;
 use std::io;
+use std::net::{SocketAddr, UdpSocket};
 
 /// Returns the first problem and the number of further ones.
 fn summarize(problems: &[Problem]) -> String {
@@ -44,9 +46,7 @@
             }
         }
         // Everything that can fail comes first, so that either all of the new configuration is applied or nothing.
-        let opened =
-            resolver::open_socket(new.dns).and_then(|socket| Ok((self.poller.add(&socket, false)?, socket)));
-        let (key, socket) = match opened {
+        let resolver_socket = match self.open_resolver_socket(new.dns) {
             Ok(opened) => opened,
             Err(error) => {
                 self.figures.reloaded(false);
@@ -58,7 +58,7 @@
             match self.classes.with_classes(new.protocol.classes.iter().map(|c| c.name.clone()).zip(both)) {
                 Ok(table) => table,
                 Err(error) => {
-                    self.poller.remove(&socket);
+                    self.discard_resolver_socket(resolver_socket);
                     self.figures.reloaded(false);
                     return log::warn!(error:% = error; "configuration-rejected");
                 }
@@ -67,7 +67,7 @@
         let changes = match self.apply_own_conf(now, own) {
             Ok(changes) => changes,
             Err(error) => {
-                self.poller.remove(&socket);
+                self.discard_resolver_socket(resolver_socket);
                 self.figures.reloaded(false);
                 return log::warn!(error:%; "configuration-rejected");
             }
@@ -76,8 +76,10 @@
         if !keeps_fleet_settings {
             self.fleet_entries.clear();
         }
-        self.poller.remove(&self.resolver.replace_socket(socket));
-        self.resolver_key = key;
+        if let Some((key, socket)) = resolver_socket {
+            self.poller.remove(&self.resolver.switch_to(new.dns, socket));
+            self.resolver_key = key;
+        }
         if self.resolver.accept(new.initial_list.position) {
             let mut ctx = Context { now, poller: &mut self.poller, calls: &mut self.calls };
             self.servers.apply_list(&new.initial_list, ListKind::Full, &mut ctx);
@@ -85,7 +87,7 @@
         }
         let classes = table.changes(&self.classes);
         self.retune(new.settings.clone(), table);
-        self.resolver.send_query();
+        self.resolver.send_query(now);
         self.decide(now);
         self.figures.reloaded(true);
         log::info!(resolver:% = new.dns, changes:% = changes, classes:% = classes; "configuration-read");
@@ -100,6 +102,23 @@
         }
     }
 
+    /// Opens a socket for the resolver at this address, or returns none if it is the resolver in use: its socket stays, as the
+    /// queries on it may still be answered.
+    fn open_resolver_socket(&mut self, address: SocketAddr) -> io::Result<Option<(Key, UdpSocket)>> {
+        if address == self.resolver.address() {
+            return Ok(None);
+        }
+        let socket = resolver::open_socket(address)?;
+        Ok(Some((self.poller.add(&socket, false)?, socket)))
+    }
+
+    /// Closes a socket that was opened for a configuration that is rejected.
+    fn discard_resolver_socket(&self, opened: Option<(Key, UdpSocket)>) {
+        if let Some((_, socket)) = opened {
+            self.poller.remove(&socket);
+        }
+    }
+
     /// Logs and counts that the own configuration file was rejected, with each problem.
     fn reject_own_file(&mut self, problems: &[Problem]) {
         self.figures.reloaded(false);
--- a/crates/gatekeeper/src/node/event_loop/stopping.rs
+++ b/crates/gatekeeper/src/node/event_loop/stopping.rs
@@ -120,7 +120,7 @@
                 let mut ctx = Context { now, poller: &mut self.poller, calls: &mut self.calls };
                 self.servers.handle_ready(ready, &mut ctx);
                 if ready.key == self.resolver_key {
-                    self.resolver.read_answers();
+                    self.resolver.read_answers(now);
                 }
             }
             // Closed connections have freed descriptors for callers that still wait.
--- a/crates/gatekeeper/src/node/resolver.rs
+++ b/crates/gatekeeper/src/node/resolver.rs
@@ -1,9 +1,9 @@
 //! The resolver: the list of session servers, polled over DNS (RFC 1035) on UDP.
 
+mod pending;
+mod position;
 mod unusable;
 
-use std::cmp::Ordering;
-use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
 
@@ -11,34 +11,31 @@
 use hickory_proto::rr::{Name, RecordType};
 use hollypaddle_platform::list::Snapshot;
 
+use self::pending::PendingQueries;
+use self::position::{ListPosition, Verdict};
 use self::unusable::{AnswerStats, Unusable};
 
 /// The DNS name whose SRV records are the server list.
 const LIST_NAME: &str = "_work._tcp.fleet.local.";
 /// Size of the receive buffer; answers are smaller, with room to spare.
 const MAX_ANSWER_BYTES: usize = 16 * 1024;
-/// Number of queries whose answers are still accepted. A lost answer costs one polling interval and no more, as the next
-/// query does not wait for it.
-const MAX_PENDING_QUERIES: usize = 8;
+/// Maximum number of answers that are read at once. The others follow in the next iteration of the event loop.
+const MAX_ANSWERS_READ_AT_ONCE: usize = 16;
 
 /// A DNS client that polls the server list.
 pub struct Resolver {
+    address: SocketAddr,
     socket: UdpSocket,
     name: Name,
     /// Names of the districts, for parsing the list.
     districts: Vec<String>,
-    /// Ids of the latest queries, oldest first.
-    pending_queries: VecDeque<u16>,
-    last_query_id: u16,
-    /// Position of the current list: the number of the last event that it contains.
-    position: u64,
+    pending_queries: PendingQueries,
+    position: ListPosition,
     /// See [`Resolver::take_confirmed`].
-    confirmed: bool,
-    /// The current list came in a single answer, and no other answer has confirmed it yet.
-    unverified: bool,
-    /// Position of an older list received since then, and the id of the query that it answered.
-    older_candidate: Option<(u64, u16)>,
+    confirmed_at: Option<f64>,
     answer_stats: AnswerStats,
+    /// Number of answers that were passed over; see [`Resolver::answers_passed_over`].
+    passed_over: u64,
 }
 
 impl Resolver {
@@ -49,49 +46,46 @@
         seed: u64,
         districts: Vec<String>,
     ) -> io::Result<Resolver> {
-        let socket = open_socket(address)?;
-        let name = Name::from_ascii(LIST_NAME).map_err(io::Error::other)?;
-        let (pending_queries, confirmed) = (VecDeque::new(), false);
-        let (unverified, older_candidate) = (false, None);
         Ok(Resolver {
-            socket,
-            name,
+            address,
+            socket: open_socket(address)?,
+            name: Name::from_ascii(LIST_NAME).map_err(io::Error::other)?,
             districts,
-            pending_queries,
-            last_query_id: seed as u16,
-            position,
-            confirmed,
-            unverified,
-            older_candidate,
+            pending_queries: PendingQueries::new(seed as u16),
+            position: ListPosition::new(position),
+            confirmed_at: None,
             answer_stats: AnswerStats::default(),
+            passed_over: 0,
         })
     }
 
+    /// The address of the DNS server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Forgets the pending queries, so that late answers to them, which may be outdated, are ignored.
     pub fn forget_queries(&mut self) {
         self.pending_queries.clear();
     }
 
-    /// Returns whether a complete list no older than the current one was received since the previous call.
-    pub fn take_confirmed(&mut self) -> bool {
-        std::mem::take(&mut self.confirmed)
+    /// Returns the time as of which the current list was confirmed since the previous call, in Unix seconds, if it was: the
+    /// resolver had no newer list when it received the query.
+    pub fn take_confirmed(&mut self) -> Option<f64> {
+        self.confirmed_at.take()
     }
 
-    /// Sends further queries on another socket. Pending queries on the old socket are forgotten. The position is kept, as
-    /// event numbers continue. Returns the old socket, so that the poller can stop watching it.
-    pub fn replace_socket(&mut self, socket: UdpSocket) -> UdpSocket {
+    /// Sends further queries to another address, on another socket. Pending queries on the old socket are forgotten. The position
+    /// is kept, as event numbers continue. Returns the old socket, so that the poller can stop watching it.
+    pub fn switch_to(&mut self, address: SocketAddr, socket: UdpSocket) -> UdpSocket {
         self.pending_queries.clear();
+        self.address = address;
         std::mem::replace(&mut self.socket, socket)
     }
 
     /// Advances to the position of a list from the configuration. Returns whether that list is newer than the current one.
     pub fn accept(&mut self, position: u64) -> bool {
-        let is_newer = position > self.position;
-        self.position = self.position.max(position);
-        if is_newer {
-            (self.unverified, self.older_candidate) = (false, None);
-        }
-        is_newer
+        self.position.advance_to_configured(position)
     }
 
     /// The socket, to be watched for answers.
@@ -100,29 +94,24 @@
     }
 
     /// Queries the list. A query that cannot be sent is treated like one that was lost.
-    pub fn send_query(&mut self) {
-        // The step is odd, so all ids are used before one repeats.
-        self.last_query_id = self.last_query_id.wrapping_add(0x9e37);
-        let mut query = Message::new(self.last_query_id, MessageType::Query, OpCode::Query);
+    pub fn send_query(&mut self, now: f64) {
+        let sent = self.pending_queries.add(now);
+        let mut query = Message::new(sent.id, MessageType::Query, OpCode::Query);
         query.add_query(Query::query(self.name.clone(), RecordType::SRV));
         match query.to_vec().map(|bytes| self.socket.send(&bytes)) {
             Ok(Ok(_)) => {}
             Ok(Err(error)) => log::debug!(error:%; "resolver-unreachable"),
             Err(error) => log::debug!(error:%; "resolver-unreachable"),
         }
-        self.pending_queries.push_back(self.last_query_id);
-        if self.pending_queries.len() > MAX_PENDING_QUERIES {
-            self.pending_queries.pop_front();
-        }
     }
 
     /// Reads the answers that have arrived. Returns the latest list that is to be applied, if any.
-    pub fn read_answers(&mut self) -> Option<Snapshot> {
+    pub fn read_answers(&mut self, now: f64) -> Option<Snapshot> {
         let mut latest = None;
         let mut data = vec![0; MAX_ANSWER_BYTES];
-        for _ in 0..2 * MAX_PENDING_QUERIES {
+        for _ in 0..MAX_ANSWERS_READ_AT_ONCE {
             match self.socket.recv(&mut data) {
-                Ok(n) => latest = self.handle_answer(&data[..n]).or(latest),
+                Ok(n) => latest = self.handle_answer(now, &data[..n]).or(latest),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 // A refused port is reported as an error of the next call: the resolver is down for now.
                 Err(error) => log::debug!(error:%; "resolver-unreachable"),
@@ -131,10 +120,11 @@
         latest
     }
 
-    fn handle_answer(&mut self, data: &[u8]) -> Option<Snapshot> {
-        // Ignores late answers and answers to queries of others.
+    fn handle_answer(&mut self, now: f64, data: &[u8]) -> Option<Snapshot> {
         let id = data.first_chunk().map(|id| u16::from_be_bytes(*id));
-        let Some(query_id) = id.filter(|id| self.pending_queries.contains(id)) else {
+        // Ignores answers that come too late or twice, and answers to queries of others.
+        let Some(query) = id.and_then(|id| self.pending_queries.find(now, id)) else {
+            self.passed_over += 1;
             log::debug!(id; "resolver-answer-passed-over");
             return None;
         };
@@ -145,12 +135,19 @@
                 return None;
             }
         };
+        self.pending_queries.remove(query.number);
         if self.answer_stats.record_usable() {
             log::info!(position = list.position, servers = list.servers.len(); "list-taken-again");
         }
-        let is_accepted = self.accept_answer(list.position, query_id);
-        self.confirmed |= list.position == self.position;
-        is_accepted.then_some(list)
+        let verdict = self.position.judge(list.position, query.number, self.pending_queries.last_number());
+        if verdict == Verdict::PassOver {
+            self.passed_over += 1;
+            log::debug!(id, position = list.position, held = self.position.get(); "resolver-answer-passed-over");
+            return None;
+        }
+        let confirmed_at = self.confirmed_at.unwrap_or(query.sent_at).max(query.sent_at);
+        self.confirmed_at = Some(confirmed_at);
+        (verdict == Verdict::Apply).then_some(list)
     }
 
     /// Parses the list in an answer. A server missing from the list counts as gone, so an incomplete list is an error.
@@ -172,7 +169,7 @@
     fn handle_unusable(&mut self, error: &Unusable) {
         log::debug!(error:%; "resolver-answer-unusable");
         if self.answer_stats.record_unusable() {
-            log::warn!(held = self.position, error:%; "list-not-taken");
+            log::warn!(held = self.position.get(), error:%; "list-not-taken");
         }
     }
 
@@ -181,31 +178,10 @@
         self.answer_stats.unusable
     }
 
-    /// Decides whether the list of an answer is applied. Events are numbered anew each time a gatekeeper starts, so a late
-    /// answer from before a restart may have a higher position than any list since. A list from a single answer is therefore
-    /// replaced by an older one as soon as two answers to different queries agree on that. A list that was received twice is
-    /// never replaced by an older one.
-    fn accept_answer(&mut self, position: u64, query_id: u16) -> bool {
-        match position.cmp(&self.position) {
-            Ordering::Greater => {
-                self.accept(position);
-                self.unverified = true;
-                true
-            }
-            Ordering::Equal => {
-                (self.unverified, self.older_candidate) = (false, None);
-                false
-            }
-            Ordering::Less if !self.unverified => false,
-            Ordering::Less => match self.older_candidate.replace((position, query_id)) {
-                Some((previous, by)) if previous == position && by != query_id => {
-                    log::info!(held = self.position, told = previous; "list-of-an-earlier-life");
-                    (self.position, self.unverified, self.older_candidate) = (position, false, None);
-                    true
-                }
-                _ => false,
-            },
-        }
+    /// Number of answers passed over since the start: to queries that were not awaited any more, or with another list than the
+    /// current one that was not applied.
+    pub fn answers_passed_over(&self) -> u64 {
+        self.passed_over
     }
 }
 
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -11,6 +11,7 @@
 mod operations;
 mod races;
 mod server_connections;
+mod slow_resolver;
 mod truncated_messages;
 mod unread_call_ends;
 mod unread_releases;
--- a/crates/gatekeeper/src/node/tier.rs
+++ b/crates/gatekeeper/src/node/tier.rs
@@ -632,7 +632,7 @@
             if joined.tick(ctx.now) {
                 // Answers waiting at the socket were sent before or during the pause.
                 ctx.resolver.forget_queries();
-                ctx.resolver.send_query();
+                ctx.resolver.send_query(ctx.now);
             }
         }
     }
--- a/crates/measure/src/size/list.rs
+++ b/crates/measure/src/size/list.rs
@@ -82,7 +82,7 @@
     let dns = UdpSocket::bind("127.0.0.1:0")?;
     dns.set_read_timeout(Some(Duration::from_secs(2)))?;
     let mut resolver = Resolver::new(dns.local_addr()?, 1, 3, Vec::new())?;
-    resolver.send_query();
+    resolver.send_query(0.0);
     let mut data = [0; 1024];
     let (n, from) = dns.recv_from(&mut data)?;
     let mut answer = reply(&data[..n], 2, &listed(&doors(servers)))?;
@@ -98,7 +98,7 @@
         return Ok("cannot be sent: no datagram is so long");
     }
     std::thread::sleep(Duration::from_millis(20));
-    Ok(match resolver.read_answers() {
+    Ok(match resolver.read_answers(0.0) {
         Some(list) if list.servers.len() == servers => "taken whole",
         Some(_) => "taken in part",
         None => "passed over",
--- a/crates/service/src/figures.rs
+++ b/crates/service/src/figures.rs
@@ -40,6 +40,9 @@
     pub ejected: u64,
     /// Answers of the resolver that could not be used, since the start.
     pub unusable_lists: u64,
+    /// Answers of the resolver that were passed over, since the start: their query was not awaited any more, or their list was
+    /// neither the current one nor applied.
+    pub lists_passed_over: u64,
     /// Ends of calls that were sent again on another connection because they were not read on their own, since the start.
     pub ends_redelivered: u64,
     /// Ends of calls on connections that were reset, for which it is unknown whether they were read, since the start.
--- a/crates/service/src/figures/tests.rs
+++ b/crates/service/src/figures/tests.rs
@@ -16,6 +16,7 @@
         discovered: 6,
         ejected: 1,
         unusable_lists: 2,
+        lists_passed_over: 3,
         ends_redelivered: 5,
         ends_unconfirmed: 3,
         drain_closed: 4,
@@ -32,6 +33,7 @@
     assert_eq!(json["outstanding"], 14);
     assert_eq!(json["discovered"], 6);
     assert_eq!(json["unusable_lists"], 2);
+    assert_eq!(json["lists_passed_over"], 3);
     assert_eq!(json["ends_redelivered"], 5);
     assert_eq!(json["ends_unconfirmed"], 3);
     let drains = ["drain_closed", "drain_refused", "drain_answered", "drain_cut"];
