A reload brings the counts of calls by tenant to the length of the new tenants

What callers saw: a SIGHUP whose settings name tenants for the first time ended the process at the next call; every connection was closed and what was open was never answered.

Cause: Controller::tenant_calls had the length of the tenants at the start. update_settings replaced the settings alone, and tenant_factor indexes the list after finding the tenant in the new settings.

Change: update_settings resizes the list. Nothing else in the module has the length of a list of the settings (read).

The module's tests pass.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -284,8 +284,10 @@
     }
 
     /// Replaces the settings. Open calls keep their class index, so an index must not get another meaning.
-    /// The times that were derived from the first settings stay.
+    /// The times that were derived from the first settings stay. Tenants keep their counts by index, and
+    /// those that are added start without calls.
     pub fn update_settings(&mut self, settings: Settings) {
+        self.tenant_calls.resize(settings.tenants.len(), 0.0);
         self.settings = settings;
     }
 
