Tests with a control address run on a clock that the test alone moves

Seen once, in one run of the library's tests right after linking, beside three panics that printed backtraces: one_of_the_busy_connections_with_standing_calls_stays_open_for_their_ends failed, in a run of 14 s in place of 4. Its message was not kept.

Cause, forced: the test bed's clock was the system's plus the test's steps, so a slow machine moves the drain on. A sleep of 0.2 s after its first 1.3 s, or of 0.4 s before its last 0.4 s, fails the test; one of 0.7 s makes it run for 12 s. 6 runs beside twelve busy processes had not failed.

Change: beds with a control address get a clock that stands still between the test's steps. No check, bound or step is changed.

Measured: with a sleep of 1 s at both places the test passes; the library's 161 tests pass, and in 8 of 8 runs beside twelve busy processes.

--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -32,6 +32,8 @@
 
 /// Iterations of the event loop after which a test that waits for something fails.
 const MAX_ITERATIONS: usize = 400;
+/// Time at which a clock starts that is moved by the test alone, in Unix seconds.
+const TEST_START_S: f64 = 1e9;
 
 /// A gatekeeper with its resolver, its session servers and one caller.
 struct TestBed {
@@ -94,12 +96,18 @@
         TestBed::with_config(servers, |_| {})
     }
 
-    /// A test bed whose gatekeeper has a control address.
+    /// A test bed whose gatekeeper has a control address. Its clock is moved by the test alone: how far a drain has come must not
+    /// depend on how long the machine takes for the test.
     fn with_control_address(servers: usize) -> TestBed {
-        TestBed::with_config(servers, |c| c.control = Some("127.0.0.1:0".parse().unwrap()))
+        let set_control = |c: &mut Config| c.control = Some("127.0.0.1:0".parse().unwrap());
+        TestBed::with_clock(servers, Clock::manual(TEST_START_S), set_control)
     }
 
     fn with_config(servers: usize, change: impl FnOnce(&mut Config)) -> TestBed {
+        TestBed::with_clock(servers, Clock::new(), change)
+    }
+
+    fn with_clock(servers: usize, clock: Clock, change: impl FnOnce(&mut Config)) -> TestBed {
         let listeners: Vec<TcpListener> =
             (0..servers).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
         listeners.iter().for_each(|l| l.set_nonblocking(true).unwrap());
@@ -107,7 +115,7 @@
         dns.set_nonblocking(true).unwrap();
         let mut config = config(&listeners, &dns);
         change(&mut config);
-        let gatekeeper = Gatekeeper::new(config).unwrap();
+        let gatekeeper = Gatekeeper::with_clock(config, clock).unwrap();
         let caller = peer(TcpStream::connect(gatekeeper.address()).unwrap());
         let (caller_received, servers_received) = (Vec::new(), Vec::new());
         let mut bed = TestBed {
--- a/crates/gatekeeper/src/node/tests/races.rs
+++ b/crates/gatekeeper/src/node/tests/races.rs
@@ -34,7 +34,7 @@
         let mut config = config(&bed.listeners, &bed.dns);
         (config.max_sockets, config.memory_bytes) = (sockets, 512 << 20);
         // The clock stands still, so that the server does not count as silent.
-        bed.gatekeeper = Gatekeeper::with_clock(config, Clock::manual(1e9)).unwrap();
+        bed.gatekeeper = Gatekeeper::with_clock(config, Clock::manual(TEST_START_S)).unwrap();
         bed.servers.clear();
         bed.run_until("another connection", |bed| !bed.servers.is_empty());
         bed.caller = bed.connect_caller();
