--- a/review/stand-2/cases/mod.rs
+++ b/review/stand-2/cases/mod.rs
@@ -2,4 +2,8 @@
 
 use crate::Case;
 
-pub const CASES: &[Case] = &[];
+mod replaced_server;
+
+pub const CASES: &[Case] = &[
+    ("replaced-server", 40.0, replaced_server::play),
+];
