--- a/review/stand-2/cases/mod.rs
+++ b/review/stand-2/cases/mod.rs
@@ -2,8 +2,10 @@
 
 use crate::Case;
 
+mod late_connection;
 mod replaced_server;
 
 pub const CASES: &[Case] = &[
     ("replaced-server", 40.0, replaced_server::play),
+    ("late-connection", 60.0, late_connection::play),
 ];
