--- a/review/stand-2/cases/mod.rs
+++ b/review/stand-2/cases/mod.rs
@@ -3,6 +3,7 @@
 use crate::Case;
 
 mod late_connection;
+mod older_list;
 mod refused_connection;
 mod replaced_server;
 
@@ -10,4 +11,5 @@
     ("replaced-server", 40.0, replaced_server::play),
     ("late-connection", 60.0, late_connection::play),
     ("refused-connection", 40.0, refused_connection::play),
+    ("older-list", 2.0, older_list::play),
 ];
