--- a/review/stand-2/cases/mod.rs
+++ b/review/stand-2/cases/mod.rs
@@ -2,6 +2,7 @@
 
 use crate::Case;
 
+mod broken_file;
 mod late_connection;
 mod older_list;
 mod refused_connection;
@@ -12,4 +13,5 @@
     ("late-connection", 60.0, late_connection::play),
     ("refused-connection", 40.0, refused_connection::play),
     ("older-list", 2.0, older_list::play),
+    ("broken-file", 2.0, broken_file::play),
 ];
