--- a/review/stand-2/further/mod.rs
+++ b/review/stand-2/further/mod.rs
@@ -2,4 +2,16 @@
 
 use crate::Case;
 
-pub const CASES: &[Case] = &[];
+mod dropped_class;
+mod embedded_message;
+mod many_configurations;
+mod release_at_exit;
+mod releases_after_restart;
+
+pub const CASES: &[Case] = &[
+    ("dropped-class", 2.0, dropped_class::play),
+    ("embedded-message", 2.0, embedded_message::play),
+    ("many-configurations", 2.0, many_configurations::play),
+    ("release-at-exit", 60.0, release_at_exit::play),
+    ("releases-after-restart", 600.0, releases_after_restart::play),
+];
