Review case 9: a bad client is told the ends of other callers' calls

Cause: Clients::fallback_connection prefers the connection with the latest set-up that followed a reply, so a client that is refused and asks again at once is told the ends of calls whose own connection is gone.

Another further play: a list of before a restart. Fixes nothing.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,6 +5,6 @@
 for program in "$stand" "$root/target/release/hollypaddle"; do
     [ -x "$program" ] || { echo "$program is missing: build first, see claim.txt" >&2; exit 2; }
 done
-"$stand" older-list "$root" "$here/record.txt" &
+"$stand" foreign-end "$root" "$here/record.txt" &
 trap 'kill $! 2>/dev/null; exit 2' INT TERM HUP
 wait $!
--- a/review/stand-2/cases/mod.rs
+++ b/review/stand-2/cases/mod.rs
@@ -3,8 +3,8 @@
 use crate::Case;
 
 mod broken_file;
+mod foreign_end;
 mod late_connection;
-mod older_list;
 mod refused_connection;
 mod replaced_server;
 
@@ -12,6 +12,6 @@
     ("replaced-server", 40.0, replaced_server::play),
     ("late-connection", 60.0, late_connection::play),
     ("refused-connection", 40.0, refused_connection::play),
-    ("older-list", 2.0, older_list::play),
+    ("foreign-end", 9.4, foreign_end::play),
     ("broken-file", 2.0, broken_file::play),
 ];
--- a/review/stand-2/further/mod.rs
+++ b/review/stand-2/further/mod.rs
@@ -4,14 +4,18 @@
 
 mod dropped_class;
 mod embedded_message;
+mod list_of_before;
 mod many_configurations;
+mod older_list;
 mod release_at_exit;
 mod releases_after_restart;
 
 pub const CASES: &[Case] = &[
     ("dropped-class", 2.0, dropped_class::play),
     ("embedded-message", 2.0, embedded_message::play),
+    ("list-of-before", 2.0, list_of_before::play),
     ("many-configurations", 2.0, many_configurations::play),
+    ("older-list", 2.0, older_list::play),
     ("release-at-exit", 60.0, release_at_exit::play),
     ("releases-after-restart", 600.0, releases_after_restart::play),
 ];
--- a/review/stand-2/peers.rs
+++ b/review/stand-2/peers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::program::{now, pause, Record};
-use crate::wire::{code, dns_answer, kind, Listed, Message};
+use crate::wire::{cause, code, dns_answer, kind, Listed, Message};
 
 /// Time between two looks at what is due, in seconds.
 const LOOK: f64 = 0.002;
@@ -63,6 +63,10 @@
     /// Ends that are said again on the next connection.
     said: Vec<Message>,
     seen: Vec<SetUpSeen>,
+    /// Set-ups that it can't use: it answers them with `error`.
+    useless: Option<std::ops::Range<u64>>,
+    /// When calls that stood came to their end here.
+    ended: BTreeMap<u64, f64>,
     /// How long it works on a set-up, in seconds.
     delay: f64,
     /// Set-ups being worked on: when they are done, their calls and connections.
@@ -114,6 +118,16 @@
         lock(&self.state).delay = delay;
     }
 
+    /// Answers set-ups of these ids with `error`, as what it can't use.
+    pub fn refuse_with_error(&self, calls: std::ops::Range<u64>) {
+        lock(&self.state).useless = Some(calls);
+    }
+
+    /// When a call that stood here came to its end.
+    pub fn ended_at(&self, call: u64) -> Option<f64> {
+        lock(&self.state).ended.get(&call).copied()
+    }
+
     /// Its process dies: its calls are cut.
     pub fn die(&self) {
         let mut state = lock(&self.state);
@@ -177,6 +191,12 @@
                     String::from_utf8_lossy(message.get(code::CLASS).unwrap_or_default()).into_owned();
                 state.seen.push(SetUpSeen { at, call, class: class.clone() });
                 self.record.line(format!("{}: set-up {call:016x} of {class}", self.name));
+                if state.useless.as_ref().is_some_and(|calls| calls.contains(&call)) {
+                    if let Some(mut stream) = state.connections.get(&key) {
+                        let _ = stream.write_all(&Message::release(call, cause::ERROR).encode());
+                    }
+                    return;
+                }
                 match state.delay > 0.0 {
                     true => {
                         let done = at + state.delay;
@@ -229,8 +249,8 @@
             state.standing.iter().filter(|(_, s)| s.1 <= at).map(|(call, s)| (*call, s.0)).collect();
         for (call, key) in due {
             state.standing.remove(&call);
-            let end =
-                Message::release(call, crate::wire::cause::NORMAL).with(code::REPORT, Server::report(&state));
+            state.ended.insert(call, at);
+            let end = Message::release(call, cause::NORMAL).with(code::REPORT, Server::report(&state));
             let stream = state.connections.get(&key).or_else(|| state.connections.values().next_back());
             if let Some(mut stream) = stream {
                 let _ = stream.write_all(&end.encode());
@@ -249,6 +269,8 @@
     /// How long answers hold the older list after the first one with the newer, in seconds.
     stale_for: f64,
     stale_until: f64,
+    /// The next answers hold the list of before a restart: its number, and how many.
+    of_before: Option<(u32, u32)>,
     /// When the first answer with each position was sent.
     told: BTreeMap<u32, f64>,
 }
@@ -286,6 +308,10 @@
     fn next_answer(&self) -> (u32, Vec<Listed>) {
         let mut state = lock(&self.state);
         let at = now();
+        if let Some((position, left)) = state.of_before.take().filter(|(_, left)| *left > 0) {
+            state.of_before = Some((position, left - 1));
+            return (position, state.list.clone());
+        }
         match &state.older {
             Some((position, list)) if state.told.contains_key(&state.position) && at < state.stale_until => {
                 (*position, list.clone())
@@ -309,6 +335,18 @@
         state.position
     }
 
+    /// Counts on from this number.
+    pub fn set_position(&self, position: u32) {
+        lock(&self.state).position = position;
+    }
+
+    /// The gatekeeper starts anew, and events are counted from 1 again; the next answers hold the number of before.
+    pub fn restart(&self, of_before: Option<(u32, u32)>) {
+        let mut state = lock(&self.state);
+        (state.position, state.of_before, state.older) = (1, of_before, None);
+        state.told.clear();
+    }
+
     /// When an event was told, if an answer that holds it was sent.
     pub fn told_at(&self, position: u32) -> Option<f64> {
         lock(&self.state).told.get(&position).copied()
@@ -403,6 +441,11 @@
         lock(&self.stream).write_all(&bytes)
     }
 
+    /// Closes the connection.
+    pub fn close(&self) {
+        let _ = lock(&self.stream).shutdown(std::net::Shutdown::Both);
+    }
+
     /// What came for a call.
     pub fn replies(&self, call: u64) -> Vec<(f64, Message)> {
         lock(&self.replies).get(&call).cloned().unwrap_or_default()
--- a/review/stand-2/wire.rs
+++ b/review/stand-2/wire.rs
@@ -29,6 +29,7 @@
 /// Release causes.
 pub mod cause {
     pub const NORMAL: u8 = 16;
+    pub const ERROR: u8 = 47;
 }
 
 /// Longest message, with its length field.
