--- a/review/stand-2/further/mod.rs
+++ b/review/stand-2/further/mod.rs
@@ -8,6 +8,7 @@
 mod list_of_before;
 mod many_configurations;
 mod older_list;
+mod older_list_cuts;
 mod release_at_exit;
 mod releases_after_restart;
 
@@ -18,6 +19,7 @@
     ("list-of-before", 2.0, list_of_before::play),
     ("many-configurations", 2.0, many_configurations::play),
     ("older-list", 2.0, older_list::play),
+    ("older-list-cuts", 40.0, older_list_cuts::play),
     ("release-at-exit", 60.0, release_at_exit::play),
     ("releases-after-restart", 600.0, releases_after_restart::play),
 ];
--- a/review/stand-2/peers.rs
+++ b/review/stand-2/peers.rs
@@ -269,6 +269,9 @@
     /// How long answers hold the older list after the first one with the newer, in seconds.
     stale_for: f64,
     stale_until: f64,
+    /// After the first answer with a new event, none comes for so long, in seconds; and until when that is.
+    lose_for: f64,
+    lose_until: f64,
     /// The next answers hold the list of before a restart: its number, and how many.
     of_before: Option<(u32, u32)>,
     /// When the first answer with each position was sent.
@@ -291,6 +294,9 @@
         thread::spawn(move || {
             let mut query = [0; 1024];
             while let Ok((n, from)) = socket.recv_from(&mut query) {
+                if now() < lock(&answering.state).lose_until {
+                    continue;
+                }
                 let (position, list) = answering.next_answer();
                 if let Some(bytes) = dns_answer(&query[..n], position, &list) {
                     let _ = socket.send_to(&bytes, from);
@@ -319,6 +325,7 @@
             _ => {
                 if !state.told.contains_key(&state.position) {
                     state.stale_until = at + state.stale_for;
+                    state.lose_until = at + std::mem::take(&mut state.lose_for);
                 }
                 (state.position, state.list.clone())
             }
@@ -335,6 +342,11 @@
         state.position
     }
 
+    /// After the first answer that holds the next event, none comes for so long, in seconds.
+    pub fn lose_after_next(&self, seconds: f64) {
+        lock(&self.state).lose_for = seconds;
+    }
+
     /// Counts on from this number.
     pub fn set_position(&self, position: u32) {
         lock(&self.state).position = position;
