Settle ends of calls only on connections on which a call was established

Cause: Clients::fallback_connection took the connection with the latest set-up after any reply, refusals included, and while there was none any connection after 0.5 s; the end counted as told.

Change: only an established call, which servers bring about, makes a connection a caller's. Order: the call's address, callers that have shown that they read, the earliest established call. Until there is one, the end is owed (clients/owed.rs). A drain's connection for ends, and what a member tells its fleet of its callers, follow the same rule.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -4,18 +4,20 @@
 mod draining;
 mod ends;
 mod eviction;
+mod owed;
 mod reply;
 mod set_up;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 
 use self::closing::Closing;
 use self::draining::Drain;
 pub use self::draining::DrainCounts;
 use self::ends::CallEnd;
 pub use self::ends::EndCounts;
+use self::owed::OwedEnds;
 use self::reply::encode_reply;
 use self::set_up::{class_index, parse_request};
 use super::config::ProtocolClass;
@@ -41,6 +43,8 @@
 /// An open client connection. Times are in Unix seconds.
 struct Client {
     connection: Connection<TcpStream>,
+    /// The peer's address.
+    address: IpAddr,
     /// Whether the socket is watched for writability too.
     watches_writable: bool,
     /// When the connection was accepted.
@@ -49,9 +53,11 @@
     used_at: f64,
     /// When the last set-up was read.
     last_set_up_at: Option<f64>,
-    /// When the last set-up was read that followed a reply about a call. Such a set-up shows that the caller reads replies.
-    set_up_after_reply_at: Option<f64>,
+    /// Whether a set-up was read that followed a reply about a call. Such a set-up shows that the caller reads replies.
+    set_up_after_reply: bool,
     best_reply: BestReply,
+    /// When the first call was established on the connection.
+    first_established_at: Option<f64>,
     /// Number of invalid set-ups read so far.
     invalid_set_ups: u32,
     /// Ends of calls sent on this connection that the caller has not confirmed.
@@ -66,6 +72,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum BestReply {
     None,
+    /// The end of a call, sent without knowing whether this caller had one.
+    UnprovenEnd,
     /// The result of a test, or the refusal of an invalid set-up.
     Notice,
     /// The result of a call other than its answer.
@@ -97,8 +105,10 @@
     closing: BTreeMap<Key, Closing>,
     /// Retry-after time for callers refused by an overloaded gatekeeper, in seconds; none if callers are sent no such time.
     crowded_retry_after: Option<f64>,
-    /// Ends of established calls that wait for a connection.
-    undelivered_ends: VecDeque<CallEnd>,
+    /// Ends of established calls that wait for a connection of their caller.
+    owed_ends: OwedEnds,
+    /// The peers' addresses of closed connections whose calls still stand.
+    closed_addresses: BTreeMap<Key, IpAddr>,
     /// Ends that were not read on a connection that is closed now, to be sent on another one at once.
     unread_ends: VecDeque<CallEnd>,
     end_counts: EndCounts,
@@ -130,7 +140,7 @@
         let address = listener.local_addr()?;
         let listener_key = poller.add(&listener, false)?;
         let (listener, connections) = (Some(listener), BTreeMap::new());
-        let (accept_paused, undelivered_ends) = (false, VecDeque::new());
+        let accept_paused = false;
         let max_unwritten_bytes =
             (memory_bytes / max_connections).clamp(2 * MAX_MESSAGE_BYTES, 8 * MAX_MESSAGE_BYTES);
         let refused_classes = Vec::new();
@@ -147,7 +157,8 @@
             connections,
             closing: BTreeMap::new(),
             crowded_retry_after: None,
-            undelivered_ends,
+            owed_ends: OwedEnds::default(),
+            closed_addresses: BTreeMap::new(),
             unread_ends: VecDeque::new(),
             end_counts: EndCounts::default(),
             drain: None,
@@ -214,7 +225,8 @@
     pub fn maintain(&mut self, now: f64, poller: &Poller, calls: &mut Calls) {
         self.close_unused(now, poller, calls);
         self.send_unread(now, poller, calls);
-        self.send_undelivered(now, poller, calls);
+        self.send_owed(now, poller, calls);
+        self.closed_addresses.retain(|key, _| calls.standing_count(*key) > 0);
         if let (true, Some(listener)) = (self.accept_paused, &self.listener) {
             self.accept_paused = false;
             poller.set_interest(self.listener_key, listener, true, false);
@@ -311,7 +323,7 @@
             if let (Ok(_), Some(steering)) = (&accepted, &mut self.steering) {
                 steering.connection_accepted(now, listener);
             }
-            let error = match accepted.and_then(|(stream, _)| self.admit(now, stream, poller)) {
+            let error = match accepted.and_then(|(stream, peer)| self.admit(now, stream, peer.ip(), poller)) {
                 Ok(()) => continue,
                 Err(error) => error,
             };
@@ -354,19 +366,21 @@
         self.connections.len() + self.closing.len()
     }
 
-    fn admit(&mut self, now: f64, stream: TcpStream, poller: &mut Poller) -> io::Result<()> {
+    fn admit(&mut self, now: f64, stream: TcpStream, address: IpAddr, poller: &mut Poller) -> io::Result<()> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let key = poller.add(&stream, false)?;
         let connection = Connection::new(stream, self.max_unwritten_bytes);
         let client = Client {
             connection,
+            address,
             watches_writable: false,
             connected_at: now,
             used_at: now,
             last_set_up_at: None,
-            set_up_after_reply_at: None,
+            set_up_after_reply: false,
             best_reply: BestReply::None,
+            first_established_at: None,
             invalid_set_ups: 0,
             pending_ends: Pending::default(),
             reset_seen: false,
@@ -389,9 +403,7 @@
         match message.kind {
             kind::SET_UP => {
                 (client.used_at, client.last_set_up_at) = (now, Some(now));
-                if client.best_reply >= BestReply::Outcome {
-                    client.set_up_after_reply_at = Some(now);
-                }
+                client.set_up_after_reply |= client.best_reply >= BestReply::Outcome;
                 let refusal = match parse_request(message, &self.classes) {
                     Err(cause) => Message::new(kind::RELEASE, message.call).with_cause(cause),
                     Ok(_)
@@ -455,8 +467,8 @@
         calls: &mut Calls,
     ) -> bool {
         if let Reply::Ended { cut } = reply {
-            let end = CallEnd { id, cut, ended_at: now };
-            self.send_end(now, origin, end, BestReply::Outcome, poller, calls);
+            let end = CallEnd { id, cut, ended_at: now, address: self.address_of(origin) };
+            self.send_end(now, origin, end, poller, calls);
             return true;
         }
         let is_established = matches!(reply, Reply::Established(_));
@@ -474,9 +486,8 @@
         }
         let best_reply = if is_established { BestReply::Established } else { BestReply::Outcome };
         let sent = self.send(now, origin, &encode_reply(id, reply), best_reply, poller);
-        // A caller that waits for replies reads its connection, so the undelivered ends can go there.
-        for end in std::mem::take(&mut self.undelivered_ends) {
-            self.send_end(now, origin, end, best_reply, poller, calls);
+        if is_established {
+            self.handle_established(now, origin, poller, calls);
         }
         sent
     }
--- a/crates/gatekeeper/src/node/clients/closing.rs
+++ b/crates/gatekeeper/src/node/clients/closing.rs
@@ -201,6 +201,9 @@
         let Err(error) = end else { return client.update_watch(key, poller) };
         log::debug!(caller = key, reason:% = error; "caller-closed");
         let Some(client) = self.connections.remove(&key) else { return };
+        if calls.standing_count(key) > 0 {
+            self.closed_addresses.insert(key, client.address);
+        }
         match error {
             CloseReason::Closed | CloseReason::Broken(_) => {
                 let reset = client.reset_seen || matches!(error, CloseReason::Broken(_));
--- a/crates/gatekeeper/src/node/clients/draining.rs
+++ b/crates/gatekeeper/src/node/clients/draining.rs
@@ -104,7 +104,7 @@
             self.drop_blocked(now, poller);
         }
         if actions.cut_calls {
-            self.send_all_undelivered(now, poller, calls);
+            self.send_all_owed(now, poller, calls);
         }
         if now - started_at >= drain::DEADLINE_S {
             self.log_term(now, calls);
@@ -152,16 +152,14 @@
 
     /// Returns the connection that stays for the ends of calls whose own connection does not, if there are such calls.
     fn end_path(&self, now: f64, started_at: f64, kept: &BTreeSet<Key>, calls: &Calls) -> Option<Key> {
-        if self.undelivered_ends.is_empty()
-            && !calls.has_standing_call_outside(|origin| kept.contains(&origin))
-        {
+        if self.owed_ends.is_empty() && !calls.has_standing_call_outside(|origin| kept.contains(&origin)) {
             return None;
         }
         let usable = self.connections.iter().filter(|(_, client)| !client.reset_seen);
         let fitness = |key: Key, client: &Client| {
             let (reads, may_stay, unused) =
                 drain::end_delivery_rank(now, started_at, &client.state(key, None, calls));
-            ((reads, may_stay, client.best_reply), unused)
+            ((client.had_call(), reads, may_stay, client.best_reply), unused)
         };
         let fittest = usable.max_by(|(a_key, a), (b_key, b)| {
             let (a, b) = (fitness(**a_key, a), fitness(**b_key, b));
@@ -194,7 +192,7 @@
             last_used_at: self.used_at,
             last_set_up_at: self.last_set_up_at,
             sent_anything: self.best_reply != BestReply::None,
-            set_up_after_reply: self.set_up_after_reply_at.is_some(),
+            set_up_after_reply: self.set_up_after_reply,
             // An answer that arrived in this iteration of the event loop is not written yet.
             open: calls.open_count(key) + usize::from(calls.has_pending_reply(key)),
             standing: calls.standing_count(key),
--- a/crates/gatekeeper/src/node/clients/ends.rs
+++ b/crates/gatekeeper/src/node/clients/ends.rs
@@ -1,7 +1,7 @@
 //! The ends of established calls, and the connections on which they are sent to callers.
 
 use std::io::ErrorKind;
-use std::net::TcpStream;
+use std::net::{IpAddr, TcpStream};
 
 use hollypaddle_core::calls::{Calls, Reply, ANY_ORIGIN};
 use hollypaddle_platform::connection::Connection;
@@ -12,14 +12,8 @@
 use crate::node::delivery::{CloseKind, Pending};
 use crate::node::poller::{Key, Poller};
 
-/// Maximum number of ends kept while there is no connection to send them on.
-const MAX_UNDELIVERED_ENDS: usize = 4096;
-/// Time that an end waits for a connection whose caller is known to have had calls, in seconds. After that any connection is
-/// used, as the end is owed within 1 s.
-const ANY_CONNECTION_AFTER_S: f64 = 0.5;
-
 /// Time after the end of a call in which it must be delivered, in seconds; after that it is dropped.
-const DELIVERY_LIMIT_S: f64 = 8.0;
+pub(super) const DELIVERY_LIMIT_S: f64 = 8.0;
 
 /// The end of an established call.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -30,6 +24,8 @@
     pub cut: bool,
     /// When the call ended, in Unix seconds.
     pub ended_at: f64,
+    /// The address from which the call came, if it is known.
+    pub address: Option<IpAddr>,
 }
 
 impl CallEnd {
@@ -54,33 +50,39 @@
         self.end_counts
     }
 
-    /// Sends the end of a call on its caller's connection, or on the fallback connection if that one is gone. If there is no
-    /// connection, the end is kept until there is one.
+    /// Sends the end of a call on its own connection, or on another one of a caller if that one is gone. If there is none, the
+    /// end is owed until there is.
     pub(super) fn send_end(
         &mut self,
         now: f64,
         origin: Key,
         end: CallEnd,
-        best_reply: BestReply,
         poller: &Poller,
         calls: &mut Calls,
     ) {
         let own = self.connections.contains_key(&origin).then_some(origin);
-        let mut candidate = own.or_else(|| self.fallback_connection());
+        let mut candidate = own.or_else(|| self.caller_connection(end.address));
         while let Some(key) = candidate {
             if self.poll_connection(now, key, poller, calls) {
-                return self.write_end(now, key, end, best_reply, poller);
+                self.owed_ends.remove(end.id);
+                return self.write_end(now, key, end, BestReply::Outcome, poller);
             }
             log::debug!(caller = key; "caller-left");
-            candidate = self.fallback_connection();
+            candidate = self.caller_connection(end.address);
         }
-        match self.undelivered_ends.len() < MAX_UNDELIVERED_ENDS {
-            true => self.undelivered_ends.push_back(end),
-            false => log::debug!(call:% = format_args!("{:016x}", end.id); "end-dropped"),
+        if !self.owed_ends.insert(end) {
+            log::debug!(call:% = format_args!("{:016x}", end.id); "end-dropped");
         }
     }
 
-    fn write_end(&mut self, now: f64, key: Key, end: CallEnd, best_reply: BestReply, poller: &Poller) {
+    pub(super) fn write_end(
+        &mut self,
+        now: f64,
+        key: Key,
+        end: CallEnd,
+        best_reply: BestReply,
+        poller: &Poller,
+    ) {
         log::debug!(call:% = format_args!("{:016x}", end.id), caller = key, cut = end.cut; "end-sent");
         self.send(now, key, &end.message(), best_reply, poller);
         let Some(client) = self.connections.get_mut(&key) else { return };
@@ -88,13 +90,19 @@
         client.pending_ends.record_sent(now, end, end_offset, written, end.ended_at + DELIVERY_LIMIT_S);
     }
 
+    /// Returns the address from which a connection came, if it is open or has standing calls.
+    pub(super) fn address_of(&self, key: Key) -> Option<IpAddr> {
+        let open = self.connections.get(&key).map(|client| client.address);
+        open.or_else(|| self.closed_addresses.get(&key).copied())
+    }
+
     /// Sends the ends that were left unread on closed connections on another one.
     pub(super) fn send_unread(&mut self, now: f64, poller: &Poller, calls: &mut Calls) {
         // Sending may find another connection closed, which adds that connection's unread ends.
         while let Some(end) = self.unread_ends.pop_front() {
             log::debug!(call:% = format_args!("{:016x}", end.id); "end-redelivered");
             self.end_counts.redelivered += 1;
-            self.send_end(now, ANY_ORIGIN, end, BestReply::Outcome, poller, calls);
+            self.send_end(now, ANY_ORIGIN, end, poller, calls);
         }
     }
 
@@ -129,15 +137,9 @@
         self.connections.contains_key(&key)
     }
 
-    /// Whether there is a connection on which the end of any call can be sent.
-    pub fn has_fallback_connection(&self) -> bool {
-        self.fallback_connection().is_some()
-    }
-
-    /// Removes and returns the ends that have no connection here, each with whether its call was cut, so that other gatekeepers
-    /// can send them.
-    pub fn take_undelivered(&mut self) -> impl Iterator<Item = (u64, bool)> + '_ {
-        self.undelivered_ends.drain(..).map(|end| (end.id, end.cut))
+    /// Whether a caller is connected that can be sent the end of any call.
+    pub fn has_caller_connection(&self) -> bool {
+        self.caller_connection(None).is_some()
     }
 
     /// Returns the connection that stays open for the ends of calls whose own connection is gone. If this side closed its last
@@ -145,48 +147,31 @@
     pub(super) fn reserved_connection(&self, calls: &Calls) -> Option<Key> {
         let newest = || self.connections.keys().next_back().copied();
         match calls.has_standing_call_outside(|origin| self.connections.contains_key(&origin)) {
-            _ if !self.undelivered_ends.is_empty() => newest(),
-            true => self.fallback_connection().or_else(newest),
+            _ if !self.owed_ends.is_empty() => newest(),
+            true => self.caller_connection(None).or_else(newest),
             false => None,
         }
     }
 
-    /// Returns the connection for ends of calls whose own connection is gone. It must be one on which the result of a call was
-    /// sent, as a caller that never had a call ignores ends. Connections whose caller sent a set-up after that come first, the
-    /// latest of them, as their callers read replies: a caller that sends one set-up may leave ends unread. Then comes the newest
-    /// connection, as the least likely to be closing.
-    fn fallback_connection(&self) -> Option<Key> {
-        let known =
-            self.connections.iter().filter(|(_, c)| c.best_reply >= BestReply::Outcome && !c.reset_seen);
-        let order = |c: &Client| (c.best_reply, c.set_up_after_reply_at.unwrap_or(f64::NEG_INFINITY));
-        let best = known.max_by(|(a_key, a), (b_key, b)| {
-            let (a, b) = (order(a), order(b));
-            a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)).then(a_key.cmp(b_key))
+    /// Returns the connection for the end of a call that came from this address and whose own connection is gone. It is one on
+    /// which a call was established. That is evidence which a peer can't make up: servers answer its set-ups or don't. The order
+    /// among these connections doesn't depend on what a peer sends later either. Those from the call's address come first, then
+    /// those whose callers have shown that they read replies, as a caller that makes one set-up may leave ends unread, then those
+    /// on which a call was established first.
+    fn caller_connection(&self, address: Option<IpAddr>) -> Option<Key> {
+        let callers = self.connections.iter().filter(|(_, c)| c.had_call() && !c.reset_seen);
+        let order = |c: &Client| (Some(c.address) == address, c.set_up_after_reply);
+        let age = |c: &Client| c.first_established_at.map_or(f64::NEG_INFINITY, |at| -at);
+        let best = callers.max_by(|(a_key, a), (b_key, b)| {
+            order(a).cmp(&order(b)).then(age(a).total_cmp(&age(b))).then(b_key.cmp(a_key))
         });
         best.map(|(key, _)| *key)
     }
+}
 
-    /// Sends the ends that have waited long enough for a suitable connection on any connection.
-    pub(super) fn send_undelivered(&mut self, now: f64, poller: &Poller, calls: &mut Calls) {
-        self.send_undelivered_if(now, |end| now - end.ended_at >= ANY_CONNECTION_AFTER_S, poller, calls);
-    }
-
-    /// Sends all ends that wait for a suitable connection on any connection.
-    pub(super) fn send_all_undelivered(&mut self, now: f64, poller: &Poller, calls: &mut Calls) {
-        self.send_undelivered_if(now, |_| true, poller, calls);
-    }
-
-    fn send_undelivered_if(
-        &mut self,
-        now: f64,
-        due: impl Fn(&mut CallEnd) -> bool,
-        poller: &Poller,
-        calls: &mut Calls,
-    ) {
-        while let Some(newest) = self.connections.keys().next_back().copied() {
-            let Some(end) = self.undelivered_ends.pop_front_if(&due) else { return };
-            // It is not known whether this caller ever had a call.
-            self.send_end(now, newest, end, BestReply::Notice, poller, calls);
-        }
+impl Client {
+    /// Whether a call was established on this connection.
+    pub(super) fn had_call(&self) -> bool {
+        self.first_established_at.is_some()
     }
 }
--- a/crates/gatekeeper/src/node/fleet.rs
+++ b/crates/gatekeeper/src/node/fleet.rs
@@ -179,10 +179,10 @@
 
     /// Hands ends over to members that have callers, if none are connected here.
     pub fn hand_over_ends(&mut self, now: f64, clients: &mut Clients) {
-        let has_callers = clients.has_fallback_connection();
+        let has_callers = clients.has_caller_connection();
         self.member.set_has_callers(has_callers);
         if !has_callers && self.member.others_have_callers() {
-            clients.take_undelivered().for_each(|(id, cut)| self.member.hand_over_end(now, id, cut));
+            clients.take_unsent_ends().for_each(|(id, cut)| self.member.hand_over_end(now, id, cut));
         }
     }
 
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -5,6 +5,7 @@
 mod call_ends;
 mod caller_limit;
 mod draining;
+mod ends_among_strangers;
 mod foreign_releases;
 mod link_byte_counts;
 mod listener_handover;
