Reject a platform file that lacks a key, whichever key it is

Cause: serde(default) stood at known, limits, and in the settings at limits, familyInfo, safety, zones and others, so that a default was used for what an incomplete file lacks, and the rest of it was applied.

The error names all that is missing. Entries of known have no defaults either. The adapter's parser is as it was.

Tests: the files of the project's own tests lacked keys too; platform_file::complete of the stand-ins adds what a test doesn't care for. Replaced strings in config/tests.rs and operations.rs follow the completed text; what is asserted is the same.

--- a/crates/gatekeeper/src/node/config.rs
+++ b/crates/gatekeeper/src/node/config.rs
@@ -1,6 +1,8 @@
 //! The configuration: the PROXY_* environment variables, the platform's JSON file that they name, and the gatekeeper's own
 //! configuration file.
 
+mod required_keys;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -12,11 +14,6 @@
 
 use hollypaddle_platform::list::{Snapshot, Update};
 
-/// Limit of descriptors if the platform's file gives none.
-const DEFAULT_MAX_SOCKETS: usize = 1024;
-/// Limit of memory if the platform's file gives none, in megabytes.
-const DEFAULT_MEMORY_MB: f64 = 64.0;
-
 /// Largest number of attempts per call that is counted. A larger limit in the settings is reduced to this.
 const MAX_ATTEMPTS: u32 = 250;
 
@@ -109,6 +106,9 @@
     /// The platform's file is not valid JSON or has a wrong structure.
     #[error("the platform's configuration file: {0}")]
     Json(#[from] serde_json::Error),
+    /// The platform's file lacks these keys, which are given by their paths.
+    #[error("the platform's configuration file is incomplete: missing field {}", .0.join(", "))]
+    MissingKeys(Vec<&'static str>),
     /// The own configuration file has these problems.
     #[error("{}", .0.iter().map(Problem::to_string).collect::<Vec<_>>().join("\n"))]
     Own(Vec<Problem>),
@@ -131,27 +131,38 @@
 struct ConfigFile {
     dns: String,
     seed: String,
-    #[serde(default)]
     control: Option<String>,
-    #[serde(default)]
     limits: ResourceLimits,
-    #[serde(default)]
     known: KnownList,
     settings: Value,
 }
 
+/// The part of the platform's file that is read for names alone.
 #[derive(Deserialize)]
 struct NamesOnlyFile {
-    settings: SettingsSection,
+    settings: NamesOnlySection,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct NamesOnlySection {
+    request_classes: Vec<NamedClass>,
+    #[serde(default)]
+    zones: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct NamedClass {
+    name: String,
+}
+
+#[derive(Deserialize)]
 struct ResourceLimits {
-    sockets: Option<usize>,
-    memory_mb: Option<f64>,
+    sockets: usize,
+    memory_mb: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize)]
 struct KnownList {
     pos: u64,
     entries: Vec<Update>,
@@ -161,20 +172,18 @@
 #[serde(rename_all = "camelCase")]
 struct SettingsSection {
     request_classes: Vec<ClassSection>,
-    #[serde(default)]
     limits: LimitsSection,
-    #[serde(default)]
     family_info: FamilyInfoSection,
-    #[serde(default)]
     safety: SafetySection,
-    #[serde(default)]
     zones: Vec<String>,
-    zone: Option<usize>,
+    zone: usize,
 }
 
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct FamilyInfoSection {
+    /// Empty on a platform without pools.
+    #[serde(default)]
     pools_by_class: Vec<Vec<u32>>,
     widths: Vec<f64>,
 }
@@ -187,29 +196,17 @@
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "camelCase", default)]
+#[serde(rename_all = "camelCase")]
 struct LimitsSection {
     connect_timeout: f64,
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "camelCase", default)]
+#[serde(rename_all = "camelCase")]
 struct SafetySection {
     drain_grace: f64,
 }
 
-impl Default for SafetySection {
-    fn default() -> Self {
-        SafetySection { drain_grace: 0.25 }
-    }
-}
-
-impl Default for LimitsSection {
-    fn default() -> Self {
-        LimitsSection { connect_timeout: 0.5 }
-    }
-}
-
 /// Ranges of valid values: a description, the minimum and the maximum.
 const POSITIVE_SECONDS: (&str, f64, f64) =
     ("seconds, more than 0 and no more than a week", f64::MIN_POSITIVE, 604_800.0);
@@ -271,8 +268,8 @@
         ("settings.safety.cold", settings.warm_up_time, SECONDS),
         ("settings.safety.coldFrom", settings.initial_capacity_ratio, FRACTION),
         ("settings.safety.overloadFactor", settings.overload_factor, COUNT),
-        ("limits.sockets", limits.sockets.unwrap_or(DEFAULT_MAX_SOCKETS) as f64, SOCKET_COUNT),
-        ("limits.memory_mb", limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB), MEGABYTES),
+        ("limits.sockets", limits.sockets as f64, SOCKET_COUNT),
+        ("limits.memory_mb", limits.memory_mb, MEGABYTES),
     ];
     values.into_iter().try_for_each(|(field, value, range)| check(field.into(), value, range))
 }
@@ -337,6 +334,11 @@
     ///
     /// Fails if the text is not valid JSON, lacks a field, or has a value that is not valid.
     pub fn parse(name: String, listen: &str, text: &str) -> Result<Config, ConfigError> {
+        let content: Value = serde_json::from_str(text)?;
+        let missing = required_keys::missing_keys(&content);
+        if !missing.is_empty() {
+            return Err(ConfigError::MissingKeys(missing));
+        }
         let file: ConfigFile = serde_json::from_str(text)?;
         let address = |field, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| ConfigError::InvalidValue(field, text.to_string()))
@@ -358,7 +360,7 @@
         let platform = Platform {
             name: name.clone(),
             districts: section.zones.clone(),
-            own: section.zone.filter(|zone| *zone < section.zones.len()),
+            own: Some(section.zone).filter(|zone| *zone < section.zones.len()),
             classes: names.zip(settings.classes.iter().map(|c| c.goal_time)).collect(),
             gatekeepers: settings.gatekeepers,
         };
@@ -372,8 +374,8 @@
             listen: address("PROXY_LISTEN", listen)?,
             control: file.control.as_deref().map(|c| address("control", c)).transpose()?,
             dns: address("dns", &file.dns)?,
-            memory_bytes: (file.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1048576.0) as usize,
-            max_sockets: file.limits.sockets.unwrap_or(DEFAULT_MAX_SOCKETS),
+            memory_bytes: (file.limits.memory_mb * 1048576.0) as usize,
+            max_sockets: file.limits.sockets,
             seed: seed.map_err(|_| ConfigError::InvalidValue("seed", file.seed.clone()))?,
             initial_list: Snapshot::replay(file.known.pos, &file.known.entries, &section.zones),
             settings,
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -22,6 +22,7 @@
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::Ordering;
 
+use hollypaddle_standin::platform_file;
 use hollypaddle_standin::resolver::{self, Listed};
 use hollypaddle_standin::{answer, release, Peer};
 use proptest::prelude::*;
@@ -72,7 +73,7 @@
         started_ms: 0,
     };
     let listed: Vec<Listed> = listeners.iter().enumerate().map(listed).collect();
-    format!(
+    let text = format!(
         r#"{{"seed":"8c1f","dns":"{}","limits":{{"sockets":64}},"known":{},
           "settings":{{"peersTotal":4,"period":0.005,"telemetry":{{"names":["free","size","hold_back"]}},
             "familyInfo":{{"release":0.3,"retransmit":0.4,"poolsByClass":[[0,1]]}},
@@ -81,7 +82,8 @@
             "safety":{{"cold":14.0,"coldFrom":0.3,"overloadFactor":3.0}}}}}}"#,
         dns.local_addr().unwrap(),
         resolver::known(1, &listed)
-    )
+    );
+    platform_file::complete(&text).unwrap()
 }
 
 fn set_up(id: u64, wait: u32) -> Message {
--- a/crates/gatekeeper/src/node/tests/operations.rs
+++ b/crates/gatekeeper/src/node/tests/operations.rs
@@ -153,8 +153,8 @@
     bed.establish_call(1);
     let dns = UdpSocket::bind("127.0.0.1:0").unwrap();
     let text = config_text(&bed.listeners, &dns);
-    let old = r#"{"name":"meter-read","effect":"read_like","goalTime":1.5,"hardLimit":9.0,"value":1.0}"#;
-    let new = r#"{"name":"valve-set-r2","effect":"write_like","goalTime":1.0,"hardLimit":4.0,"value":2.0}"#;
+    let old = r#"{"effect":"read_like","goalTime":1.5,"hardLimit":9.0,"lateWorth":0.0,"name":"meter-read","value":1.0}"#;
+    let new = r#"{"name":"valve-set-r2","effect":"write_like","goalTime":1.0,"hardLimit":4.0,"value":2.0,"lateWorth":0.0}"#;
     let read = |text: &str| Config::parse("n0".into(), "127.0.0.1:0", text);
     // Invalid files: each is rejected and counted.
     bed.gatekeeper.reload(read(""));
--- a/crates/gatekeeper/tests/handover.rs
+++ b/crates/gatekeeper/tests/handover.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use hollypaddle_platform::message::{cause, kind, Message};
+use hollypaddle_standin::platform_file;
 use hollypaddle_standin::program::Program;
 use hollypaddle_standin::resolver::{self, Listed};
 use hollypaddle_standin::{answer, free_addresses, peer, release, set_up, Peer};
@@ -65,6 +66,7 @@
         dns.local_addr().unwrap(),
         resolver::known(1, &[server_entry])
     );
+    let text = platform_file::complete(&text).unwrap();
     let dir = tempfile::tempdir().unwrap();
     let addresses = free_addresses(3).unwrap();
     let (listen, old_control, new_control) = (addresses[0], addresses[1], addresses[2]);
--- a/crates/gatekeeper/tests/rare.rs
+++ b/crates/gatekeeper/tests/rare.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use hollypaddle_platform::message::{cause, kind, Message};
+use hollypaddle_standin::platform_file;
 use hollypaddle_standin::resolver::{self, Listed};
 use hollypaddle_standin::{answer, free_addresses, peer, release, set_up, Peer};
 
@@ -24,7 +25,7 @@
         started_ms: 0,
     };
     let listed: Vec<Listed> = servers.iter().enumerate().map(list_entry).collect();
-    format!(
+    let text = format!(
         r#"{{"seed":"8c1f","dns":"{}","limits":{{"sockets":{sockets}}},"known":{},
           "settings":{{"peersTotal":1,"period":0.005,"familyInfo":{{"release":0.3}},
             "limits":{{"tryLimit":3,"connectTimeout":0.5,"retryAfter":true,"maxRetryAfter":2}},
@@ -32,7 +33,8 @@
             "safety":{{"cold":14.0,"coldFrom":0.3,"overloadFactor":3.0}}}}}}"#,
         dns.local_addr().unwrap(),
         resolver::known(1, &listed)
-    )
+    );
+    platform_file::complete(&text).unwrap()
 }
 
 fn listeners(count: usize) -> Vec<TcpListener> {
--- a/crates/gatekeeper/tests/restarts/main.rs
+++ b/crates/gatekeeper/tests/restarts/main.rs
@@ -16,6 +16,7 @@
 use std::time::{Duration, Instant};
 
 use hollypaddle_standin::free_addresses;
+use hollypaddle_standin::platform_file;
 use hollypaddle_standin::program::Program;
 use hollypaddle_standin::resolver::{self, Resolver};
 use rand_chacha::rand_core::SeedableRng;
@@ -199,7 +200,7 @@
 /// The content of the platform file.
 fn config(deadline: f64, servers: &Servers, resolver: &Resolver) -> String {
     let pools: Vec<String> = (0..servers.listed().len()).map(|n| n.to_string()).collect();
-    format!(
+    let text = format!(
         r#"{{"seed":"8c1f","dns":"{}","limits":{{"sockets":256}},"known":{},
           "settings":{{"peersTotal":1,"period":0.005,
             "familyInfo":{{"release":0.3,"retransmit":0.4,"poolsByClass":[[{}]]}},
@@ -210,7 +211,8 @@
         resolver::known(1, servers.listed()),
         pools.join(","),
         deadline,
-    )
+    );
+    platform_file::complete(&text).unwrap()
 }
 
 fn from_environment(name: &str, default_value: u64) -> u64 {
--- a/crates/gatekeeper/tests/signals.rs
+++ b/crates/gatekeeper/tests/signals.rs
@@ -1,5 +1,6 @@
 //! Signals sent to a real gatekeeper process: SIGHUP and SIGTERM.
 
+use hollypaddle_standin::platform_file;
 use std::io::{BufRead, BufReader};
 use std::net::UdpSocket;
 use std::process::{Command, Stdio};
@@ -18,7 +19,7 @@
             "safety":{{"cold":14,"coldFrom":0.3,"overloadFactor":3}}}}}}"#,
             dns.local_addr().unwrap()
         );
-        std::fs::write(&path, text).unwrap();
+        std::fs::write(&path, platform_file::complete(&text).unwrap()).unwrap();
     };
     write_config(&old_resolver);
     let mut program = Command::new(env!("CARGO_BIN_EXE_hollypaddle"))
--- a/crates/measure/src/size/stage.rs
+++ b/crates/measure/src/size/stage.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use hollypaddle_standin::platform_file;
 use hollypaddle_standin::program::Program;
 use hollypaddle_standin::resolver::{known, Listed};
 use serde_json::json;
@@ -98,7 +99,7 @@
             "safety": {"cold": 14.0, "coldFrom": 0.29, "overloadFactor": 3.0, "drainGrace": 0.25},
         },
     });
-    Ok(text.to_string())
+    Ok(platform_file::complete(&text.to_string())?)
 }
 
 /// What the system says that a process has used.
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -50,9 +50,7 @@
 
 #[derive(Debug, Deserialize)]
 struct Hosts {
-    #[serde(default)]
     reset: bool,
-    #[serde(default)]
     instances: Vec<Instance>,
 }
 
@@ -62,10 +60,8 @@
     instance_id: String,
     host_port: SocketAddr,
     cell: u32,
-    #[serde(default)]
     zone: String,
     lifecycle: Lifecycle,
-    #[serde(default)]
     started_at_ms: f64,
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod callers;
 pub mod deployment;
+pub mod platform_file;
 pub mod program;
 pub mod proxy;
 pub mod resolver;
--- a/crates/standin/src/short_calls.rs
+++ b/crates/standin/src/short_calls.rs
@@ -7,6 +7,7 @@
 
 use hollypaddle_platform::message::{cause, kind, Message};
 
+use crate::platform_file;
 use crate::program::unix_time;
 use crate::resolver::{self, Listed};
 use crate::{answer, peer, release, set_up, Peer};
@@ -101,7 +102,7 @@
             draining: false,
             started_ms: 0,
         };
-        Ok(format!(
+        let text = format!(
             r#"{{"seed":"8c1f","dns":"{}","known":{},
               "settings":{{"peersTotal":1,"period":0.005,"familyInfo":{{"release":0.3,"poolsByClass":[[0]]}},
                 "limits":{{"tryLimit":3,"connectTimeout":0.5}},
@@ -109,7 +110,8 @@
                 "safety":{{"cold":14.0,"coldFrom":0.3,"overloadFactor":3.0}}}}}}"#,
             self.resolver.local_addr()?,
             resolver::known(1, &[listed])
-        ))
+        );
+        Ok(platform_file::complete(&text)?)
     }
 
     /// Set-ups sent so far.
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -13,6 +13,7 @@
 
 use crate::callers::Callers;
 use crate::deployment::Deployment;
+use crate::platform_file;
 use crate::resolver::{known, Listed, Resolver};
 use crate::server::{Server, ServerPlan};
 
@@ -161,7 +162,7 @@
             "dns": self.resolvers[front].address()?.to_string(),
             "known": known, "settings": settings,
         });
-        Ok(config.to_string())
+        Ok(platform_file::complete(&config.to_string())?)
     }
 
     /// Tells where the gatekeepers listen, in their order.
