--- a/crates/gatekeeper/src/node/config/tests.rs
+++ b/crates/gatekeeper/src/node/config/tests.rs
@@ -140,9 +140,7 @@
 #[test]
 fn a_file_without_an_optional_key_is_accepted_where_the_key_has_no_meaning() {
     let mut file = complete_file();
-    for pointer in ["/settings/overShareWorth"] {
-        assert!(parse(&without(&file, pointer)).is_ok(), "{pointer}");
-    }
+    assert!(parse(&without(&file, "/settings/overShareWorth")).is_ok());
     file["settings"]["tenants"] = serde_json::json!([{"name": "a", "quotaPerS": 1.0}]);
     assert!(parse(&file).is_ok());
     let error = parse(&without(&file, "/settings/overShareWorth")).err().map(|error| error.to_string());
