Bound what is read from one client in an iteration of the event loop

Cause: before each answer and each end the connection is read again (poll_connection), what is read causes further replies in the same iteration, and each reads on. MAX_READS_PER_ITERATION bounded one call only.

Change: a budget of 4,096 bytes for each client and iteration, shared by all reads but the last one before a close.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -4,6 +4,7 @@
 mod draining;
 mod ends;
 mod eviction;
+mod input;
 mod owed;
 mod reply;
 mod set_up;
@@ -17,6 +18,7 @@
 pub use self::draining::DrainCounts;
 use self::ends::CallEnd;
 pub use self::ends::EndCounts;
+use self::input::InputBudget;
 use self::owed::OwedEnds;
 use self::reply::encode_reply;
 use self::set_up::{class_index, parse_request};
@@ -26,7 +28,6 @@
 use super::poller::{Key, Poller, Ready};
 use super::steering::{self, Steering};
 use hollypaddle_core::calls::{Calls, OfferError, Origin, Reply};
-use hollypaddle_platform::boundary::{Candidate, Verdict};
 use hollypaddle_platform::connection::{CloseReason, Connection};
 use hollypaddle_platform::message::{cause, kind, Message, MAX_MESSAGE_BYTES};
 use hollypaddle_service::drain::KeepReason;
@@ -43,6 +44,8 @@
 /// An open client connection. Times are in Unix seconds.
 struct Client {
     connection: Connection<TcpStream>,
+    /// How much may be read from it in this iteration of the event loop.
+    input_budget: InputBudget,
     /// The peer's address.
     address: IpAddr,
     /// Whether the socket is watched for writability too.
@@ -101,6 +104,8 @@
     /// Maximum number of unwritten bytes for one caller.
     max_unwritten_bytes: usize,
     connections: BTreeMap<Key, Client>,
+    /// Number of the iteration of the event loop.
+    iteration: u64,
     /// Connections that one side has closed, kept until it is known whether the messages sent on them were read.
     closing: BTreeMap<Key, Closing>,
     /// Retry-after time for callers refused by an overloaded gatekeeper, in seconds; none if callers are sent no such time.
@@ -155,6 +160,7 @@
             max_connections,
             max_unwritten_bytes,
             connections,
+            iteration: 0,
             closing: BTreeMap::new(),
             crowded_retry_after: None,
             owed_ends: OwedEnds::default(),
@@ -287,26 +293,6 @@
         self.send_unread(now, poller, calls);
     }
 
-    /// Reads and handles the messages that have arrived on a connection.
-    fn read(&mut self, now: f64, key: Key, poller: &Poller, calls: &mut Calls) {
-        let Some(client) = self.connections.get_mut(&key) else { return };
-        let mut messages = Vec::new();
-        let mut end = client.connection.read_checked(&mut messages, &judge);
-        for message in messages {
-            if let Err(reason) = self.receive(now, key, &message, poller, calls) {
-                end = Err(reason);
-                break;
-            }
-        }
-        self.close_if_over(now, key, end, poller, calls);
-    }
-
-    /// Reads and handles everything that callers have sent so far.
-    pub fn read_all(&mut self, now: f64, poller: &Poller, calls: &mut Calls) {
-        let keys: Vec<Key> = self.connections.keys().copied().collect();
-        keys.into_iter().for_each(|key| self.read(now, key, poller, calls));
-    }
-
     fn accept(&mut self, now: f64, poller: &mut Poller, calls: &mut Calls) {
         loop {
             if self.socket_count() >= self.max_connections {
@@ -373,6 +359,7 @@
         let connection = Connection::new(stream, self.max_unwritten_bytes);
         let client = Client {
             connection,
+            input_budget: InputBudget::default(),
             address,
             watches_writable: false,
             connected_at: now,
@@ -510,16 +497,6 @@
     }
 }
 
-/// Judges whether a set-up was sent completely. An undecided one is accepted at once rather than held back until more bytes
-/// arrive: a caller's next message seldom arrives more than an iteration of the event loop later, and an answer is due by the
-/// caller's deadline.
-fn judge(candidate: Candidate) -> Verdict {
-    match candidate.verdict(|_| false) {
-        Verdict::Truncated => Verdict::Truncated,
-        Verdict::Complete | Verdict::Undecided => Verdict::Complete,
-    }
-}
-
 impl Client {
     /// Whether the connection has been unused for too long, by timeouts in seconds: `no_reply_timeout` since the connect if no
     /// message was sent on it, else `idle_timeout` since the last message.
--- a/crates/gatekeeper/src/node/clients/closing.rs
+++ b/crates/gatekeeper/src/node/clients/closing.rs
@@ -109,7 +109,7 @@
         poller: &Poller,
         calls: &mut Calls,
     ) -> bool {
-        self.read(now, key, poller, calls);
+        self.read_before_close(now, key, poller, calls);
         let Some(client) = self.connections.get_mut(&key) else { return false };
         let Some(reason) = reason(client, calls) else { return false };
         self.close_if_over(now, key, Err(reason), poller, calls);
--- a/crates/gatekeeper/src/node/clients/ends.rs
+++ b/crates/gatekeeper/src/node/clients/ends.rs
@@ -1,6 +1,5 @@
 //! The ends of established calls, and the connections on which they are sent to callers.
 
-use std::io::ErrorKind;
 use std::net::{IpAddr, TcpStream};
 
 use hollypaddle_core::calls::{Calls, Reply, ANY_ORIGIN};
@@ -119,24 +118,6 @@
         self.unread_ends.extend(outcome.unread);
     }
 
-    /// Reads what a caller has sent since its connection was last read; returns whether the connection is still open. Guards
-    /// against writing to a connection that was closed meanwhile: the kernel accepts the bytes, but nobody reads them.
-    pub(super) fn poll_connection(&mut self, now: f64, key: Key, poller: &Poller, calls: &mut Calls) -> bool {
-        let Some(client) = self.connections.get_mut(&key) else { return false };
-        match client.connection.stream().peek(&mut [0]) {
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-            peeked => {
-                client.reset_seen |= peeked.is_err();
-                self.read(now, key, poller, calls);
-            }
-        }
-        #[cfg(test)]
-        if let Some(hook) = self.after_poll.take() {
-            hook();
-        }
-        self.connections.contains_key(&key)
-    }
-
     /// Whether a caller is connected that can be sent the end of any call.
     pub fn has_caller_connection(&self) -> bool {
         self.caller_connection(None).is_some()
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -275,6 +275,12 @@
         self.clients.before_close = Some(Box::new(hook));
     }
 
+    /// The number of calls without a final answer.
+    #[cfg(test)]
+    pub fn open_calls(&self) -> usize {
+        self.calls.count().0
+    }
+
     /// Whether output waits to be written to a caller.
     #[cfg(test)]
     pub fn blocked_callers(&self) -> bool {
@@ -335,6 +341,7 @@
         };
         let all = self.poller.wait(wait)?;
         let now = self.clock.now();
+        self.clients.begin_iteration();
         let mut component_ctx = component_context!(self, now);
         self.components
             .all_mut()
--- a/crates/gatekeeper/src/node/tests.rs
+++ b/crates/gatekeeper/src/node/tests.rs
@@ -7,6 +7,7 @@
 mod draining;
 mod ends_among_strangers;
 mod foreign_releases;
+mod input_bounds;
 mod link_byte_counts;
 mod listener_handover;
 mod operations;
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -28,8 +28,8 @@
 
 /// Maximum number of bytes per read.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
-/// Maximum number of reads per iteration of the event loop, so that one busy peer does not keep the others waiting.
-const MAX_READS_PER_ITERATION: usize = 4;
+/// Maximum number of bytes that one call reads, so that one busy peer does not keep the others waiting.
+const MAX_BYTES_PER_CALL: usize = 4 * READ_BUFFER_BYTES;
 
 /// Reason why a connection ended.
 #[derive(Debug)]
@@ -83,6 +83,8 @@
     message_type: std::marker::PhantomData<M>,
     input: Vec<u8>,
     output: Vec<u8>,
+    /// Bytes read from the stream since the start.
+    received: u64,
     /// Bytes queued for writing since the start.
     queued: u64,
     /// Bytes written to the stream since the start.
@@ -110,6 +112,7 @@
             message_type,
             input,
             output,
+            received: 0,
             queued: 0,
             written: 0,
             max_unwritten_bytes,
@@ -137,8 +140,17 @@
     /// which the check is undecided is held back with everything after it until more input arrives, the connection ends,
     /// or [`Connection::release_held`] is called.
     pub fn read_checked(&mut self, messages: &mut Vec<M>, check: BoundaryCheck) -> Result<(), CloseReason> {
-        let earlier = self.input.len();
-        let end = self.read_stream(earlier, messages, check);
+        self.read_limited(MAX_BYTES_PER_CALL, messages, check)
+    }
+
+    /// Reads like [`Connection::read_checked`], but no more than this number of bytes. What is left stays in the system's buffer.
+    pub fn read_limited(
+        &mut self,
+        max_bytes: usize,
+        messages: &mut Vec<M>,
+        check: BoundaryCheck,
+    ) -> Result<(), CloseReason> {
+        let end = self.read_stream(max_bytes, messages, check);
         match &end {
             // No more input arrives that could decide the check.
             Err(CloseReason::Closed | CloseReason::Broken(_)) if self.held => {
@@ -168,17 +180,20 @@
 
     fn read_stream(
         &mut self,
-        earlier: usize,
+        max_bytes: usize,
         messages: &mut Vec<M>,
         check: BoundaryCheck,
     ) -> Result<(), CloseReason> {
         let mut chunk = [0; READ_BUFFER_BYTES];
-        let mut reads = 0;
-        let before = self.messages;
-        while reads < MAX_READS_PER_ITERATION {
-            match self.stream.read(&mut chunk) {
+        let mut left = max_bytes;
+        let (before, earlier) = (self.messages, self.input.len());
+        while left > 0 {
+            let size = left.min(chunk.len());
+            match self.stream.read(&mut chunk[..size]) {
                 Ok(0) => return Err(CloseReason::Closed),
                 Ok(n) => {
+                    left -= n;
+                    self.received += n as u64;
                     self.input.extend(&chunk[..n]);
                     // Only the message that was incomplete before has bytes from an earlier read.
                     let earlier = if self.messages == before { earlier } else { 0 };
@@ -188,7 +203,6 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 Err(error) => return Err(CloseReason::Broken(error)),
             }
-            reads += 1;
         }
         Ok(())
     }
@@ -196,7 +210,7 @@
     /// Reads and discards the available input.
     pub fn discard_input(&mut self) -> Result<(), CloseReason> {
         let mut chunk = [0; READ_BUFFER_BYTES];
-        for _ in 0..MAX_READS_PER_ITERATION {
+        for _ in 0..MAX_BYTES_PER_CALL / READ_BUFFER_BYTES {
             match self.stream.read(&mut chunk) {
                 Ok(0) => return Err(CloseReason::Closed),
                 Ok(_) => {}
@@ -326,6 +340,11 @@
         end
     }
 
+    /// Bytes read since the start.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
     /// Bytes queued for writing since the start.
     pub fn queued(&self) -> u64 {
         self.queued
