Look at remembered refused callers only if one of them can have expired

Cause: with 4,096 refused callers remembered, retain looked at all of them for each further refused call.

Change: refused_callers.rs knows the time before which none expires, and looks at the entries only after it.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -12,6 +12,7 @@
     Action, AllowAll, CallId, Candidate, Cause, Denial, Event, Gate, ListKind, Outcome, PoolEntry, PoolId,
     Readiness, Report, Settings,
 };
+use crate::refused_callers::RefusedCallers;
 
 // Tuned values. Those that end in `_UNITS` are in wait units, so that they follow the deployment.
 
@@ -55,8 +56,6 @@
 const MAX_BUSY_NUMBERS: usize = 64;
 /// A call that is offered with less than this left of its goal time counts as late.
 const LATE_MARGIN_UNITS: f64 = 0.5;
-/// Maximum number of refused callers whose first try is remembered.
-const MAX_REFUSED_CALLERS: usize = 4096;
 /// Assumed ratio, under overload, of the calls offered to all gatekeepers to the sum of the quotas.
 const OVERLOAD_CALLS_RATIO: f64 = 1.2;
 /// A set-up counts as lost if it is unanswered for this much longer than its pool's load explains.
@@ -209,23 +208,23 @@
     settings: Settings, // of the deployment
     gate: G,            // asked before each set-up
     // Seconds, derived from the settings so that every threshold follows the deployment.
-    unit: f64,                                  // the wait unit
-    tick: f64,                                  // interval of the periodic update
-    rate_window: f64,                           // averaging window of the offered rate
-    rng: ChaCha8Rng,                            // seeded: the same events give the same actions
-    pools: Vec<Pool>,                           // all that are listed and not gone
-    calls: BTreeMap<CallId, Call>,              // those that still need a final answer
-    sticky: BTreeMap<(usize, u32), usize>,      // by class and first choice: pool last used in its place
-    carried: BTreeMap<u32, CarriedRate>,        // what each pool, by number, was sent while in steady service
-    offered_rate: Rate,                         // calls offered to this gatekeeper
-    timer: Option<u32>,                         // token of the running timer
-    timer_token: u32,                           // the last token used
-    ticked_at: f64,                             // when the periodic update last ran
-    recent_worths: VecDeque<f64>,               // of the latest calls, the newest last
-    refused_callers: BTreeMap<u64, (f64, f64)>, // by number dialled: first try, and when it is forgotten
-    tenant_calls: Vec<f64>,                     // calls of each tenant, decaying over the warm-up time
-    tenant_calls_at: f64,                       // when they last decayed
-    busy_numbers: BTreeMap<u64, Spacing>,       // spacing of attempts, by the number dialled
+    unit: f64,                             // the wait unit
+    tick: f64,                             // interval of the periodic update
+    rate_window: f64,                      // averaging window of the offered rate
+    rng: ChaCha8Rng,                       // seeded: the same events give the same actions
+    pools: Vec<Pool>,                      // all that are listed and not gone
+    calls: BTreeMap<CallId, Call>,         // those that still need a final answer
+    sticky: BTreeMap<(usize, u32), usize>, // by class and first choice: pool last used in its place
+    carried: BTreeMap<u32, CarriedRate>,   // what each pool, by number, was sent while in steady service
+    offered_rate: Rate,                    // calls offered to this gatekeeper
+    timer: Option<u32>,                    // token of the running timer
+    timer_token: u32,                      // the last token used
+    ticked_at: f64,                        // when the periodic update last ran
+    recent_worths: VecDeque<f64>,          // of the latest calls, the newest last
+    refused_callers: RefusedCallers,       // their first tries
+    tenant_calls: Vec<f64>,                // calls of each tenant, decaying over the warm-up time
+    tenant_calls_at: f64,                  // when they last decayed
+    busy_numbers: BTreeMap<u64, Spacing>,  // spacing of attempts, by the number dialled
 }
 
 /// The rate at which this gatekeeper sends set-ups to a pool in steady service.
@@ -271,7 +270,7 @@
             timer_token: 0,
             ticked_at: f64::NEG_INFINITY,
             recent_worths: VecDeque::new(),
-            refused_callers: BTreeMap::new(),
+            refused_callers: RefusedCallers::new(),
             tenant_calls,
             tenant_calls_at: f64::NEG_INFINITY,
             busy_numbers: BTreeMap::new(),
@@ -724,8 +723,8 @@
             out.push(Action::Refuse { call: id, retry_after: self.settings.max_retry_after.unwrap_or(0.0) });
             return;
         }
-        match self.refused_callers.get(&call.dialled).filter(|t| t.1 > now) {
-            Some(before) => call.first_tried = before.0,
+        match self.refused_callers.first_tried(now, call.dialled) {
+            Some(first_tried) => call.first_tried = first_tried,
             None => self.record_tenant(now, tenant),
         }
         let goal = self.settings.classes.get(call.class).map_or(0.0, |c| c.goal_time);
@@ -802,13 +801,8 @@
         if call.dialled == 0 {
             return;
         }
-        if self.refused_callers.len() >= MAX_REFUSED_CALLERS {
-            self.refused_callers.retain(|_, t| t.1 > now);
-        }
         let lifetime = self.settings.classes.get(call.class).map_or(0.0, |c| c.hard_limit);
-        if self.refused_callers.len() < MAX_REFUSED_CALLERS {
-            self.refused_callers.insert(call.dialled, (call.first_tried, call.first_tried + lifetime));
-        }
+        self.refused_callers.insert(now, call.dialled, call.first_tried, lifetime);
     }
 
     /// Ranks a call among recent ones by worth, ties at random, from 0 to 1. A pool in overload refuses the
@@ -882,7 +876,7 @@
     fn on_established(&mut self, now: f64, id: CallId, pool: PoolId, delay: f64, out: &mut Vec<Action>) {
         if let Some(call) = self.calls.remove(&id) {
             self.record_number(now, call.dialled, true);
-            self.refused_callers.remove(&call.dialled);
+            self.refused_callers.remove(call.dialled);
         }
         let Some(i) = self.pool_index(pool) else { return };
         self.cancel_overtaken(now, i, id, out);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod controller;
 pub mod interface;
+mod refused_callers;
 pub mod settings;
 
 pub use controller::Controller;
