Give up the calls of a lost connection without a search of the events for each

Cause: Calls::release searched the queued events and effects for the offer of each call that was given up; the abandoned calls add an event each, so the time grew with the square of their number.

Change: Calls knows whose offers are queued. Withdrawn offers and their timers are removed together when events or effects are taken.

Tests: two existing ones take events by take_events in place of clearing the field; what is asserted is the same.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -140,6 +140,11 @@
     pub events: Vec<Event>,
     /// Work that the connection layer has not done yet.
     pub effects: Vec<Effect>,
+    /// Calls whose offer is among the events.
+    queued_offers: HashSet<CallId>,
+    /// Whether the events and effects contain offers and timers of calls that were given up since; see
+    /// [`Calls::remove_withdrawn`].
+    has_withdrawn: bool,
     /// Set-ups that were written to servers completely. Counted by the connection layer.
     pub forwards: u64,
 }
@@ -164,6 +169,8 @@
             changes: None,
             events: Vec::new(),
             effects: Vec::new(),
+            queued_offers: HashSet::new(),
+            has_withdrawn: false,
             forwards: 0,
         }
     }
@@ -246,10 +253,42 @@
         self.calls_by_id.insert(id, call);
         self.remember_id(id);
         self.effects.push(Effect::DeadlineTimer { call, at: deadline });
+        self.queued_offers.insert(call);
         self.events.push(Event::Call { call, class, tenant: 0, time_left: wait, dialled, first_choice });
         Ok(())
     }
 
+    /// Whether a call, as the decision module knows it, has no final answer yet.
+    pub fn awaits_answer(&self, call: CallId) -> bool {
+        self.calls.get(&call).is_some_and(Call::is_open)
+    }
+
+    /// Removes and returns the events that the decision module has not handled yet.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        self.remove_withdrawn();
+        self.queued_offers.clear();
+        std::mem::take(&mut self.events)
+    }
+
+    /// Removes and returns the work that the connection layer has not done yet.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        self.remove_withdrawn();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Removes the offers and the deadline timers of calls that were given up before the decision module handled their offer. All of
+    /// them are removed together: a search for each one would take time that grows with the square of their number.
+    fn remove_withdrawn(&mut self) {
+        if !std::mem::take(&mut self.has_withdrawn) {
+            return;
+        }
+        let calls = &self.calls;
+        self.events.retain(|event| !matches!(event, Event::Call { call, .. } if !calls.contains_key(call)));
+        self.effects.retain(
+            |effect| !matches!(effect, Effect::DeadlineTimer { call, .. } if !calls.contains_key(call)),
+        );
+    }
+
     /// Whether a call with this id came earlier, as far as ids are remembered.
     pub fn is_known(&self, id: u64) -> bool {
         self.calls_by_id.contains_key(&id) || self.offered_ids.contains(&id) || self.adopted.contains_key(&id)
--- a/crates/core/src/calls/callers.rs
+++ b/crates/core/src/calls/callers.rs
@@ -40,13 +40,8 @@
         let Some(removed) = self.remove(call) else { return };
         // The call was given up before the module handled it, so it is neither decided nor counted. Otherwise a flood of
         // such calls would be ranked with other callers' calls and outnumber them.
-        let queued_offer = |e: &Event| matches!(e, Event::Call { call: new, .. } if *new == call);
-        if let Some(at) = self.events.iter().rposition(queued_offer) {
-            self.events.remove(at);
-            let timer = |e: &Effect| matches!(e, Effect::DeadlineTimer { call: new, .. } if *new == call);
-            if let Some(at) = self.effects.iter().rposition(timer) {
-                self.effects.remove(at);
-            }
+        if self.queued_offers.remove(&call) {
+            self.has_withdrawn = true;
             return;
         }
         match removed.state {
--- a/crates/core/src/calls/tests.rs
+++ b/crates/core/src/calls/tests.rs
@@ -27,7 +27,7 @@
 impl Harness {
     /// Checks all effects and events since the last step.
     fn check_effects(&mut self) {
-        for effect in std::mem::take(&mut self.calls.effects) {
+        for effect in self.calls.take_effects() {
             match effect {
                 Effect::Reply { id, reply, .. } => {
                     let m = self.models.get_mut(&id).expect("a reply to a call that was never offered");
@@ -70,7 +70,7 @@
                 Effect::DeadlineTimer { .. } | Effect::AttemptTimer { .. } => {}
             }
         }
-        for event in std::mem::take(&mut self.calls.events) {
+        for event in self.calls.take_events() {
             let Event::Ended { call, attempt, .. } = event else { continue };
             let m = self.models.get_mut(&u64::from(call)).expect("the end of a call that was never offered");
             assert_eq!(attempt, m.ended, "each end is reported to the module once, in order");
@@ -189,11 +189,29 @@
     let mut calls = Calls::new(0.0, 1 << 20);
     calls.offer(0.0, 1, request(1)).unwrap();
     calls.caller_release(0.0, 1, 1);
-    assert!(calls.events.is_empty() && calls.effects.is_empty() && calls.held_bytes == 0);
+    assert!(calls.take_events().is_empty() && calls.take_effects().is_empty() && calls.held_bytes == 0);
     calls.start_attempt(0.0, 1, PoolId(1), 0.0);
     assert_eq!(calls.events, [End::with_outcome(Outcome::NotSent).event(1, PoolId(1), 0, true)]);
 }
 
+/// Guards against a time for giving up calls that grows with the square of their number, as when a connection with thousands of
+/// open calls closes: the queued events were searched for each call. Of the calls, one in two has been handled by the module.
+#[test]
+fn the_calls_of_a_lost_connection_are_given_up_without_a_search_for_each() {
+    const CALLS: u64 = 40_000;
+    let mut calls = Calls::new(0.0, usize::MAX);
+    (0..CALLS).for_each(|id| calls.offer(0.0, 1, request(id)).unwrap());
+    calls.take_events();
+    (CALLS..2 * CALLS).for_each(|id| calls.offer(0.0, 1, request(id)).unwrap());
+    let began = std::time::Instant::now();
+    calls.origin_lost(0.0, 1);
+    let events = calls.take_events();
+    assert!(events.iter().all(|event| matches!(event, Event::Abandoned { .. })));
+    assert_eq!((events.len(), calls.count()), (CALLS as usize, (0, 0)));
+    // A search for each is billions of looks at an event.
+    assert!(began.elapsed() < std::time::Duration::from_secs(5), "{:?}", began.elapsed());
+}
+
 /// Guards against a caller that is never answered, or keeps a call that is over, because a message of somebody else names its
 /// call by id: a release on another connection, or the word of another gatekeeper that the call has ended.
 #[test]
@@ -208,7 +226,7 @@
     };
     calls.offer(0.0, 1, request(7)).unwrap();
     ignores_others(&mut calls, "not handed to the decision module yet");
-    calls.events.clear();
+    calls.take_events();
     ignores_others(&mut calls, "without an attempt");
     calls.start_attempt(0.0, 1, PoolId(1), 0.0);
     ignores_others(&mut calls, "with an attempt");
--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -448,12 +448,12 @@
             self.servers.send_waiting(&mut ctx);
         }
         while !(self.calls.events.is_empty() && self.calls.effects.is_empty()) {
-            for effect in std::mem::take(&mut self.calls.effects) {
+            for effect in self.calls.take_effects() {
                 self.apply_effect(now, effect);
             }
             let mut ctx = Context { now, poller: &mut self.poller, calls: &mut self.calls };
             self.servers.send_waiting(&mut ctx);
-            for mut event in std::mem::take(&mut self.calls.events) {
+            for mut event in self.calls.take_events() {
                 if let Event::List { entries, .. } = &mut event {
                     self.components.overlay(entries, self.list_at);
                 }
--- a/crates/gatekeeper/src/node/servers/tests/give_ups.rs
+++ b/crates/gatekeeper/src/node/servers/tests/give_ups.rs
@@ -54,7 +54,7 @@
 
     /// Executes the commands that the calls have for the server.
     pub(super) fn execute_commands(&mut self, now: f64) {
-        for effect in std::mem::take(&mut self.calls.effects) {
+        for effect in self.calls.take_effects() {
             let Effect::Command { pool, id, command } = effect else { continue };
             let (servers, mut ctx) = self.context(now);
             servers.execute(pool, id, command, &mut ctx);
