Remove the timers of calls that have their final answer, if there are many

Change: TimerWheel::retain, at a heartbeat, once there are more timers than twice the open calls and 4,096.

--- a/crates/gatekeeper/src/node/event_loop.rs
+++ b/crates/gatekeeper/src/node/event_loop.rs
@@ -48,6 +48,10 @@
 const LIMIT_TOLERANCE_S: f64 = 0.05;
 /// Calls without a final answer may take up the memory limit divided by this.
 const HELD_MEMORY_DIVISOR: usize = 8;
+/// Number of timers that calls may leave behind before they are removed.
+const MAX_STALE_TIMERS: usize = 4096;
+/// Timers that each open call may have: for its deadline and for its attempt.
+const TIMERS_PER_CALL: usize = 2;
 /// Output that waits to be written to callers may take up the memory limit divided by this.
 const WAITING_MEMORY_DIVISOR: usize = 4;
 
@@ -403,6 +407,7 @@
                     if let Some(http) = &mut self.http {
                         http.on_heartbeat(now, &self.poller);
                     }
+                    self.remove_stale_timers();
                     is_heartbeat = true;
                     self.wheel.schedule(now + HEARTBEAT_S, Timer::Heartbeat);
                 }
@@ -438,6 +443,20 @@
         Ok(())
     }
 
+    /// Removes the timers of calls that have their final answer, if there are many. A caller may wait for seconds, so at a high rate of
+    /// refused calls their timers would take up more memory than the calls.
+    fn remove_stale_timers(&mut self) {
+        let (open, _) = self.calls.count();
+        if self.wheel.len() <= TIMERS_PER_CALL * open + MAX_STALE_TIMERS {
+            return;
+        }
+        let calls = &self.calls;
+        self.wheel.retain(|timer| match timer {
+            Timer::Deadline(call) | Timer::AttemptLimit(call, _) => calls.awaits_answer(*call),
+            Timer::Module(_) | Timer::Heartbeat | Timer::QueryResolver => true,
+        });
+    }
+
     /// Passes events to the decision module and carries out its actions, until there are no more of either. This terminates
     /// because each round ends attempts or calls, whose number is limited.
     fn decide(&mut self, now: f64) {
