Send on no set-ups that are unread when their caller has closed

Cause: the close stands behind unread input, and what was read before it was decided first.

Change: where a client has used up its budget of an iteration, poll with RDHUP (rustix, which polling uses already) tells whether the peer has closed. Then open set-ups are given up, further ones start no call, releases count, and nothing is written there.

--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -67,6 +67,8 @@
     pending_ends: Pending<CallEnd>,
     /// A write or a poll failed: the connection was reset, and the kernel reports that only once.
     reset_seen: bool,
+    /// The caller has closed the connection, behind input that is not read yet. What is read from now on starts no call.
+    has_left: bool,
     /// Why the connection was last kept in a drain; logged when it changes.
     kept_for: Option<KeepReason>,
 }
@@ -371,6 +373,7 @@
             invalid_set_ups: 0,
             pending_ends: Pending::default(),
             reset_seen: false,
+            has_left: false,
             kept_for: None,
         };
         self.connections.insert(key, client);
@@ -388,6 +391,8 @@
     ) -> Result<(), CloseReason> {
         let Some(client) = self.connections.get_mut(&key) else { return Ok(()) };
         match message.kind {
+            // Nobody waits for its answer.
+            kind::SET_UP if client.has_left => {}
             kind::SET_UP => {
                 (client.used_at, client.last_set_up_at) = (now, Some(now));
                 client.set_up_after_reply |= client.best_reply >= BestReply::Outcome;
@@ -468,7 +473,7 @@
             }
         }
         // A caller whose connection is gone has given up its calls that are not established.
-        if !self.connections.contains_key(&origin) {
+        if !self.is_connected(origin) {
             return false;
         }
         let best_reply = if is_established { BestReply::Established } else { BestReply::Outcome };
--- a/crates/gatekeeper/src/node/clients/ends.rs
+++ b/crates/gatekeeper/src/node/clients/ends.rs
@@ -59,7 +59,7 @@
         poller: &Poller,
         calls: &mut Calls,
     ) {
-        let own = self.connections.contains_key(&origin).then_some(origin);
+        let own = self.is_connected(origin).then_some(origin);
         let mut candidate = own.or_else(|| self.caller_connection(end.address));
         while let Some(key) = candidate {
             if self.poll_connection(now, key, poller, calls) {
@@ -140,7 +140,7 @@
     /// those whose callers have shown that they read replies, as a caller that makes one set-up may leave ends unread, then those
     /// on which a call was established first.
     fn caller_connection(&self, address: Option<IpAddr>) -> Option<Key> {
-        let callers = self.connections.iter().filter(|(_, c)| c.had_call() && !c.reset_seen);
+        let callers = self.connections.iter().filter(|(_, c)| c.had_call() && !c.reset_seen && !c.has_left);
         let order = |c: &Client| (Some(c.address) == address, c.set_up_after_reply);
         let age = |c: &Client| c.first_established_at.map_or(f64::NEG_INFINITY, |at| -at);
         let best = callers.max_by(|(a_key, a), (b_key, b)| {
--- a/crates/gatekeeper/src/node/clients/input.rs
+++ b/crates/gatekeeper/src/node/clients/input.rs
@@ -10,7 +10,7 @@
 use hollypaddle_platform::message::Message;
 
 use super::Clients;
-use crate::node::poller::{Key, Poller};
+use crate::node::poller::{is_closed_by_peer, Key, Poller};
 
 /// Maximum number of bytes read from one client in an iteration of the event loop. What is left is read in the next one.
 const MAX_BYTES_PER_ITERATION: usize = 4096;
@@ -46,6 +46,9 @@
     /// Reads and handles the messages that have arrived on a connection, as far as its budget goes.
     pub(super) fn read(&mut self, now: f64, key: Key, poller: &Poller, calls: &mut Calls) {
         let Some(client) = self.connections.get_mut(&key) else { return };
+        if client.has_left {
+            return self.read_before_close(now, key, poller, calls);
+        }
         let left = client.input_budget.left(self.iteration);
         if left == 0 {
             return;
@@ -55,6 +58,7 @@
         let end = client.connection.read_limited(left, &mut messages, &judge);
         let bytes = client.connection.received() - before;
         client.input_budget.add(self.iteration, bytes as usize);
+        self.check_for_close(now, key, calls);
         self.receive_all(now, key, messages, end, poller, calls);
     }
 
@@ -87,7 +91,23 @@
         if let Some(hook) = self.after_poll.take() {
             hook();
         }
-        self.connections.contains_key(&key)
+        self.is_connected(key)
+    }
+
+    /// Whether a connection is open, and its caller has not closed it behind input that is not read yet.
+    pub(super) fn is_connected(&self, key: Key) -> bool {
+        self.connections.get(&key).is_some_and(|client| !client.has_left)
+    }
+
+    /// Checks whether the caller of a connection that has used up its budget has closed it, and if so gives up its open set-ups. The
+    /// close itself is read only after all input before it.
+    fn check_for_close(&mut self, now: f64, key: Key, calls: &mut Calls) {
+        let Some(client) = self.connections.get_mut(&key) else { return };
+        let is_unread = client.input_budget.left(self.iteration) == 0;
+        if is_unread && is_closed_by_peer(client.connection.stream()) {
+            client.has_left = true;
+            calls.origin_lost(now, key);
+        }
     }
 
     /// Reads the close of a connection, which nothing stands before.
--- a/crates/gatekeeper/src/node/clients/owed.rs
+++ b/crates/gatekeeper/src/node/clients/owed.rs
@@ -128,7 +128,7 @@
     /// call was refused or failed, or else the newest one that has not been used otherwise. A peer that has only sent tests or
     /// invalid set-ups is no caller.
     fn unproven_connection(&self) -> Option<Key> {
-        let may_be_caller = |c: &Client| c.best_reply != BestReply::Notice && !c.reset_seen;
+        let may_be_caller = |c: &Client| c.best_reply != BestReply::Notice && !c.reset_seen && !c.has_left;
         let unproven = self.connections.iter().filter(|(_, c)| may_be_caller(c));
         let best = unproven.max_by_key(|(key, c)| (c.best_reply >= BestReply::Outcome, **key));
         best.map(|(key, _)| *key)
--- a/crates/gatekeeper/src/node/poller.rs
+++ b/crates/gatekeeper/src/node/poller.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use polling::{Event, Events, PollMode, Poller as OsPoller};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 
 /// Identifies a registered source. Keys are never reused, so a late event of a closed source is not taken for another's.
 pub type Key = usize;
@@ -80,3 +81,12 @@
         Ok(self.events.iter().map(ready).collect())
     }
 }
+
+/// Whether the peer has closed its side of a connection, or reset it, even if input that came before is not read yet.
+pub fn is_closed_by_peer(socket: &impl AsFd) -> bool {
+    const AT_ONCE: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
+    let mut sockets = [PollFd::new(socket, PollFlags::RDHUP)];
+    // If the system can't tell, the close is seen when it is read.
+    let polled = poll(&mut sockets, Some(&AT_ONCE));
+    polled.is_ok() && sockets[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+}
