Keep the calls of a new server when the old one at its address is gone

Cause: apply_list cut all calls under the old entry without a release, and dropped its queued releases.

Change: another listed server with the same address is the successor. Calls established since it started (startedAtMs, else the last refused connection) move to it; the others are cut and released there; queued releases go there too.

--- a/crates/core/src/calls/servers.rs
+++ b/crates/core/src/calls/servers.rs
@@ -120,17 +120,17 @@
     }
 
     /// Cuts the calls that have been standing at a pool since before the time `before`, because the server is gone or was
-    /// restarted and can't report their ends. With `release` the server gets a release for each as soon as it can be
-    /// reached: it may only have been unreachable and may still hold the calls. Returns the number of calls.
-    pub fn cut_calls_at(&mut self, pool: PoolId, before: f64, release: bool) -> usize {
+    /// restarted and can't report their ends. A release of each is sent to the pool `release_at`, if one is given, as soon as it
+    /// can be reached: whoever is there may still hold the calls. Returns the number of calls.
+    pub fn cut_calls_at(&mut self, pool: PoolId, before: f64, release_at: Option<PoolId>) -> usize {
         let cut = |c: &&Call| matches!(c.state, State::Standing { pool: at, since, .. } if at == pool && since < before);
         let mut ids: Vec<u64> = self.calls.values().filter(cut).map(|c| c.id).collect();
         ids.sort_unstable();
         for &id in &ids {
             if let Some(call) = self.calls_by_id.get(&id).copied() {
                 self.end_standing(call, pool, End::with_outcome(Outcome::Reset));
-                if release {
-                    self.push_command(pool, id, Command::Release);
+                if let Some(holder) = release_at {
+                    self.push_command(holder, id, Command::Release);
                 }
             }
         }
@@ -139,13 +139,38 @@
         adopted.sort_unstable();
         for &id in &adopted {
             self.report_end(id, true);
-            if release {
-                self.push_command(pool, id, Command::Release);
+            if let Some(holder) = release_at {
+                self.push_command(holder, id, Command::Release);
             }
         }
         ids.len() + adopted.len()
     }
 
+    /// Moves the calls that have been standing at a pool since the time `from_time` or later to another pool: the process that
+    /// established them is known by that one from now on. Returns the number of calls.
+    pub fn move_calls(&mut self, from: PoolId, to: PoolId, from_time: f64) -> usize {
+        let mut moved = Vec::new();
+        for call in self.calls.values_mut() {
+            if let State::Standing { pool, since, .. } = &mut call.state {
+                if *pool == from && *since >= from_time {
+                    *pool = to;
+                    moved.push(CallChange::Established {
+                        id: call.id,
+                        class: call.class,
+                        pool: to,
+                        since: *since,
+                    });
+                }
+            }
+        }
+        for adopted in self.adopted.values_mut().filter(|a| a.pool == from && a.since >= from_time) {
+            adopted.pool = to;
+        }
+        let count = moved.len();
+        moved.into_iter().for_each(|change| self.record_change(change));
+        count
+    }
+
     /// Whether a call that came to this gatekeeper is standing.
     pub fn is_standing(&self, id: u64) -> bool {
         let call = self.calls_by_id.get(&id).and_then(|call| self.calls.get(call));
--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -64,6 +64,8 @@
     connect_attempts: u64,
     /// The gatekeeper's seed, see [`Servers::seed`].
     seed: u64,
+    /// When a connection was last refused while no other one was established, which shows that the process has ended.
+    refused_at: Option<f64>,
     /// A connection attempt found the host unreachable, and the server has not been heard from since.
     unreachable: bool,
     /// Number of consecutive connections that closed soon after they were established.
@@ -150,18 +152,33 @@
         let gone: Vec<PoolId> =
             self.servers.keys().filter(|p| !entries.iter().any(|e| e.pool == **p)).copied().collect();
         for pool in gone {
-            if let Some(mut server) = self.servers.remove(&pool) {
-                self.pools.remove(&server.name);
-                server.close_channels(pool, |_| true, ctx);
-                server.fail_waiting(pool, ctx);
-                let cut = ctx.calls.cut_calls_at(pool, f64::INFINITY, false);
-                log::info!(server = server.name.as_str(), cut; "server-gone");
-            }
+            self.remove_server(pool, ctx);
         }
         self.protocol.connections = self.descriptors.allocate(self.servers.len()).per_server;
         ctx.calls.events.push(Event::List { kind, entries });
     }
 
+    /// Removes a server that is gone. Another listed server may have its address: a new process, which may have come up long before
+    /// the list told that the old one is gone. What was established or sent there meanwhile is at the new one.
+    fn remove_server(&mut self, pool: PoolId, ctx: &mut Context) {
+        let Some(mut server) = self.servers.remove(&pool) else { return };
+        self.pools.remove(&server.name);
+        let same_address = |(_, s): &(&PoolId, &mut Server)| s.listed.address == server.listed.address;
+        let mut successor = self.servers.iter_mut().find(same_address);
+        let mut moved = 0;
+        if let Some((successor_pool, successor)) = &successor {
+            moved = ctx.calls.move_calls(pool, **successor_pool, server.replaced_at(successor));
+        }
+        server.close_channels(pool, |_| true, ctx);
+        server.fail_waiting(pool, ctx);
+        let successor_pool = successor.as_ref().map(|(pool, _)| **pool);
+        let cut = ctx.calls.cut_calls_at(pool, f64::INFINITY, successor_pool);
+        if let Some((_, successor)) = &mut successor {
+            successor.take_releases_over(server.release_queue);
+        }
+        log::info!(server = server.name.as_str(), cut, moved; "server-gone");
+    }
+
     /// The current list, in the form that the decision module uses.
     pub fn pool_entries(&self) -> Vec<PoolEntry> {
         self.servers.iter().map(|(pool, server)| pool_entry(*pool, &server.listed)).collect()
@@ -310,6 +327,7 @@
             backoff: 0.0,
             connect_attempts: 0,
             seed,
+            refused_at: None,
             unreachable,
             quick_closes,
             silence_timeout,
@@ -319,6 +337,13 @@
         }
     }
 
+    /// The time from which on another process listened at this server's address, whose own entry in the list is `successor`. Without
+    /// evidence of that time it is never: then calls are cut rather than taken for calls of the other one.
+    fn replaced_at(&self, successor: &Server) -> f64 {
+        let started = Some(successor.listed.started).filter(|started| *started > 0.0);
+        started.or(self.refused_at).unwrap_or(f64::INFINITY)
+    }
+
     fn update_listing(&mut self, pool: PoolId, listed: ListedServer, ctx: &mut Context) {
         let old = std::mem::replace(&mut self.listed, listed);
         let (started, moved) = (self.listed.started, self.listed.address != old.address);
@@ -326,7 +351,7 @@
             // Another process: the calls at the old one were cut, though it may never have reported that, and connections to
             // it may stay open if it vanished. Newer connections reached the new process.
             let before = if moved { f64::INFINITY } else { started };
-            let cut = ctx.calls.cut_calls_at(pool, before, false);
+            let cut = ctx.calls.cut_calls_at(pool, before, None);
             log::info!(server = self.name.as_str(), cut; "server-restarted");
             let stale: Vec<Key> =
                 self.channels.iter().filter(|(_, c)| c.since < before).map(|(key, _)| *key).collect();
--- a/crates/gatekeeper/src/node/servers/connecting.rs
+++ b/crates/gatekeeper/src/node/servers/connecting.rs
@@ -167,8 +167,9 @@
             self.silent_at.get_or_insert(ctx.now);
         }
         if error.kind() == ErrorKind::ConnectionRefused && !self.channels.values().any(|c| c.up) {
+            self.refused_at = Some(ctx.now);
             self.release_queue.forget_unconfirmed(f64::INFINITY);
-            let cut = ctx.calls.cut_calls_at(pool, f64::INFINITY, false);
+            let cut = ctx.calls.cut_calls_at(pool, f64::INFINITY, None);
             if cut > 0 {
                 log::info!(server = self.name.as_str(), cut; "server-refuses-connections");
             }
--- a/crates/gatekeeper/src/node/servers/release_queue.rs
+++ b/crates/gatekeeper/src/node/servers/release_queue.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Adds the releases that are queued for a server that is gone and had the address of this one.
+    pub(super) fn take_releases_over(&mut self, queue: ReleaseQueue) {
+        queue.unsent.into_iter().for_each(|release| self.queue_unsent(release));
+        self.release_queue.keep_unconfirmed(queue.unconfirmed);
+    }
+
     /// Sends the queued releases if a connection is established.
     pub(super) fn send_queued_releases(&mut self, ctx: &mut Context) {
         if most_recent_channel(&mut self.channels).is_none() {
--- a/crates/gatekeeper/src/node/servers/tests.rs
+++ b/crates/gatekeeper/src/node/servers/tests.rs
@@ -1,5 +1,6 @@
 mod give_ups;
 mod releases;
+mod replaced;
 
 use std::net::SocketAddr;
 
@@ -37,9 +38,16 @@
     }
 
     fn list(&mut self, now: f64, position: u32, name: &str, started: f64) {
+        self.list_all(now, position, &[(name, started)]);
+    }
+
+    /// Applies a list of servers, by name and start time, which all have the same address.
+    fn list_all(&mut self, now: f64, position: u32, servers: &[(&str, f64)]) {
         let (readiness, district) = (Readiness::Ready, None);
-        let listed = ListedServer { address: self.address, number: 0, readiness, started, district };
-        let list = Snapshot { position: position.into(), servers: [(name.to_owned(), listed)].into() };
+        let listed =
+            |started| ListedServer { address: self.address, number: 0, readiness, started, district };
+        let servers = servers.iter().map(|(name, started)| ((*name).to_owned(), listed(*started))).collect();
+        let list = Snapshot { position: position.into(), servers };
         let mut ctx = Context { now, poller: &mut self.poller, calls: &mut self.calls };
         self.servers.apply_list(&list, ListKind::Full, &mut ctx);
     }
