Record that an id runs again at the other process of an upgrade

Cause: the two processes tell each other nothing of ids. By PROTOCOL every set-up carries a new id, so a usual caller doesn't do it.

Not mended: it takes a way for the processes to share ids.

--- a/crates/gatekeeper/src/node/tests/operations.rs
+++ b/crates/gatekeeper/src/node/tests/operations.rs
@@ -186,3 +186,25 @@
     assert_eq!(vars["succeeded"]["meter-read"], 2);
     assert_eq!(vars["succeeded"]["valve-set-r2"], 1);
 }
+
+/// Guards against an id that runs twice in an upgrade: at the old process, and, as it comes again after its client has left, at the
+/// new one.
+#[test]
+fn an_id_does_not_run_again_at_the_other_process_of_an_upgrade() {
+    let mut bed = TestBed::new(1);
+    let dns = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let mut new = Gatekeeper::new(config(&bed.listeners, &dns)).unwrap();
+    let mut leaving = bed.connect_caller();
+    leaving.send(&set_up(2, 3000)).unwrap();
+    bed.expect_at_server(2, kind::SET_UP);
+    drop(leaving);
+    bed.expect_at_server(2, kind::RELEASE);
+    bed.servers_received.clear();
+    let mut again = peer(TcpStream::connect(new.address()).unwrap());
+    again.send(&set_up(2, 3000)).unwrap();
+    for _ in 0..MAX_ITERATIONS / 4 {
+        new.run_once().unwrap();
+        bed.run_iteration();
+    }
+    assert!(bed.servers_received.iter().all(|m| m.kind != kind::SET_UP), "{:?}", bed.servers_received);
+}
