Keep the release of a lost attempt while the next set-up of its call waits

Cause: Servers::execute dropped the queued release as the call's next set-up began to wait for a connection; that set-up was never sent.

Change: the release stays queued and goes out before the set-up on the same stream. A set-up that is sent still drops what is queued.

--- a/crates/gatekeeper/src/node/servers.rs
+++ b/crates/gatekeeper/src/node/servers.rs
@@ -222,8 +222,6 @@
             (Command::SetUp { class, until, content }, Some(server))
                 if server.listed.readiness == Readiness::Ready =>
             {
-                // The release of an earlier attempt of this call would cut this attempt.
-                server.release_queue.forget_unsent(id);
                 server.waiting_set_ups.push_back(WaitingSetUp { id, since: ctx.now, class, until, content });
             }
             (Command::SetUp { .. }, _) => ctx.calls.attempt_not_sent(pool, id),
