--- a/crates/gatekeeper/src/node/clients.rs
+++ b/crates/gatekeeper/src/node/clients.rs
@@ -6,6 +6,7 @@
 mod eviction;
 mod input;
 mod owed;
+mod receiving;
 mod reply;
 mod set_up;
 
@@ -21,22 +22,19 @@
 use self::input::InputBudget;
 use self::owed::OwedEnds;
 use self::reply::encode_reply;
-use self::set_up::{class_index, parse_request};
 use super::config::ProtocolClass;
 use super::delivery::Pending;
 use super::listen::bind;
 use super::poller::{Key, Poller, Ready};
 use super::steering::{self, Steering};
-use hollypaddle_core::calls::{Calls, OfferError, Origin, Reply};
+use hollypaddle_core::calls::{Calls, Origin, Reply};
 use hollypaddle_platform::connection::{CloseReason, Connection};
-use hollypaddle_platform::message::{cause, kind, Message, MAX_MESSAGE_BYTES};
+use hollypaddle_platform::message::{Message, MAX_MESSAGE_BYTES};
 use hollypaddle_service::drain::KeepReason;
 
 /// Longest time after which a caller refused by an overloaded gatekeeper may try again, in seconds. The longest time that callers
 /// accept applies if it is shorter.
 const MAX_CROWDED_RETRY_AFTER_S: f64 = 1.0;
-/// Maximum number of invalid set-ups on one connection; each is refused, and the connection is closed at this number.
-const MAX_INVALID_SET_UPS: u32 = 8;
 /// Length of the listener's queue of connections to be accepted. Callers connect by the hundreds at once; the standard library's
 /// 128 are too few.
 const LISTEN_BACKLOG: i32 = 1024;
@@ -380,73 +378,6 @@
         Ok(())
     }
 
-    /// Handles a message; an error closes the connection.
-    fn receive(
-        &mut self,
-        now: f64,
-        key: Key,
-        message: &Message,
-        poller: &Poller,
-        calls: &mut Calls,
-    ) -> Result<(), CloseReason> {
-        let Some(client) = self.connections.get_mut(&key) else { return Ok(()) };
-        match message.kind {
-            // Nobody waits for its answer.
-            kind::SET_UP if client.has_left => {}
-            kind::SET_UP => {
-                (client.used_at, client.last_set_up_at) = (now, Some(now));
-                client.set_up_after_reply |= client.best_reply >= BestReply::Outcome;
-                let refusal = match parse_request(message, &self.classes) {
-                    Err(cause) => Message::new(kind::RELEASE, message.call).with_cause(cause),
-                    Ok(_)
-                        if !calls.is_known(message.call)
-                            && self.refuse_if_draining(now, key, message, poller) =>
-                    {
-                        return Ok(())
-                    }
-                    Ok(request) => match calls.offer(now, key, request) {
-                        Ok(()) => return Ok(()),
-                        Err(OfferError::TooManyHeld) => {
-                            self.refused_classes.push(class_index(message, &self.classes));
-                            let refusal = encode_reply(
-                                message.call,
-                                Reply::Refused(self.crowded_retry_after.unwrap_or(0.0)),
-                            );
-                            self.send(now, key, &refusal, BestReply::Outcome, poller);
-                            return Ok(());
-                        }
-                        Err(OfferError::KnownId) => {
-                            Message::new(kind::RELEASE, message.call).with_cause(cause::INVALID_PARAMETER)
-                        }
-                        Err(OfferError::DuplicateId) => {
-                            return Err(CloseReason::UnexpectedMessage("a set-up came twice"))
-                        }
-                    },
-                };
-                log::debug!(call:% = format_args!("{:016x}", message.call), cause = refusal.cause(); "set-up-not-taken");
-                let Some(client) = self.connections.get_mut(&key) else { return Ok(()) };
-                client.invalid_set_ups += 1;
-                let invalid_set_ups = client.invalid_set_ups;
-                self.send(now, key, &refusal, BestReply::Notice, poller);
-                if invalid_set_ups >= MAX_INVALID_SET_UPS {
-                    return Err(CloseReason::UnexpectedMessage("nothing but set-ups that make no sense"));
-                }
-            }
-            kind::RELEASE => {
-                client.used_at = now;
-                calls.caller_release(now, key, message.call);
-            }
-            kind::RELEASE_COMPLETE => client.pending_ends.confirm(|end| end.id == message.call),
-            kind::TEST => {
-                client.used_at = now;
-                let passed = Message::new(kind::TEST_RESULT, message.call).with_cause(1);
-                self.send(now, key, &passed, BestReply::Notice, poller);
-            }
-            _ => {}
-        }
-        Ok(())
-    }
-
     /// Sends a caller the result of a call. Returns whether it could be sent: not if the caller's connection is gone, except for
     /// the end of an established call, which is then sent on another connection.
     pub fn reply(
--- a/crates/gatekeeper/src/node/servers/tests/releases.rs
+++ b/crates/gatekeeper/src/node/servers/tests/releases.rs
@@ -295,43 +295,44 @@
     assert!(first < last && last <= first + RESEND_LIMIT_S + 1.0, "{:?}", with.1);
 }
 
-/// Guards against a call that stays established for nobody: the release of a lost attempt was dropped when the call's next set-up
-/// began to wait for a connection, and that set-up was never sent.
-#[test]
-fn the_release_of_a_lost_attempt_is_sent_if_the_next_set_up_of_its_call_is_not() {
+/// Call 1, whose connection was lost with an attempt open, and whose next set-up for the same server waits for a connection that is
+/// begun and not up yet.
+fn retried_while_disconnected() -> (TestBed, TcpListener) {
     let (mut w, listener, first) = connected();
     let call = w.attempt(0.2, 1);
     drop(first);
-    // The connection is found closed, and another one is begun, but not up yet.
     w.step(0.5);
     w.calls.take_events();
     w.calls.start_attempt(0.6, call, POOL, 0.0);
     w.execute_commands(0.6);
+    (w, listener)
+}
+
+/// The calls and types of the messages that the server receives on its next connection.
+fn received_on_next(listener: &TcpListener) -> Vec<(u64, u8)> {
+    let mut messages = Vec::new();
+    let _ = accept(listener).read(&mut messages);
+    messages.iter().map(|m| (m.call, m.kind)).collect()
+}
+
+/// Guards against a call that stays established for nobody: the release of a lost attempt was dropped when the call's next set-up
+/// began to wait for a connection, and that set-up was never sent.
+#[test]
+fn the_release_of_a_lost_attempt_is_sent_if_the_next_set_up_of_its_call_is_not() {
+    let (mut w, listener) = retried_while_disconnected();
     w.calls.caller_release(0.7, 1, 1);
     w.execute_commands(0.7);
     w.step(0.8);
     w.step(0.9);
-    let mut messages = Vec::new();
-    let _ = accept(&listener).read(&mut messages);
-    let seen: Vec<_> = messages.iter().map(|m| (m.call, m.kind)).collect();
-    assert_eq!(seen, [(1, kind::RELEASE)]);
+    assert_eq!(received_on_next(&listener), [(1, kind::RELEASE)]);
 }
 
 /// Guards against a set-up that is cut by the release of an earlier attempt of its call: the release goes first.
 #[test]
 fn the_release_of_a_lost_attempt_precedes_the_next_set_up_of_its_call() {
-    let (mut w, listener, first) = connected();
-    let call = w.attempt(0.2, 1);
-    drop(first);
-    w.step(0.5);
-    w.calls.take_events();
-    w.calls.start_attempt(0.6, call, POOL, 0.0);
-    w.execute_commands(0.6);
+    let (mut w, listener) = retried_while_disconnected();
     w.step(0.7);
     w.send_waiting(0.7);
     w.step(0.8);
-    let mut messages = Vec::new();
-    let _ = accept(&listener).read(&mut messages);
-    let seen: Vec<_> = messages.iter().map(|m| (m.call, m.kind)).collect();
-    assert_eq!(seen, [(1, kind::RELEASE), (1, kind::SET_UP)]);
+    assert_eq!(received_on_next(&listener), [(1, kind::RELEASE), (1, kind::SET_UP)]);
 }
