Tell the order among callers' connections as it is

Cause: the comment of caller_connection and the incident said that the order depends on nothing that a peer sends later; whether a set-up came after a reply counts, once.

--- a/crates/gatekeeper/src/node/clients/ends.rs
+++ b/crates/gatekeeper/src/node/clients/ends.rs
@@ -135,10 +135,9 @@
     }
 
     /// Returns the connection for the end of a call that came from this address and whose own connection is gone. It is one on
-    /// which a call was established. That is evidence which a peer can't make up: servers answer its set-ups or don't. The order
-    /// among these connections doesn't depend on what a peer sends later either. Those from the call's address come first, then
-    /// those whose callers have shown that they read replies, as a caller that makes one set-up may leave ends unread, then those
-    /// on which a call was established first.
+    /// which a call was established. That is evidence which a peer can't make up: servers answer its set-ups or don't. Among these
+    /// connections, those from the call's address come first, then those whose callers have sent a set-up after a reply, as a
+    /// caller that makes one set-up may leave ends unread, then those on which a call was established first.
     fn caller_connection(&self, address: Option<IpAddr>) -> Option<Key> {
         let callers = self.connections.iter().filter(|(_, c)| c.had_call() && !c.reset_seen && !c.has_left);
         let order = |c: &Client| (Some(c.address) == address, c.set_up_after_reply);
